--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -25,6 +25,7 @@
 	Check    checkCommand    `cmd:"" help:"Check a settings file and do nothing else."`
 	Settings settingsCommand `cmd:"" help:"Print commented settings to start from."`
 	Dev      devCommand      `cmd:"" help:"Run a whole cell with stand-ins in one process."`
+	Host     hostCommand     `cmd:"" help:"Run the daemon on the users' platform."`
 	Charts   chartsCommand   `cmd:"" help:"Print the state charts as Mermaid diagrams."`
 }
 
--- /dev/null
+++ b/internal/command/host.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/host"
+	"github.com/currantwinch/currantwinch/platform"
+	"github.com/pkg/errors"
+)
+
+const (
+	// heapPart is the part of the VM's memory that the heap may take before
+	// collections become more frequent.
+	heapPart = 0.5
+	// heapGrowthPercent trades memory for less collecting.
+	heapGrowthPercent = 200
+	// stopMargin is left of the platform's grace for the process to end.
+	stopMargin = 500 * time.Millisecond
+	megabyte   = 1 << 20
+)
+
+type hostCommand struct {
+	Role string `arg:"" optional:"" help:"Role that the platform gives the process; it takes all roles in any case."`
+	File string `help:"Settings file of the platform." env:"CURRANTWINCH_CONFIG" required:""`
+}
+
+// Help shows an example.
+func (hostCommand) Help() string {
+	return "Runs on the users' platform, with its settings file. Example: currantwinchd host --file settings.json"
+}
+
+// Run serves until SIGTERM, then stops gracefully.
+func (c *hostCommand) Run(e *env) error {
+	s, err := platform.ReadSettings(c.File)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	log := events.NewLogger(slog.New(slog.NewJSONHandler(e.out, nil)))
+	defer redirectLibraryLog(log)()
+	debug.SetGCPercent(heapGrowthPercent)
+	debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryMB) * megabyte))
+	h, err := host.New(host.Options{Settings: s, Events: log})
+	if err != nil {
+		return err
+	}
+	if err := h.Start(context.Background()); err != nil {
+		return err
+	}
+	log.Log(events.DaemonStarted, "daemon", s.Name, "incarnation", "", "callers", s.Callers, "operators", s.Ready, "peers", s.IP)
+	return c.serve(h, s, log, signals)
+}
+
+func (c *hostCommand) serve(h *host.Host, s platform.Settings, log *events.Logger, signals <-chan os.Signal) error {
+	for {
+		select {
+		case got := <-signals:
+			if got == syscall.SIGHUP {
+				_, err := platform.ReadSettings(c.File)
+				log.Log(events.SettingsReloaded, "file", c.File, "error", errorText(err))
+				continue
+			}
+			return c.stop(h, s, log)
+		case <-h.Failed():
+			log.Log(events.DutyFailed, "error", errorText(h.Err()))
+			return errors.Wrap(h.Err(), "a duty failed")
+		}
+	}
+}
+
+func (c *hostCommand) stop(h *host.Host, s platform.Settings, log *events.Logger) error {
+	log.Log(events.DaemonStopping, "daemon", s.Name)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), s.Bounds.Grace-stopMargin)
+	defer cancel()
+	if err := h.Stop(ctx); err != nil {
+		log.Log(events.DaemonCut, "daemon", s.Name, "inFlight", 0)
+		return err
+	}
+	log.Log(events.DaemonStopped, "daemon", s.Name, "took", time.Since(began).Milliseconds())
+	return nil
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,189 @@
+// Package entry takes callers' calls in any daemon and passes each to the owner
+// of its partition, on this daemon or another.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/roles"
+	"github.com/currantwinch/currantwinch/internal/scheduler"
+	"github.com/currantwinch/currantwinch/internal/tenure"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/currantwinch/currantwinch/workload"
+	"github.com/pkg/errors"
+)
+
+const (
+	// searchTime is how long a call may look for an owner before it is answered
+	// that there is none.
+	searchTime = 1200 * time.Millisecond
+	// searchPause is the time between two attempts.
+	searchPause = 60 * time.Millisecond
+	// ownerTimeout is the longest wait for an owner's answer.
+	ownerTimeout = 1500 * time.Millisecond
+	// ownerRetryAfter is what callers are told when there is no owner: the group
+	// finds another within about this time.
+	ownerRetryAfter = time.Second
+)
+
+// The methods between daemons.
+const (
+	methodSubmit  = "submission.submit"
+	methodStatus  = "submission.status"
+	methodCancel  = "submission.cancel"
+	methodPending = "submission.pending"
+)
+
+// ReasonNoOwner means that no daemon owns the partition now.
+const ReasonNoOwner verdict.Reason = "no_owner"
+
+// call is a call between daemons.
+type call struct {
+	Service    string               `json:"service"`
+	ID         string               `json:"id,omitempty"`
+	Queue      string               `json:"queue,omitempty"`
+	Submission *workload.Submission `json:"submission,omitempty"`
+}
+
+// Options is what an Entry is built from.
+type Options struct {
+	Member  *partition.Member
+	Tenures *tenure.Tenures
+	Peers   roles.Peers
+	Parts   int
+	Now     func() time.Time
+}
+
+// Entry passes calls to owners.
+type Entry struct{ o Options }
+
+// New returns an Entry and registers its methods with the peers.
+func New(o Options) *Entry {
+	e := &Entry{o}
+	for _, method := range []string{methodSubmit, methodStatus, methodCancel, methodPending} {
+		o.Peers.Handle(method, e.handle(method))
+	}
+	return e
+}
+
+// DaemonOf returns the daemon of a member's name.
+func DaemonOf(member string) string {
+	daemon, _, _ := strings.Cut(member, "/")
+	return daemon
+}
+
+// Submit accepts a submission, or says whether it may have been accepted.
+func (e *Entry) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
+	return e.pass(ctx, methodSubmit, call{Service: sub.Service, Submission: sub})
+}
+
+// Status returns a submission's state.
+func (e *Entry) Status(ctx context.Context, service, id string) (scheduler.Reply, error) {
+	return e.pass(ctx, methodStatus, call{Service: service, ID: id})
+}
+
+// Cancel ends a submission.
+func (e *Entry) Cancel(ctx context.Context, service, id string) (scheduler.Reply, error) {
+	return e.pass(ctx, methodCancel, call{Service: service, ID: id})
+}
+
+// Pending returns how many of a queue's submissions have not started.
+func (e *Entry) Pending(ctx context.Context, service, queue string) (scheduler.Reply, error) {
+	return e.pass(ctx, methodPending, call{Service: service, Queue: queue})
+}
+
+// pass gives a call to the owner. All calls are idempotent, so that one without
+// an answer is repeated at the next owner.
+func (e *Entry) pass(ctx context.Context, method string, c call) (scheduler.Reply, error) {
+	began := e.o.Now()
+	maybe := false
+	for {
+		r, err := e.attempt(ctx, method, c)
+		if err == nil {
+			return r, nil
+		}
+		if verdict.Of(err) != verdict.NotRun {
+			maybe = true
+		}
+		if verdict.ReasonOf(err) == scheduler.ReasonStoreDown || ctx.Err() != nil || e.o.Now().Sub(began) > searchTime {
+			return scheduler.Reply{}, final(err, maybe)
+		}
+		e.o.Member.Refresh(ctx)
+		if !pause(ctx, searchPause) {
+			return scheduler.Reply{}, final(err, maybe)
+		}
+	}
+}
+
+// final gives the error of a call the verdict of all its attempts.
+func final(err error, maybe bool) error {
+	if maybe && verdict.Of(err) == verdict.NotRun {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err))
+	}
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (e *Entry) attempt(ctx context.Context, method string, c call) (scheduler.Reply, error) {
+	id := tenure.PartitionOf(c.Service, e.o.Parts)
+	if _, ok := e.o.Tenures.Engine(id); ok {
+		return e.local(ctx, id, method, c)
+	}
+	holder, ok := e.o.Member.Holder(id)
+	if !ok {
+		return scheduler.Reply{}, verdict.New(verdict.NotRun, ReasonNoOwner, "partition %d has no owner", id.Part).WithRetryAfter(ownerRetryAfter)
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	var r scheduler.Reply
+	err := e.o.Peers.Call(ctx, DaemonOf(holder), method, c, &r)
+	return r, err
+}
+
+// local has this daemon's scheduler answer a call.
+func (e *Entry) local(ctx context.Context, id partition.ID, method string, c call) (scheduler.Reply, error) {
+	engine, ok := e.o.Tenures.Engine(id)
+	if !ok {
+		return scheduler.Reply{}, verdict.New(verdict.NotRun, scheduler.ReasonNotOwner, "partition %d is not this daemon's", id.Part)
+	}
+	switch method {
+	case methodSubmit:
+		return engine.Submit(ctx, c.Submission)
+	case methodStatus:
+		return engine.Status(ctx, c.ID)
+	case methodCancel:
+		return engine.Cancel(ctx, c.ID)
+	default:
+		return engine.Pending(ctx, c.Queue)
+	}
+}
+
+// handle answers another daemon's call.
+func (e *Entry) handle(method string) roles.PeerHandler {
+	return func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+		var c call
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, verdict.Wrap(errors.Wrap(err, "read call"), verdict.NotRun, "bad_call")
+		}
+		if method == methodSubmit && c.Submission == nil {
+			return nil, verdict.New(verdict.NotRun, "bad_call", "no submission")
+		}
+		ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+		defer cancel()
+		return e.local(ctx, tenure.PartitionOf(c.Service, e.o.Parts), method, c)
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -52,7 +52,7 @@
 // All returns the whole catalogue in the order of numbers. Each file of this
 // package holds one area and its range of numbers.
 func All() []Event {
-	areas := [][]Event{daemonEvents, logEvents, ownershipEvents, requestEvents, placementEvents}
+	areas := [][]Event{daemonEvents, logEvents, ownershipEvents, requestEvents, placementEvents, submissionEvents}
 	var all []Event
 	for _, area := range areas {
 		all = append(all, area...)
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,236 @@
+// Package host wires a daemon for the users' platform: the callers' interface,
+// the schedulers of the partitions that it holds, and the calls between
+// daemons.
+package host
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/currantwinch/currantwinch/cluster"
+	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/entry"
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/peer"
+	"github.com/currantwinch/currantwinch/internal/roles"
+	"github.com/currantwinch/currantwinch/internal/scheduler"
+	"github.com/currantwinch/currantwinch/internal/tenure"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/platform"
+	"github.com/currantwinch/currantwinch/routing"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"go.uber.org/fx"
+)
+
+const (
+	// group is the name of the daemons' group at the store.
+	group = "currantwinch"
+	// balancerLag is how long callers may still be sent here after the daemon
+	// says that it is not ready: two looks of the balancer, a second apart.
+	balancerLag = 2500 * time.Millisecond
+	// leaveTimeout bounds the giving up of partitions at a planned stop.
+	leaveTimeout = time.Second
+	// maxHeaderBytes bounds the headers of one request.
+	maxHeaderBytes = 64 << 10
+)
+
+// Options is what a Host is built from.
+type Options struct {
+	Settings platform.Settings
+	Events   *events.Logger
+}
+
+// Host is one daemon.
+type Host struct {
+	o       Options
+	base    roles.Base
+	duties  *duty.Group
+	app     *fx.App
+	config  atomic.Pointer[routing.Configuration]
+	store   *platform.Store
+	servers *platform.Servers
+	health  *storeHealth
+
+	member   *partition.Member
+	tenures  *tenure.Tenures
+	peers    *peer.Peers
+	entry    *entry.Entry
+	advisors *entry.Advisors
+
+	callers, ready *http.Server
+	stopping       atomic.Bool
+}
+
+// New returns a Host that serves nothing before Start.
+func New(o Options) (*Host, error) {
+	h := &Host{o: o, duties: duty.New(time.Now)}
+	h.base = roles.Base{
+		Self: cluster.Daemon{Name: peerAddress(o.Settings), Incarnation: uuid.NewString()},
+		Now:  time.Now, Duties: h.duties, Events: o.Events, Metrics: metrics.NewSet(),
+	}
+	h.app = fx.New(
+		fx.NopLogger,
+		fx.Supply(o.Settings),
+		fx.Provide(platform.NewHTTPClient, h.newStore, h.newPeers, h.newMember, h.newTenures, h.newEntry, h.newAdvisors),
+		fx.Invoke(h.assemble),
+		fx.Invoke(h.lifecycle),
+	)
+	return h, errors.Wrap(h.app.Err(), "wire daemon")
+}
+
+func peerAddress(s platform.Settings) string {
+	return net.JoinHostPort(s.IP, fmt.Sprint(s.Ports[0]))
+}
+
+func (h *Host) newStore(client *http.Client, s platform.Settings) *platform.Store {
+	h.health = &storeHealth{now: time.Now, events: h.o.Events}
+	return platform.NewStore(client, s.Store, group, tenure.Topic)
+}
+
+func (h *Host) newPeers() (*peer.Peers, error) {
+	listener, err := net.Listen("tcp", h.base.Self.Name)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for daemons")
+	}
+	return peer.New(peer.Options{
+		Base: h.base, Listener: listener, Dial: platform.Dial,
+		// Daemons are named by their addresses.
+		Resolve: func(daemon string) (string, bool) { return daemon, daemon != "" },
+	}), nil
+}
+
+func (h *Host) newMember(store *platform.Store, s platform.Settings) *partition.Member {
+	name := h.base.Self.Name + "/" + h.base.Self.Incarnation
+	return partition.NewMember(store, name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() })
+}
+
+func (h *Host) newTenures(member *partition.Member, s platform.Settings) *tenure.Tenures {
+	return tenure.New(tenure.Options{
+		Member: member, Parts: s.StoreParts, Config: h.config.Load, New: h.newEngine, Duties: h.duties, Events: h.o.Events,
+	})
+}
+
+func (h *Host) newEntry(member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, s platform.Settings) *entry.Entry {
+	return entry.New(entry.Options{Member: member, Tenures: tenures, Peers: peers, Parts: s.StoreParts, Now: time.Now})
+}
+
+func (h *Host) newAdvisors(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.Advisors {
+	return entry.NewAdvisors(h.base.Self.Name, platform.NewAdvice(client, s.Advice), member, peers)
+}
+
+func (h *Host) assemble(client *http.Client, store *platform.Store, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, e *entry.Entry, a *entry.Advisors) {
+	h.store, h.member, h.tenures, h.peers, h.entry, h.advisors = store, member, tenures, peers, e, a
+	h.servers = platform.NewServers(client)
+}
+
+// lifecycle orders start and stop.
+func (h *Host) lifecycle(l fx.Lifecycle) {
+	l.Append(fx.Hook{OnStart: h.peers.Start, OnStop: h.peers.Stop})
+	l.Append(fx.Hook{OnStart: h.startDuties, OnStop: h.duties.Stop})
+	l.Append(fx.Hook{OnStart: h.serve, OnStop: h.drain})
+}
+
+func (h *Host) startDuties(context.Context) error {
+	h.duties.Go("configuration", 0, h.watchConfiguration)
+	h.duties.Go("membership", 0, func(ctx context.Context, _ duty.Turn) error { return h.member.Run(ctx) })
+	h.duties.Go("tenures", 0, h.tenures.Run)
+	return nil
+}
+
+// newEngine returns a scheduler for a partition that this daemon holds.
+func (h *Host) newEngine(id partition.ID) *scheduler.Engine {
+	b := h.o.Settings.Bounds
+	return scheduler.NewEngine(scheduler.EngineOptions{
+		Log: h.store, Partition: id, Daemon: h.base.Self.Name,
+		Bounds: scheduler.Bounds{
+			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept, RemoteFactor: b.RemoteFactor,
+		},
+		Servers: h.servers, Advisors: h.advisors, Config: h.config.Load, Sure: h.member.Sure, Watch: h.watchServers,
+		Events: h.o.Events, Now: time.Now, Wall: wall,
+	})
+}
+
+func wall() int64 { return time.Now().UnixMilli() }
+
+// serve opens the callers' door and the readiness answer.
+func (h *Host) serve(context.Context) error {
+	door := &platform.Door{Callers: h.entry, Config: h.config.Load, Now: time.Now, Wall: wall, Failed: h.callFailed}
+	router := mux.NewRouter()
+	router.HandleFunc("/ready", h.answerReady)
+	router.HandleFunc("/metrics", h.answerMetrics)
+	h.callers = &http.Server{Handler: door, MaxHeaderBytes: maxHeaderBytes}
+	h.ready = &http.Server{Handler: router}
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{{h.callers, h.o.Settings.Callers}, {h.ready, h.o.Settings.Ready}} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		server := s.server
+		h.duties.Go("serve "+s.address, 0, func(context.Context, duty.Turn) error {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+	}
+	return nil
+}
+
+func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if h.config.Load() == nil || h.stopping.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (h *Host) answerMetrics(w http.ResponseWriter, _ *http.Request) {
+	h.base.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (h *Host) callFailed(f platform.Failure) {
+	h.o.Events.Log(events.CallFailed, "call", f.Call, "id", f.ID, "queue", f.Queue, "status", f.Status, "reason", f.Reason, "took", f.Took.Milliseconds())
+}
+
+// Start starts everything.
+func (h *Host) Start(ctx context.Context) error { return h.app.Start(ctx) }
+
+// Stop hands partitions over, serves on until callers are sent elsewhere, and
+// ends once everything taken is answered or ctx ends.
+func (h *Host) Stop(ctx context.Context) error { return h.app.Stop(ctx) }
+
+// Failed is closed when a duty failed.
+func (h *Host) Failed() <-chan struct{} { return h.duties.Done() }
+
+// Err returns why a duty failed.
+func (h *Host) Err() error { return h.duties.Err() }
+
+// drain is the graceful part of a stop.
+func (h *Host) drain(ctx context.Context) error {
+	h.stopping.Store(true)
+	h.tenures.StopAll()
+	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
+	err := h.member.Leave(leave)
+	cancel()
+	if err != nil {
+		h.o.Events.Log(events.StoreLost, "call", "leave", "error", err.Error())
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(balancerLag):
+	}
+	err = h.callers.Shutdown(ctx)
+	_ = h.ready.Close()
+	return errors.Wrap(err, "finish calls")
+}
--- /dev/null
+++ b/internal/host/watch.go
@@ -0,0 +1,124 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/scheduler"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/platform"
+)
+
+// watchConfiguration keeps the newest readable configuration in force.
+func (h *Host) watchConfiguration(ctx context.Context, _ duty.Turn) error {
+	w := &partition.Watcher{
+		Log: h.store, ID: platform.OperatorRecords, Whole: h.configure, Changed: h.configure, Health: h.health.report("configuration"),
+	}
+	return w.Run(ctx)
+}
+
+func (h *Host) configure(records []partition.Record) {
+	config, err := platform.DecodeConfiguration(records)
+	if err != nil {
+		h.o.Events.Log(events.ConfigurationUnreadable, "offset", lastOffset(records), "error", err.Error())
+		return
+	}
+	if config == nil {
+		return
+	}
+	// A version that was read late never replaces a newer one.
+	if now := h.config.Load(); now != nil && now.Version >= config.Version {
+		return
+	}
+	h.config.Store(config)
+	h.o.Events.Log(events.ConfigurationTaken, "version", config.Version, "queues", len(config.Queues), "services", len(config.Services))
+	h.tenures.Wake()
+}
+
+func lastOffset(records []partition.Record) uint64 {
+	if len(records) == 0 {
+		return 0
+	}
+	return records[len(records)-1].Offset
+}
+
+// watchServers follows the platform's list of backend servers.
+func (h *Host) watchServers(ctx context.Context, whole func([]scheduler.ServerInfo)) error {
+	list := &serverList{entries: make(map[string]scheduler.ServerInfo), events: h.o.Events}
+	w := &partition.Watcher{
+		Log: h.store, ID: platform.ServerRecords, Health: h.health.report("servers"),
+		Whole: func(records []partition.Record) {
+			clear(list.entries)
+			list.take(records)
+			whole(list.all())
+		},
+		Changed: func(records []partition.Record) {
+			list.take(records)
+			whole(list.all())
+		},
+	}
+	return w.Run(ctx)
+}
+
+// serverList is the platform's list as last read.
+type serverList struct {
+	entries map[string]scheduler.ServerInfo
+	events  *events.Logger
+}
+
+func (l *serverList) take(records []partition.Record) {
+	for _, r := range records {
+		if r.Value == nil {
+			delete(l.entries, r.Key)
+			continue
+		}
+		info, err := platform.DecodeServer(r)
+		if err != nil {
+			delete(l.entries, r.Key)
+			l.events.Log(events.EntryUnreadable, "server", r.Key, "error", err.Error())
+			continue
+		}
+		l.entries[r.Key] = info
+	}
+}
+
+func (l *serverList) all() []scheduler.ServerInfo {
+	out := make([]scheduler.ServerInfo, 0, len(l.entries))
+	for _, info := range l.entries {
+		out = append(out, info)
+	}
+	return out
+}
+
+// storeHealth logs when calls to the store begin to fail and when they succeed
+// again.
+type storeHealth struct {
+	now    func() time.Time
+	events *events.Logger
+
+	mu   sync.Mutex
+	lost map[string]time.Time
+}
+
+// report returns a function that is told the outcome of one kind of call.
+func (s *storeHealth) report(call string) func(error) {
+	return func(err error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.lost == nil {
+			s.lost = make(map[string]time.Time)
+		}
+		since, down := s.lost[call]
+		switch {
+		case err != nil && !down:
+			s.lost[call] = s.now()
+			s.events.Log(events.StoreLost, "call", call, "error", err.Error())
+		case err == nil && down:
+			delete(s.lost, call)
+			s.events.Log(events.StoreRegained, "call", call, "lost", s.now().Sub(since).Milliseconds())
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/advice.go
@@ -0,0 +1,186 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+const (
+	// ticketMargin is left of a ticket's validity for the order to arrive.
+	ticketMargin = 80 * time.Millisecond
+	// askMargin is how many times the needed room is asked for, since some of it
+	// is taken by the time of the answer.
+	askMargin = 1.6
+	// minAsked is the least number of servers in one question.
+	minAsked = 4
+	// maxAsked is the most that the policy service takes.
+	maxAsked = 100
+	// askRetry is the pause after a question without an answer.
+	askRetry = 100 * time.Millisecond
+	// callsPerAsker bounds the questions that wait at one daemon.
+	callsPerAsker = 2
+	// learnWeight is the weight of the newest answer in the learned share.
+	learnWeight = 0.1
+	// firstAllowance is the share assumed before any answer.
+	firstAllowance = 0.5
+)
+
+// permission is a ticket with its end.
+type permission struct {
+	ticket  string
+	expires time.Time
+}
+
+// advice is what the policy service said about a step. Which servers it allows
+// never changes during their lives; tickets expire.
+type advice struct {
+	tickets map[string]permission
+	// refused lists servers that may not run the step, by ID and life.
+	refused map[serverLife]bool
+	// allowed lists servers that may, whether or not their tickets are valid.
+	allowed map[serverLife]bool
+	asking  bool
+	retryAt time.Time
+}
+
+type serverLife struct {
+	id   string
+	born int64
+}
+
+func (s *server) lifeKey() serverLife { return serverLife{s.info.ID, s.info.Born} }
+
+// allowance is the learned share of servers that a queue's policy allows.
+type allowance struct{ share float64 }
+
+func (c *Core) allowanceOf(queue string) *allowance {
+	a := c.learned[queue]
+	if a == nil {
+		a = &allowance{firstAllowance}
+		c.learned[queue] = a
+	}
+	return a
+}
+
+// ticket returns a permission to start the step's tasks on s now.
+func (c *Core) ticketFor(st *step, s *server) (string, bool) {
+	if st.job().queue.Advice == nil {
+		return "", true
+	}
+	p, ok := st.advice.tickets[s.info.ID]
+	if !ok || c.now.Add(ticketMargin).After(p.expires) {
+		return "", false
+	}
+	return p.ticket, true
+}
+
+// ask puts a question for a step about the servers that have room for it, those
+// known to be allowed first.
+func (c *Core) ask(st *step, need int, candidates []*server) {
+	a := &st.advice
+	if a.asking || c.now.Before(a.retryAt) || c.asking >= c.askers*callsPerAsker {
+		return
+	}
+	var sure, open []*server
+	for _, s := range candidates {
+		switch key := s.lifeKey(); {
+		case a.refused[key]:
+		case a.allowed[key]:
+			sure = append(sure, s)
+		default:
+			open = append(open, s)
+		}
+	}
+	chosen := c.choose(st, need, sure, open)
+	if len(chosen) == 0 {
+		return
+	}
+	a.asking = true
+	c.asking++
+	c.act(AskAdvice{Step: st.id(), Servers: chosen})
+}
+
+// choose picks servers until their expected room covers the need.
+func (c *Core) choose(st *step, need int, sure, open []*server) []string {
+	share := c.allowanceOf(st.job().queue.Name).share
+	want := askMargin * float64(need)
+	var ids []string
+	pick := func(servers []*server, chance float64) {
+		byRoom := slices.Clone(servers)
+		slices.SortFunc(byRoom, func(x, y *server) int {
+			return int(y.free.CPU - x.free.CPU)
+		})
+		for _, s := range byRoom {
+			if len(ids) >= maxAsked || want <= 0 && len(ids) >= minAsked {
+				return
+			}
+			ids = append(ids, s.info.ID)
+			want -= chance * float64(c.slots(st, s))
+		}
+	}
+	pick(sure, 1)
+	if want > 0 {
+		pick(open, share)
+	}
+	return ids
+}
+
+// Advised reports the answer to a question about the named servers.
+func (c *Core) Advised(id workload.TaskID, asked []string, tickets []Ticket, validity time.Duration, err error) {
+	c.asking--
+	j := c.jobs[id.Submission]
+	if j == nil {
+		return
+	}
+	st := j.step(id.Occurrence, id.Step)
+	if st == nil {
+		return
+	}
+	a := &st.advice
+	a.asking = false
+	c.place = true
+	if err != nil {
+		c.log.Log(events.AdviceFailed, "step", id.StepName(), "servers", len(asked), "error", err.Error())
+		a.retryAt = c.now.Add(askRetry)
+		return
+	}
+	c.log.Log(events.AdviceTaken, "step", id.StepName(), "asked", len(asked), "allowed", len(tickets), "validMS", validity.Milliseconds())
+	st.take(c, asked, tickets, validity)
+}
+
+func (s *step) take(c *Core, asked []string, tickets []Ticket, validity time.Duration) {
+	a := &s.advice
+	if a.tickets == nil {
+		a.tickets = make(map[string]permission)
+		a.refused = make(map[serverLife]bool)
+		a.allowed = make(map[serverLife]bool)
+	}
+	learned := c.allowanceOf(s.job().queue.Name)
+	yes := make(map[string]bool, len(tickets))
+	for _, t := range tickets {
+		yes[t.Server] = true
+		a.tickets[t.Server] = permission{t.Value, c.now.Add(validity)}
+	}
+	for _, id := range asked {
+		srv := c.servers[id]
+		if srv == nil {
+			continue
+		}
+		key := srv.lifeKey()
+		if !a.allowed[key] {
+			hit := 0.0
+			if yes[id] {
+				hit = 1
+			}
+			learned.share += learnWeight * (hit - learned.share)
+		}
+		if yes[id] {
+			a.allowed[key] = true
+		} else {
+			a.refused[key] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/calls.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+const (
+	// storeSilence is how long writes may wait before new submissions are
+	// refused: nothing can be accepted while nothing can be stored.
+	storeSilence = 700 * time.Millisecond
+	// storeRetryAfter is what callers are told then.
+	storeRetryAfter = time.Second
+)
+
+// Submit accepts a submission once it is stored. It may be repeated: the same
+// ID is accepted once.
+func (e *Engine) Submit(ctx context.Context, sub *workload.Submission) (Reply, error) {
+	if err := e.storable(ctx); err != nil {
+		return Reply{}, err
+	}
+	return e.call(ctx, func(c *Core, reply func(Reply)) { c.Submit(sub, reply) })
+}
+
+// Cancel ends a submission once that is stored.
+func (e *Engine) Cancel(ctx context.Context, id string) (Reply, error) {
+	return e.known(e.call(ctx, func(c *Core, reply func(Reply)) { c.Cancel(id, reply) }))
+}
+
+// Status returns a submission's state.
+func (e *Engine) Status(ctx context.Context, id string) (Reply, error) {
+	return e.known(e.call(ctx, func(c *Core, reply func(Reply)) { c.Status(id, reply) }))
+}
+
+// Pending returns how many of a queue's submissions have not started.
+func (e *Engine) Pending(ctx context.Context, queue string) (Reply, error) {
+	return e.call(ctx, func(c *Core, reply func(Reply)) { c.Pending(queue, reply) })
+}
+
+// known passes on that a submission does not exist only while no other daemon
+// can have accepted it.
+func (e *Engine) known(r Reply, err error) (Reply, error) {
+	if err == nil && r.Outcome == OutcomeUnknown && !e.o.Sure() {
+		return Reply{}, verdict.New(verdict.NotRun, ReasonNotOwner, "not sure to own the partition")
+	}
+	return r, err
+}
+
+// storable reports why nothing can be accepted now.
+func (e *Engine) storable(ctx context.Context) error {
+	select {
+	case <-e.done:
+		return verdict.New(verdict.NotRun, ReasonNotOwner, "the partition has another owner")
+	case <-e.claimed:
+	case <-ctx.Done():
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, ReasonTimeout)
+	}
+	if e.writer.Behind() > storeSilence {
+		return verdict.New(verdict.NotRun, ReasonStoreDown, "the store has not answered for %s", storeSilence).WithRetryAfter(storeRetryAfter)
+	}
+	return nil
+}
+
+// callEvent is a caller's call.
+type callEvent struct {
+	do    func(c *Core, reply func(Reply))
+	reply chan Reply
+}
+
+func (ev callEvent) apply(c *Core) {
+	ev.do(c, func(r Reply) { ev.reply <- r })
+}
+
+// call has the Core answer a call.
+func (e *Engine) call(ctx context.Context, do func(c *Core, reply func(Reply))) (Reply, error) {
+	ev := callEvent{do, make(chan Reply, 1)}
+	if !e.events.Push(ctx, ev) {
+		return Reply{}, verdict.Wrap(ctx.Err(), verdict.NotRun, ReasonTimeout)
+	}
+	select {
+	case r := <-ev.reply:
+		return r, nil
+	case <-ctx.Done():
+		return Reply{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, ReasonTimeout)
+	case <-e.done:
+		return Reply{}, verdict.New(verdict.MayHaveRun, ReasonNotOwner, "the partition went to another owner")
+	}
+}
--- /dev/null
+++ b/internal/scheduler/job.go
@@ -0,0 +1,263 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/currantwinch/currantwinch/routing"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// job is a submission that has not ended.
+type job struct {
+	sub   *workload.Submission
+	queue routing.Queue
+	// stored says that the submission is in the log; nothing of it starts before.
+	stored bool
+	// inherited submissions may have runs that an earlier owner started.
+	inherited bool
+	// started says that a task of it has begun.
+	started bool
+	// ending is the final state that is being stored.
+	ending workload.Status
+	// waiting are callers who want to hear that the submission is stored.
+	waiting     []func(Reply)
+	occurrences []*occurrence
+	// open counts occurrences that are not done.
+	open int
+	// accepted is when the submission arrived, on this daemon's clock.
+	accepted time.Time
+	// chain is the declared time of the longest chain of steps.
+	chain time.Duration
+	// dirty says that its progress waits to be stored.
+	dirty bool
+}
+
+// occurrence is one run of all steps.
+type occurrence struct {
+	job   *job
+	index int
+	steps []*step
+	// open counts steps that are not done.
+	open int
+	// due says that its time has come.
+	due bool
+}
+
+// step is one step of an occurrence.
+type step struct {
+	occurrence *occurrence
+	index      int
+	spec       *workload.Step
+	tasks      []task
+	done       int
+	// queued says that the step is among the Core's ready steps.
+	queued bool
+	advice advice
+	// readyAt is when the last dependency was done.
+	readyAt time.Time
+	// failedRun is the last run of a gang that was counted as failed.
+	failedRun int
+	// gatherUntil is when an incomplete gang is given up.
+	gatherUntil time.Time
+	// onServer counts attempts by server.
+	onServer map[*server]int
+}
+
+// task is one task of a step.
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	run        int
+	failed     int
+	checkpoint string
+	cur        *attempt
+	// retryAt keeps a task from being placed again at once.
+	retryAt time.Time
+}
+
+func newJob(sub *workload.Submission, now time.Time) *job {
+	j := &job{sub: sub, accepted: now}
+	for k := range sub.Occurrences() {
+		j.occurrences = append(j.occurrences, newOccurrence(j, k))
+	}
+	j.open = len(j.occurrences)
+	j.chain = longestChain(sub.Steps)
+	return j
+}
+
+func newOccurrence(j *job, index int) *occurrence {
+	o := &occurrence{job: j, index: index, open: len(j.sub.Steps)}
+	for i := range j.sub.Steps {
+		spec := &j.sub.Steps[i]
+		s := &step{occurrence: o, index: i, spec: spec, tasks: make([]task, spec.Count), onServer: make(map[*server]int)}
+		for n := range s.tasks {
+			s.tasks[n].step = s
+			s.tasks[n].index = n
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+// longestChain returns the declared time of the longest chain of dependent
+// steps.
+func longestChain(steps []workload.Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i := range steps {
+		var begin time.Duration
+		for _, d := range steps[i].After {
+			begin = max(begin, ends[d])
+		}
+		ends[i] = begin + steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func (t *task) id() workload.TaskID {
+	o := t.step.occurrence
+	return workload.TaskID{Submission: o.job.sub.ID, Occurrence: o.index, Step: t.step.index, Index: t.index}
+}
+
+func (s *step) id() workload.TaskID { return s.tasks[0].id() }
+
+func (s *step) job() *job { return s.occurrence.job }
+
+// ready reports whether all steps that s depends on are done and its time has
+// come.
+func (s *step) ready() bool {
+	if !s.occurrence.due {
+		return false
+	}
+	for _, d := range s.spec.After {
+		earlier := s.occurrence.steps[d]
+		if earlier.done < len(earlier.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// waiting returns the number of tasks that are not done and have no attempt.
+func (s *step) waiting() int {
+	n := 0
+	for i := range s.tasks {
+		if s.tasks[i].waits() {
+			n++
+		}
+	}
+	return n
+}
+
+// waits reports whether the task is to be placed.
+func (t *task) waits() bool { return !t.done && t.cur == nil }
+
+// gangRun returns the number for the next run of a gang.
+func (s *step) gangRun() int {
+	run := 0
+	for i := range s.tasks {
+		run = max(run, s.tasks[i].run)
+	}
+	return run + 1
+}
+
+// target is when the submission should be completed.
+func (j *job) target() time.Time {
+	stretch := max(j.queue.Stretch, 1)
+	return j.accepted.Add(time.Duration(stretch*float64(j.chain)) + j.queue.TargetLatency)
+}
+
+// progress returns what must last of the job's tasks.
+func (j *job) progress() workload.Progress {
+	var p workload.Progress
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.done > 0 {
+				p.Steps = append(p.Steps, workload.StepMark{Occurrence: o.index, Step: s.index, Done: s.doneBits()})
+			}
+			p.Tasks = s.marks(p.Tasks)
+		}
+	}
+	return p
+}
+
+func (s *step) doneBits() []byte {
+	bits := make([]byte, (len(s.tasks)+7)/8)
+	for i := range s.tasks {
+		if s.tasks[i].done {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return bits
+}
+
+// marks appends the tasks that have ended without being done.
+func (s *step) marks(to []workload.TaskMark) []workload.TaskMark {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done || t.failed == 0 && t.checkpoint == "" {
+			continue
+		}
+		to = append(to, workload.TaskMark{
+			Occurrence: s.occurrence.index, Step: s.index, Index: i, Run: t.run, Failed: t.failed, Checkpoint: t.checkpoint,
+		})
+	}
+	return to
+}
+
+// restore takes in stored progress.
+func (j *job) restore(p workload.Progress) {
+	for _, m := range p.Steps {
+		s := j.step(m.Occurrence, m.Step)
+		if s == nil {
+			continue
+		}
+		for i := range s.tasks {
+			if i/8 < len(m.Done) && m.Done[i/8]&(1<<(i%8)) != 0 {
+				s.markDone(&s.tasks[i])
+			}
+		}
+	}
+	for _, m := range p.Tasks {
+		s := j.step(m.Occurrence, m.Step)
+		if s == nil || m.Index >= len(s.tasks) {
+			continue
+		}
+		t := &s.tasks[m.Index]
+		t.run, t.failed, t.checkpoint = m.Run, m.Failed, m.Checkpoint
+	}
+}
+
+func (j *job) step(occurrence, index int) *step {
+	if occurrence >= len(j.occurrences) || index >= len(j.sub.Steps) {
+		return nil
+	}
+	return j.occurrences[occurrence].steps[index]
+}
+
+// task returns the task that id names, or nil.
+func (j *job) task(id workload.TaskID) *task {
+	s := j.step(id.Occurrence, id.Step)
+	if s == nil || id.Index >= len(s.tasks) {
+		return nil
+	}
+	return &s.tasks[id.Index]
+}
+
+// markDone counts a task as done, once.
+func (s *step) markDone(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	s.done++
+	if s.done < len(s.tasks) {
+		return
+	}
+	s.occurrence.open--
+	if s.occurrence.open == 0 {
+		s.occurrence.job.open--
+	}
+}
--- /dev/null
+++ b/internal/scheduler/looks.go
@@ -0,0 +1,330 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+const (
+	// lookWait is how long a look waits for an end. Leases are renewed by looks,
+	// so that it is well below a lease.
+	lookWait = 2 * time.Second
+	// lookRetryMS is the pause before a look without an answer is sent again.
+	lookRetryMS = 200
+	// renewAfter is the longest time without a look at a server that holds work
+	// while its ends cannot be stored.
+	renewAfter = 500 * time.Millisecond
+	// faultLimit is how many runs in a row may fail on a server before it rests.
+	faultLimit = 4
+)
+
+// needsLook reports whether the server holds, or may hold, something.
+func (s *server) needsLook() bool {
+	return !s.known || len(s.attempts) > 0 || s.unknown > 0 || s.noted < s.seen
+}
+
+// look sends a look at a server unless one is under way or none is needed.
+func (c *Core) look(s *server) { c.lookAfter(s, 0) }
+
+func (c *Core) lookAfter(s *server, delayMS int) {
+	if s.looking || !s.needsLook() || !s.stored {
+		return
+	}
+	s.looking = true
+	l := Look{Epoch: c.epoch, Seen: s.noted}
+	if s.known {
+		l.Deadline = c.lease(s)
+		if s.noted == s.seen {
+			l.Wait = lookWait
+		}
+	}
+	c.act(LookAt{To: s.life(), Look: l, DelayMS: delayMS})
+}
+
+// Looked reports the outcome of a look that was sent at the given time.
+func (c *Core) Looked(to Life, sent time.Time, list Listing, err error) {
+	s := c.servers[to.ID]
+	if s == nil {
+		return
+	}
+	s.looking = false
+	if err != nil {
+		c.lookFailed(s, err)
+		return
+	}
+	if !s.silentSince.IsZero() {
+		c.log.Log(events.ServerHeard, "server", s.info.ID, "silent", c.now.Sub(s.silentSince).Milliseconds())
+		s.silentSince = time.Time{}
+		c.place = true
+	}
+	if s.info.Address != to.Address {
+		// The entry has moved meanwhile; the new address is asked.
+		c.look(s)
+		return
+	}
+	c.enterLife(s, list)
+	s.observe(list.Clock, c.now)
+	c.takeEnds(s, list.Ended)
+	c.takeRunning(s, sent, list.Running)
+	if !s.known {
+		s.known = true
+		// An earlier owner may have sent the longest lease just before.
+		s.until = max(s.until, list.Clock+c.bounds.MaxLease.Milliseconds())
+		c.place = true
+	}
+	s.lookedAt = c.now
+	if s.noted == s.seen {
+		c.look(s)
+	}
+}
+
+func (c *Core) lookFailed(s *server, err error) {
+	if verdict.ReasonOf(err) == ReasonFenced {
+		c.fence(s)
+		return
+	}
+	if s.silentSince.IsZero() {
+		s.silentSince = c.now
+		c.log.Log(events.ServerSilent, "server", s.info.ID, "attempts", len(s.attempts), "reason", string(verdict.ReasonOf(err)), "error", err.Error())
+	}
+	if verdict.ReasonOf(err) == ReasonOtherLife {
+		c.endLife(s)
+	}
+	if !s.listed && c.now.After(s.lapsed()) {
+		c.forget(s)
+		return
+	}
+	c.lookAfter(s, lookRetryMS)
+}
+
+// enterLife notices a server that began anew under its ID.
+func (c *Core) enterLife(s *server, list Listing) {
+	if list.Born == 0 || list.Born == s.born {
+		return
+	}
+	if s.born != 0 {
+		c.log.Log(events.ServerReborn, "server", s.info.ID, "born", list.Born, "before", s.born, "attempts", len(s.attempts))
+		s.seen, s.noted = 0, 0
+		s.until = list.Clock + c.bounds.MaxLease.Milliseconds()
+		here := make(map[runKey]bool)
+		for _, r := range list.Running {
+			here[runKey{r.Task, r.Run}] = true
+		}
+		for key, a := range s.attempts {
+			if !here[key] && a.state != ordered {
+				c.lose(a, "server began anew")
+			}
+		}
+	}
+	s.born = list.Born
+}
+
+// endLife releases what ran on a life that is over for certain.
+func (c *Core) endLife(s *server) {
+	for _, a := range s.attempts {
+		c.lose(a, "the server's life is over")
+	}
+	s.known = false
+	s.seen, s.noted, s.born = 0, 0, 0
+	s.until = s.clock
+	c.look(s)
+}
+
+// takeEnds deals with the ends that were not seen before.
+func (c *Core) takeEnds(s *server, ends []End) {
+	for _, e := range ends {
+		if e.Number <= s.seen {
+			continue
+		}
+		s.seen = e.Number
+		c.ended(s, e)
+	}
+	if s.seen > s.noted {
+		c.noting[s] = s.seen
+	}
+	if s.faults >= faultLimit {
+		s.faults = 0
+		s.avoidUntil = c.now.Add(2 * time.Second)
+		c.log.Log(events.ServerRests, "server", s.info.ID, "faults", faultLimit)
+	}
+}
+
+// takeRunning compares the server's list with the book.
+func (c *Core) takeRunning(s *server, sent time.Time, list []Running) {
+	here := make(map[runKey]bool, len(list))
+	s.unknown = 0
+	for _, r := range list {
+		key := runKey{r.Task, r.Run}
+		here[key] = true
+		if a := s.attempts[key]; a != nil {
+			c.confirm(a, r)
+			continue
+		}
+		c.adopt(s, r)
+	}
+	for key, a := range s.attempts {
+		if !here[key] && !a.answered.IsZero() && a.answered.Before(sent) {
+			c.lose(a, "not in the server's list")
+		}
+	}
+}
+
+func (c *Core) confirm(a *attempt, r Running) {
+	if a.state == ordered {
+		c.startTaken(a, 0)
+	}
+	if r.Checkpoint != "" {
+		c.saved(a.task, r.Checkpoint)
+	}
+}
+
+// adopt takes a run that an earlier owner started into the book, or stops it.
+func (c *Core) adopt(s *server, r Running) {
+	var t *task
+	if j := c.jobs[r.Task.Submission]; j != nil {
+		t = j.task(r.Task)
+	}
+	if t == nil {
+		s.unknown++
+		c.act(StopTask{To: s.life(), Order: Order{Task: r.Task, Run: r.Run, Epoch: c.epoch}})
+		c.log.Log(events.RunUnknown, "task", r.Task.String(), "run", r.Run, "server", s.info.ID)
+		return
+	}
+	a := &attempt{task: t, run: r.Run, server: s, state: running, sent: c.now, answered: c.now, need: t.step.spec.Reserved()}
+	s.reserve(a)
+	t.step.onServer[s]++
+	t.run = max(t.run, r.Run)
+	c.log.Log(events.RunAdopted, "task", r.Task.String(), "run", r.Run, "server", s.info.ID)
+	if t.done || t.cur != nil || t.step.job().ending != "" {
+		c.stop(a)
+		return
+	}
+	t.cur = a
+	t.step.job().started = true
+	c.confirm(a, r)
+}
+
+// SetServers takes in the platform's list.
+func (c *Core) SetServers(list []ServerInfo) {
+	listed := make(map[string]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		c.setServer(info)
+	}
+	for id, s := range c.servers {
+		if !listed[id] && s.listed {
+			s.listed = false
+			c.log.Log(events.ServerUnlisted, "server", id, "attempts", len(s.attempts))
+			c.lookAfter(s, 0)
+		}
+	}
+	c.place = true
+}
+
+func (c *Core) setServer(info ServerInfo) {
+	s := c.servers[info.ID]
+	if s == nil {
+		s = newServer(info)
+		c.servers[info.ID] = s
+		c.log.Log(events.ServerListed, "server", info.ID, "service", info.Service, "zone", info.Zone, "cpu", info.Capacity.CPU)
+	}
+	s.resize(info.Capacity)
+	moved := s.info.Address != info.Address || info.Born != 0 && s.born != 0 && info.Born != s.born
+	if info.Draining && !s.info.Draining {
+		c.log.Log(events.ServerDraining, "server", info.ID, "attempts", len(s.attempts), "remainingMS", info.Remaining.Milliseconds())
+	}
+	s.info, s.listed = info, true
+	if !s.stored {
+		kept := workload.Server{Service: info.Service, Address: info.Address}
+		c.write([]partition.Record{recordOf(keyServer, info.ID, kept)}, func() {
+			s.stored = true
+			c.look(s)
+		})
+	}
+	if moved {
+		s.known = false
+	}
+	c.look(s)
+}
+
+// forget drops a server that the platform does not list and that holds nothing.
+func (c *Core) forget(s *server) {
+	for _, a := range s.attempts {
+		c.lose(a, "lease lapsed on a server that left")
+	}
+	delete(c.servers, s.info.ID)
+	c.write([]partition.Record{dropped(keyServer, s.info.ID)}, nil)
+	c.log.Log(events.ServerForgotten, "server", s.info.ID)
+	c.place = true
+}
+
+// Tick deals with what only time brings.
+func (c *Core) Tick() {
+	for _, s := range c.servers {
+		c.checkServer(s)
+	}
+	c.beginDue()
+	c.checkGangs()
+	c.expire()
+	if len(c.queued) > 0 {
+		c.place = true
+	}
+}
+
+func (c *Core) checkServer(s *server) {
+	silent := !s.silentSince.IsZero()
+	if silent && len(s.attempts) > 0 && c.now.After(s.lapsed()) {
+		for _, a := range s.attempts {
+			c.lose(a, "lease lapsed")
+		}
+		s.known = false
+	}
+	if !s.listed && len(s.attempts) == 0 && s.stored && c.now.After(s.lapsed()) {
+		c.forget(s)
+		return
+	}
+	if !s.looking && c.now.Sub(s.lookedAt) > renewAfter {
+		c.look(s)
+	}
+}
+
+// beginDue begins the occurrences whose time has come.
+func (c *Core) beginDue() {
+	rest := c.timed[:0]
+	for _, o := range c.timed {
+		switch {
+		case o.job.ending != "":
+		case o.job.sub.Due(o.index) <= c.wall:
+			c.begin(o)
+		default:
+			rest = append(rest, o)
+		}
+	}
+	c.timed = rest
+}
+
+// recover notices when no earlier owner's run can be hidden any more.
+func (c *Core) recover() {
+	if c.recovered {
+		return
+	}
+	for _, s := range c.servers {
+		if s.stored && !s.known && s.until > 0 && c.now.Before(s.lapsed()) {
+			return
+		}
+	}
+	c.recovered = true
+	c.place = true
+	c.log.Log(events.OwnerRecovered, "epoch", c.epoch, "took", c.now.Sub(c.started).Milliseconds(), "servers", len(c.servers), "jobs", len(c.jobs))
+}
+
+// LookAtAll looks at every server, once an owner has begun.
+func (c *Core) LookAtAll() {
+	for _, s := range c.servers {
+		c.look(s)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,339 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+)
+
+const (
+	// gatherFraction is the part of the gang timeout in which missing members
+	// may still be placed.
+	gatherFraction = 0.5
+)
+
+// placeAll goes through the steps that wait, the most pressing first, and
+// places what fits.
+func (c *Core) placeAll() {
+	if c.config == nil {
+		return
+	}
+	c.dropSettled()
+	c.sortQueued()
+	pass := &pass{core: c, reserved: make(map[*server]bool), usable: make(map[string][]*server)}
+	for _, st := range c.queued {
+		if c.mayPlace(st) {
+			pass.place(st)
+		}
+	}
+	c.dropSettled()
+}
+
+// dropSettled takes steps with nothing to place off the queue.
+func (c *Core) dropSettled() {
+	kept := c.queued[:0]
+	for _, st := range c.queued {
+		if st.job().ending != "" || st.waiting() == 0 {
+			st.queued = false
+			continue
+		}
+		kept = append(kept, st)
+	}
+	clear(c.queued[len(kept):])
+	c.queued = kept
+}
+
+// mayPlace reports whether anything of the step may start now.
+func (c *Core) mayPlace(st *step) bool {
+	j := st.job()
+	if !j.stored || j.inherited && !c.recovered {
+		return false
+	}
+	q, ok := c.config.Queue(j.sub.Queue)
+	return ok && q.Service == j.sub.Service
+}
+
+// urgency orders steps: those that can still be in time come before late ones,
+// then by the queue's priority, then the oldest first.
+type urgency struct {
+	late     int
+	priority int
+	accepted time.Time
+	id       string
+}
+
+func (c *Core) urgencyOf(st *step) urgency {
+	j := st.job()
+	u := urgency{priority: j.queue.Priority, accepted: j.accepted, id: j.sub.ID}
+	if c.now.After(j.target()) && !j.sub.Timed() {
+		u.late = 1
+	}
+	return u
+}
+
+func (c *Core) sortQueued() {
+	keys := make(map[*step]urgency, len(c.queued))
+	for _, st := range c.queued {
+		keys[st] = c.urgencyOf(st)
+	}
+	slices.SortFunc(c.queued, func(x, y *step) int {
+		a, b := keys[x], keys[y]
+		return cmp.Or(cmp.Compare(a.late, b.late), cmp.Compare(a.priority, b.priority),
+			a.accepted.Compare(b.accepted), cmp.Compare(a.id, b.id), cmp.Compare(x.index, y.index))
+	})
+}
+
+// pass is one round of placements.
+type pass struct {
+	core *Core
+	// reserved servers are kept for a gang that waits for room.
+	reserved map[*server]bool
+	// usable lists the servers of each service that may get tasks.
+	usable map[string][]*server
+}
+
+func (p *pass) servers(service string) []*server {
+	list, ok := p.usable[service]
+	if ok {
+		return list
+	}
+	for _, s := range p.core.servers {
+		if s.info.Service == service && s.stored && s.usable(p.core.now) {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(x, y *server) int { return cmp.Compare(x.info.ID, y.info.ID) })
+	p.usable[service] = list
+	return list
+}
+
+// candidates returns the servers that may run the step, room aside.
+func (p *pass) candidates(st *step) []*server {
+	var out []*server
+	for _, s := range p.servers(st.job().sub.Service) {
+		if s.hasLabel(st.spec.Label) && !p.reserved[s] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// slots returns how many more tasks of the step s has room for.
+func (c *Core) slots(st *step, s *server) int {
+	limit := len(st.tasks)
+	if st.spec.MaxPerServer > 0 {
+		limit = st.spec.MaxPerServer - st.onServer[s]
+	}
+	if limit <= 0 {
+		return 0
+	}
+	return st.spec.Reserved().Times(s.free, limit)
+}
+
+func (p *pass) place(st *step) {
+	if st.spec.Gang {
+		p.placeGang(st)
+		return
+	}
+	p.placeTasks(st)
+}
+
+// room lists servers with room for the step, and how many of its tasks those
+// with a valid ticket take.
+func (p *pass) room(st *step) (open, ticketed []*server, slots int) {
+	for _, s := range p.candidates(st) {
+		n := p.core.slots(st, s)
+		if n == 0 {
+			continue
+		}
+		open = append(open, s)
+		if _, ok := p.core.ticketFor(st, s); ok {
+			ticketed = append(ticketed, s)
+			slots += n
+		}
+	}
+	return open, ticketed, slots
+}
+
+// placeTasks places the tasks of a step one by one.
+func (p *pass) placeTasks(st *step) {
+	c := p.core
+	need := 0
+	for i := range st.tasks {
+		if st.tasks[i].waits() {
+			need++
+		}
+	}
+	open, ticketed, _ := p.room(st)
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if !t.waits() || c.now.Before(t.retryAt) {
+			continue
+		}
+		s := p.best(st, ticketed)
+		if s == nil {
+			break
+		}
+		ticket, _ := c.ticketFor(st, s)
+		c.start(t, s, t.run+1, ticket)
+		need--
+	}
+	if need > 0 && st.job().queue.Advice != nil {
+		c.ask(st, need, open)
+	}
+}
+
+// best returns the fullest server that has room, near the step's data if it
+// can.
+func (p *pass) best(st *step, servers []*server) *server {
+	var best *server
+	for _, s := range servers {
+		if p.core.slots(st, s) == 0 {
+			continue
+		}
+		if best == nil || p.better(st, s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (p *pass) better(st *step, a, b *server) bool {
+	if st.spec.Rack != "" {
+		an, bn := a.hasLabel(st.spec.Rack), b.hasLabel(st.spec.Rack)
+		if an != bn {
+			return an
+		}
+	}
+	return a.free.CPU < b.free.CPU
+}
+
+// placeGang places all waiting members of a gang at once, or none. A member
+// whose start was refused is placed again under the run of the others.
+func (p *pass) placeGang(st *step) {
+	c := p.core
+	var missing []*task
+	run, present := 0, 0
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.waits() {
+			missing = append(missing, t)
+			if c.now.Before(t.retryAt) {
+				return
+			}
+			continue
+		}
+		present++
+		if t.cur != nil {
+			if t.cur.state == stopping {
+				return
+			}
+			run = max(run, t.cur.run)
+		}
+	}
+	if present > 0 && (run == 0 || c.now.After(st.gatherUntil)) {
+		return
+	}
+	chosen := p.gangServers(st, len(missing))
+	if chosen == nil {
+		return
+	}
+	if present == 0 {
+		run = st.gangRun()
+		st.gatherUntil = c.now.Add(time.Duration(gatherFraction * float64(c.bounds.GangTimeout)))
+	}
+	for i, t := range missing {
+		ticket, _ := c.ticketFor(st, chosen[i])
+		c.start(t, chosen[i], run, ticket)
+	}
+}
+
+// gangServers chooses a server for each of need members, or none. If the room
+// is there but not the tickets, it asks for them; if the room is not there, it
+// keeps servers for the gang.
+func (p *pass) gangServers(st *step, need int) []*server {
+	c := p.core
+	open, ticketed, slots := p.room(st)
+	if slots >= need {
+		return p.fill(st, ticketed, need)
+	}
+	if st.job().queue.Advice != nil {
+		c.ask(st, need, open)
+	}
+	return nil
+}
+
+// fill spreads need members over servers, the fullest first; a rack-sensitive
+// gang goes to one rack if one has room.
+func (p *pass) fill(st *step, servers []*server, need int) []*server {
+	if st.spec.RackSensitive || st.spec.Rack != "" {
+		if one := p.oneRack(st, servers, need); one != nil {
+			servers = one
+		}
+	}
+	byRoom := slices.Clone(servers)
+	slices.SortFunc(byRoom, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.free.CPU, y.free.CPU), cmp.Compare(x.info.ID, y.info.ID))
+	})
+	var chosen []*server
+	for _, s := range byRoom {
+		for n := p.core.slots(st, s); n > 0 && len(chosen) < need; n-- {
+			chosen = append(chosen, s)
+		}
+	}
+	return chosen
+}
+
+// oneRack returns the servers of a rack with room for all, that of the step's
+// data first.
+func (p *pass) oneRack(st *step, servers []*server, need int) []*server {
+	racks := make(map[string][]*server)
+	for _, s := range servers {
+		racks[s.rack()] = append(racks[s.rack()], s)
+	}
+	names := make([]string, 0, len(racks))
+	for name := range racks {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(x, y string) int {
+		return cmp.Or(-compareBool(x == st.spec.Rack, y == st.spec.Rack), cmp.Compare(x, y))
+	})
+	for _, name := range names {
+		room := 0
+		for _, s := range racks[name] {
+			room += p.core.slots(st, s)
+		}
+		if room >= need {
+			return racks[name]
+		}
+	}
+	return nil
+}
+
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// checkGangs gives up runs of gangs whose members did not all get a place.
+func (c *Core) checkGangs() {
+	for _, st := range c.queued {
+		if !st.spec.Gang || !c.recovered && st.job().inherited {
+			continue
+		}
+		waiting := st.waiting()
+		if waiting == 0 || waiting == len(st.tasks) || c.now.Before(st.gatherUntil) {
+			continue
+		}
+		c.log.Log(events.GangBroken, "step", st.id().StepName(), "missing", waiting, "members", len(st.tasks))
+		c.breakGang(st)
+	}
+}
--- /dev/null
+++ b/internal/tenure/tenure.go
@@ -0,0 +1,180 @@
+// Package tenure runs a scheduler for each partition that the group gives to
+// this daemon, and ends it when the partition goes elsewhere.
+package tenure
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/scheduler"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/routing"
+)
+
+// Topic holds the submissions of all services.
+const Topic = "keyed.submissions"
+
+const (
+	// restartPause is the time before a scheduler that ended is started again,
+	// if the partition is still this daemon's.
+	restartPause = 200 * time.Millisecond
+	// stopTimeout bounds the storing of what a scheduler knew when it ended.
+	stopTimeout = time.Second
+)
+
+// PartitionOf returns the partition of a service's submissions.
+func PartitionOf(service string, parts int) partition.ID {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service))
+	return partition.ID{Topic: Topic, Part: int(h.Sum32() % uint32(max(parts, 1)))}
+}
+
+// Options is what Tenures are built from.
+type Options struct {
+	Member *partition.Member
+	// Parts is the number of partitions.
+	Parts  int
+	Config func() *routing.Configuration
+	// New returns a scheduler for a partition.
+	New    func(id partition.ID) *scheduler.Engine
+	Duties *duty.Group
+	Events *events.Logger
+}
+
+// Tenures are this daemon's schedulers.
+type Tenures struct {
+	o    Options
+	wake chan struct{}
+
+	mu      sync.Mutex
+	engines map[partition.ID]*tenure
+}
+
+type tenure struct {
+	engine *scheduler.Engine
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns Tenures without a scheduler.
+func New(o Options) *Tenures {
+	return &Tenures{o: o, wake: make(chan struct{}, 1), engines: make(map[partition.ID]*tenure)}
+}
+
+// Wake makes the Tenures compare what is held with what runs.
+func (t *Tenures) Wake() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Engine returns the scheduler of a partition, if it runs here.
+func (t *Tenures) Engine(id partition.ID) (*scheduler.Engine, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if running, ok := t.engines[id]; ok {
+		return running.engine, true
+	}
+	return nil, false
+}
+
+// Run starts and ends schedulers until ctx ends.
+func (t *Tenures) Run(ctx context.Context, turn duty.Turn) error {
+	tick := time.NewTicker(restartPause)
+	defer tick.Stop()
+	for {
+		turn()
+		t.align(ctx)
+		select {
+		case <-ctx.Done():
+			t.StopAll()
+			return nil
+		case <-t.wake:
+		case <-tick.C:
+		}
+	}
+}
+
+// align starts what is held and serves a service, and ends what is not held.
+func (t *Tenures) align(ctx context.Context) {
+	held := t.o.Member.Held()
+	needed := t.needed()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, running := range t.engines {
+		select {
+		case <-running.done:
+			delete(t.engines, id)
+			continue
+		default:
+		}
+		if !slices.Contains(held, id) {
+			running.cancel()
+		}
+	}
+	for _, id := range held {
+		if _, ok := t.engines[id]; !ok && needed[id] && ctx.Err() == nil {
+			t.engines[id] = t.start(ctx, id)
+		}
+	}
+}
+
+// needed returns the partitions of the services in the configuration.
+func (t *Tenures) needed() map[partition.ID]bool {
+	ids := make(map[partition.ID]bool)
+	config := t.o.Config()
+	if config == nil {
+		return ids
+	}
+	for i := range config.Queues {
+		ids[PartitionOf(config.Queues[i].Service, t.o.Parts)] = true
+	}
+	for name := range config.Services {
+		ids[PartitionOf(name, t.o.Parts)] = true
+	}
+	return ids
+}
+
+func (t *Tenures) start(ctx context.Context, id partition.ID) *tenure {
+	ctx, cancel := context.WithCancel(ctx)
+	running := &tenure{engine: t.o.New(id), cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(running.done)
+		defer cancel()
+		err := running.engine.Run(ctx, func() {})
+		t.o.Events.Log(events.OwnerEnded, "partition", id.Part, "epoch", running.engine.Epoch(), "why", errorText(err))
+	}()
+	return running
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// StopAll ends all schedulers and waits for them.
+func (t *Tenures) StopAll() {
+	t.mu.Lock()
+	running := make([]*tenure, 0, len(t.engines))
+	for _, r := range t.engines {
+		r.cancel()
+		running = append(running, r)
+	}
+	t.mu.Unlock()
+	deadline := time.After(stopTimeout)
+	for _, r := range running {
+		select {
+		case <-r.done:
+		case <-deadline:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/partition/member.go
@@ -0,0 +1,180 @@
+package partition
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// minTTL is the shortest time in which the group takes a silent member's
+	// partitions away, if the platform allows it.
+	minTTL = 1500 * time.Millisecond
+	// joinsPerTTL is how often a member is heard within its time.
+	joinsPerTTL = 4
+	// lookupPause is the least time between two questions for the holders.
+	lookupPause = 80 * time.Millisecond
+)
+
+// Member keeps a daemon in the group and knows who holds which partition.
+type Member struct {
+	group Group
+	name  string
+	ttl   time.Duration
+	now   func() time.Time
+	// health is told the outcome of every call.
+	health func(error)
+	// changed is called after what this member holds may have changed.
+	changed func()
+	refresh chan struct{}
+
+	mu         sync.Mutex
+	generation uint64
+	held       []ID
+	joinedAt   time.Time
+	holders    map[ID]string
+	lookedUp   time.Time
+	left       bool
+}
+
+// NewMember returns a member that has not joined. PlatformTTL is the shortest
+// time that the platform grants.
+func NewMember(group Group, name string, platformTTL time.Duration, now func() time.Time, health func(error), changed func()) *Member {
+	return &Member{
+		group: group, name: name, ttl: max(minTTL, platformTTL), now: now, health: health, changed: changed,
+		refresh: make(chan struct{}, 1), holders: make(map[ID]string),
+	}
+}
+
+// Run keeps joining until ctx ends.
+func (m *Member) Run(ctx context.Context) error {
+	interval := m.ttl / joinsPerTTL
+	for {
+		m.join(ctx)
+		timer := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-m.refresh:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+func (m *Member) join(ctx context.Context) {
+	m.mu.Lock()
+	generation, left := m.generation, m.left
+	m.mu.Unlock()
+	if left {
+		return
+	}
+	sent := m.now()
+	call, cancel := context.WithTimeout(ctx, m.ttl/2)
+	defer cancel()
+	a, err := m.group.Join(call, m.name, generation, m.ttl)
+	m.health(err)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	changed := a.Generation != m.generation || !slices.Equal(a.Held, m.held)
+	m.generation, m.held, m.joinedAt = a.Generation, a.Held, sent
+	m.mu.Unlock()
+	if changed {
+		m.lookUp(ctx)
+		m.changed()
+	}
+}
+
+// lookUp asks for the holders of all partitions.
+func (m *Member) lookUp(ctx context.Context) {
+	m.mu.Lock()
+	m.lookedUp = m.now()
+	m.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, m.ttl/2)
+	defer cancel()
+	shares, err := m.group.Shares(call)
+	m.health(err)
+	if err != nil {
+		return
+	}
+	holders := make(map[ID]string, len(shares))
+	for _, s := range shares {
+		holders[s.ID] = s.Member
+	}
+	m.mu.Lock()
+	m.holders = holders
+	m.mu.Unlock()
+}
+
+// Held returns the partitions that the group gave to this member.
+func (m *Member) Held() []ID {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.held)
+}
+
+// Sure reports whether nobody else can hold this member's partitions: it was
+// heard by the group within its time.
+func (m *Member) Sure() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.left && !m.joinedAt.IsZero() && m.now().Sub(m.joinedAt) < m.ttl
+}
+
+// Holder returns the member that holds a partition, as last heard.
+func (m *Member) Holder(id ID) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if slices.Contains(m.held, id) {
+		return m.name, true
+	}
+	name, ok := m.holders[id]
+	return name, ok && name != ""
+}
+
+// Members lists the members that hold something, as last heard.
+func (m *Member) Members() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	seen := make(map[string]bool)
+	var names []string
+	for _, name := range m.holders {
+		if name != "" && !seen[name] {
+			seen[name] = true
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Refresh asks for the holders anew, unless that was done just now.
+func (m *Member) Refresh(ctx context.Context) {
+	m.mu.Lock()
+	recent := m.now().Sub(m.lookedUp) < lookupPause
+	m.mu.Unlock()
+	if !recent {
+		m.lookUp(ctx)
+	}
+}
+
+// Rejoin makes the next join come at once.
+func (m *Member) Rejoin() {
+	select {
+	case m.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// Leave gives up this member's partitions at once.
+func (m *Member) Leave(ctx context.Context) error {
+	m.mu.Lock()
+	m.left = true
+	m.held = nil
+	m.mu.Unlock()
+	return m.group.Leave(ctx, m.name)
+}
--- /dev/null
+++ b/partition/watch.go
@@ -0,0 +1,84 @@
+package partition
+
+import (
+	"context"
+	"time"
+
+	"github.com/currantwinch/currantwinch/verdict"
+)
+
+const (
+	// watchWait is how long one read waits for a record. A channel that falls
+	// silent shows after this and watchSlack.
+	watchWait  = time.Second
+	watchSlack = 800 * time.Millisecond
+	// watchRetry is the pause after a failed read.
+	watchRetry = 150 * time.Millisecond
+)
+
+// Watcher follows the newest records of a partition.
+type Watcher struct {
+	Log Log
+	ID  ID
+	// Whole is told all records, at the start and whenever some may have been
+	// missed: a key that is not among them is gone.
+	Whole func([]Record)
+	// Changed is told further records in order; one without a value drops its
+	// key.
+	Changed func([]Record)
+	// Health, if set, is told the outcome of every call.
+	Health func(error)
+}
+
+// Run follows the partition until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		next, err := w.whole(ctx)
+		for err == nil {
+			next, err = w.read(ctx, next)
+		}
+		if verdict.ReasonOf(err) != ReasonTruncated && !pause(ctx, watchRetry) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (w *Watcher) whole(ctx context.Context) (uint64, error) {
+	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	records, end, err := All(call, w.Log, w.ID)
+	w.report(err)
+	if err != nil {
+		return 0, err
+	}
+	w.Whole(records)
+	return end, nil
+}
+
+// read reads on until the records at next are no longer kept.
+func (w *Watcher) read(ctx context.Context, next uint64) (uint64, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+		batch, err := w.Log.Read(call, w.ID, next, watchWait)
+		cancel()
+		w.report(err)
+		switch {
+		case err == nil:
+			if len(batch.Records) > 0 {
+				w.Changed(batch.Records)
+			}
+			return batch.Next, nil
+		case verdict.ReasonOf(err) == ReasonTruncated:
+			return 0, err
+		case !pause(ctx, watchRetry):
+			return 0, ctx.Err()
+		}
+	}
+}
+
+func (w *Watcher) report(err error) {
+	if w.Health != nil {
+		w.Health(err)
+	}
+}
--- /dev/null
+++ b/partition/writer.go
@@ -0,0 +1,174 @@
+package partition
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxBatchRecords and maxBatchBytes bound one append.
+	maxBatchRecords = 1000
+	maxBatchBytes   = 512 << 10
+	// linger is the least time between the starts of two appends: what comes
+	// meanwhile shares one call.
+	linger = 10 * time.Millisecond
+	// appendTimeout is the longest wait for one answer of the log.
+	appendTimeout = 1500 * time.Millisecond
+	// minRetry and maxRetry bound the wait before an append is sent again.
+	minRetry = 30 * time.Millisecond
+	maxRetry = 300 * time.Millisecond
+	// producer is the same for all owners, so that epochs order them.
+	producer = "owner"
+)
+
+// ErrFenced ends a Writer: another owner has written.
+var ErrFenced = errors.New("a later owner has written to the partition")
+
+// write is a group of records that are appended together, in order.
+type write struct {
+	records []Record
+	ticket  uint64
+}
+
+// Writer appends an owner's records in order, several writes a call. An append
+// without an answer is sent again under the same sequence number, which the
+// log answers as it did the first time.
+type Writer struct {
+	log   Log
+	id    ID
+	epoch uint64
+	// written is told the ticket of the last write of each append.
+	written func(ticket uint64)
+
+	mu      sync.Mutex
+	waiting []write
+	oldest  time.Time
+	wake    chan struct{}
+	now     func() time.Time
+	next    uint64
+}
+
+// Open claims the partition for epoch by appending claim at the offset end, and
+// returns its Writer. It fails with ReasonMoved if anything was appended since.
+func Open(ctx context.Context, log Log, id ID, epoch, end uint64, claim Record, now func() time.Time, written func(ticket uint64)) (*Writer, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if err := log.Append(ctx, id, Fence{producer, epoch, 0, &end}, []Record{claim}); err != nil {
+		return nil, err
+	}
+	return &Writer{log: log, id: id, epoch: epoch, written: written, wake: make(chan struct{}, 1), now: now, next: 1}, nil
+}
+
+// Put queues records for the next append. Tickets rise with each call.
+func (w *Writer) Put(ticket uint64, records []Record) {
+	w.mu.Lock()
+	if len(w.waiting) == 0 {
+		w.oldest = w.now()
+	}
+	w.waiting = append(w.waiting, write{records, ticket})
+	w.mu.Unlock()
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Behind returns how long the oldest write has waited.
+func (w *Writer) Behind() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.waiting) == 0 {
+		return 0
+	}
+	return w.now().Sub(w.oldest)
+}
+
+// Run appends until ctx ends or another owner has written, which is ErrFenced.
+func (w *Writer) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-w.wake:
+		}
+		for {
+			records, ticket, n := w.take()
+			if n == 0 {
+				break
+			}
+			started := w.now()
+			if err := w.append(ctx, records); err != nil {
+				return err
+			}
+			w.drop(n)
+			w.written(ticket)
+			if rest := linger - w.now().Sub(started); rest > 0 && !pause(ctx, rest) {
+				return nil
+			}
+		}
+	}
+}
+
+// take returns the records of the first n writes that fit one append.
+func (w *Writer) take() (records []Record, ticket uint64, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	size := 0
+	for _, next := range w.waiting {
+		for _, r := range next.records {
+			size += len(r.Key) + len(r.Value)
+		}
+		if n > 0 && (size > maxBatchBytes || len(records)+len(next.records) > maxBatchRecords) {
+			break
+		}
+		records = append(records, next.records...)
+		ticket = next.ticket
+		n++
+	}
+	return records, ticket, n
+}
+
+// drop forgets the first n writes, which are in the log.
+func (w *Writer) drop(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting = w.waiting[n:]
+	w.oldest = w.now()
+}
+
+// append sends one batch until its fate is known.
+func (w *Writer) append(ctx context.Context, records []Record) error {
+	fence := Fence{Producer: producer, Epoch: w.epoch, Sequence: w.next}
+	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		err := w.log.Append(call, w.id, fence, records)
+		cancel()
+		if err == nil {
+			w.next++
+			return nil
+		}
+		switch verdict.ReasonOf(err) {
+		case ReasonFenced, ReasonSequence:
+			return ErrFenced
+		}
+		if !pause(ctx, wait) {
+			return errors.Wrap(err, "append")
+		}
+	}
+}
+
+// pause waits for d and reports whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,100 @@
+// Package routing holds the configuration that operators publish for queues:
+// which request belongs to which queue, which service runs a queue's tasks, and
+// on what terms.
+package routing
+
+import (
+	"net"
+	"strings"
+	"time"
+)
+
+// Advice is what a queue's policy service takes to answer.
+type Advice struct {
+	// Decision is the fixed time of one answer.
+	Decision time.Duration
+	// PerServer is the further time for each backend server asked about.
+	PerServer time.Duration
+	// Validity is how long a permission may be used.
+	Validity time.Duration
+}
+
+// Queue is a route with the terms of its submissions.
+type Queue struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Service    string
+	// Priority 0 comes first.
+	Priority int
+	// Attempts is how many failed runs a task may have.
+	Attempts int
+	// Stretch times the longest chain of work, plus TargetLatency, is the time
+	// within which a submission should be completed.
+	Stretch       float64
+	TargetLatency time.Duration
+	// Timeout bounds one request.
+	Timeout time.Duration
+	// Advice is nil where every backend server may run the queue's tasks.
+	Advice *Advice
+}
+
+// Service is a pool of backend servers.
+type Service struct {
+	Name string
+	// Guarded servers refuse what does not fit.
+	Guarded bool
+	// Standby pools are switched off.
+	Standby bool
+}
+
+// Configuration is one version of what operators published, whole.
+type Configuration struct {
+	Version  uint64
+	Queues   []Queue
+	Services map[string]Service
+	// MaxBodyBytes and MaxHeaderBytes bound one request; 0 means no bound.
+	MaxBodyBytes   int64
+	MaxHeaderBytes int
+	IdleTimeout    time.Duration
+	HeaderTimeout  time.Duration
+}
+
+// Match returns the queue of a request: the host's queue with the longest
+// prefix of path, and what follows the prefix.
+func (c *Configuration) Match(host, path string) (q *Queue, rest string, ok bool) {
+	host = hostOnly(host)
+	for i := range c.Queues {
+		candidate := &c.Queues[i]
+		if !strings.EqualFold(candidate.Host, host) || !strings.HasPrefix(path, candidate.PathPrefix) {
+			continue
+		}
+		if q == nil || len(candidate.PathPrefix) > len(q.PathPrefix) {
+			q = candidate
+		}
+	}
+	if q == nil {
+		return nil, "", false
+	}
+	return q, path[len(q.PathPrefix):], true
+}
+
+func hostOnly(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
+// Queue returns a queue by name.
+func (c *Configuration) Queue(name string) (*Queue, bool) {
+	if c == nil {
+		return nil, false
+	}
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i], true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/workload/record.go
@@ -0,0 +1,62 @@
+package workload
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// TaskMark is what lasts of a task that has ended at least once and is not done.
+type TaskMark struct {
+	Occurrence int    `cbor:"1,keyasint,omitempty"`
+	Step       int    `cbor:"2,keyasint,omitempty"`
+	Index      int    `cbor:"3,keyasint,omitempty"`
+	Run        int    `cbor:"4,keyasint,omitempty"`
+	Failed     int    `cbor:"5,keyasint,omitempty"`
+	Checkpoint string `cbor:"6,keyasint,omitempty"`
+}
+
+// StepMark lists the tasks of a step that are done.
+type StepMark struct {
+	Occurrence int `cbor:"1,keyasint,omitempty"`
+	Step       int `cbor:"2,keyasint,omitempty"`
+	// Done has one bit a task, lowest first.
+	Done []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Progress is what lasts of a submission while it runs.
+type Progress struct {
+	Steps []StepMark `cbor:"1,keyasint,omitempty"`
+	Tasks []TaskMark `cbor:"2,keyasint,omitempty"`
+}
+
+// Final is what lasts of a submission that has ended.
+type Final struct {
+	Status Status `cbor:"1,keyasint"`
+	// Ended is as Unix milliseconds.
+	Ended int64  `cbor:"2,keyasint"`
+	Queue string `cbor:"3,keyasint,omitempty"`
+}
+
+// Server is what lasts of a backend server that may hold tasks.
+type Server struct {
+	Service string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+}
+
+// Tenure is the record of a partition's owner.
+type Tenure struct {
+	// Epoch rises with each owner. It is the fencing token of all orders.
+	Epoch  uint64 `cbor:"1,keyasint"`
+	Daemon string `cbor:"2,keyasint"`
+}
+
+// Encode returns v as CBOR.
+func Encode(v any) ([]byte, error) {
+	data, err := cbor.Marshal(v)
+	return data, errors.Wrap(err, "encode record")
+}
+
+// Decode reads what Encode wrote.
+func Decode(data []byte, v any) error {
+	return errors.Wrap(cbor.Unmarshal(data, v), "decode record")
+}
