Count a failed run once across take-overs, and let silent servers lapse

Looks at a silent server kept extending its leases, so that its work never lapsed; ends on an idle server were never noted. Ruled out: a wrong restore of progress (the stored count was right). Change: tasks keep the numbers of their failed runs; a silent server's lease is not extended; a server is looked at until it has heard which ends are noted. Tests failed first: FailureThatWasStoredAndNotNotedCountsOnce, SilentServerKeepsItsRoomUntilLeasesLapse, EndIsForgottenOnlyOnceStored.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
@@ -29,8 +30,12 @@
 		"waited", c.now.Sub(t.step.readyAt).Milliseconds(), "free", s.free.CPU, "clockAge", c.now.Sub(s.clockAt).Milliseconds())
 }
 
-// lease returns a deadline for orders to a server, on its clock.
+// lease returns a deadline for orders to a server, on its clock. That of a
+// silent server is not extended, since its work is to lapse.
 func (c *Core) lease(s *server) int64 {
+	if !s.silentSince.IsZero() {
+		return s.until
+	}
 	until := s.clockNow(c.now) + c.bounds.lease().Milliseconds()
 	s.until = max(s.until, until)
 	return until
@@ -284,16 +289,16 @@
 	if step.spec.Gang {
 		// A gang's run fails once, whichever members say so.
 		counted = &step.tasks[0]
-		if run <= step.failedRun {
-			return
-		}
-		step.failedRun = run
 	}
-	counted.failed++
+	// An end that was stored and not noted is listed to the next owner again.
+	if slices.Contains(counted.failedRuns, run) {
+		return
+	}
+	counted.failedRuns = append(counted.failedRuns, run)
 	t.retryAt = c.now.Add(failurePause)
 	j := step.job()
 	c.touch(j)
-	if !step.spec.LongRunning && j.queue.Attempts > 0 && counted.failed >= j.queue.Attempts {
+	if !step.spec.LongRunning && j.queue.Attempts > 0 && len(counted.failedRuns) >= j.queue.Attempts {
 		c.end(j, workload.StatusFailed)
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -55,8 +55,6 @@
 	advice advice
 	// readyAt is when the last dependency was done.
 	readyAt time.Time
-	// failedRun is the last run of a gang that was counted as failed.
-	failedRun int
 	// gatherUntil is when an incomplete gang is given up.
 	gatherUntil time.Time
 	// onServer counts attempts by server.
@@ -65,11 +63,13 @@
 
 // task is one task of a step.
 type task struct {
-	step       *step
-	index      int
-	done       bool
-	run        int
-	failed     int
+	step  *step
+	index int
+	done  bool
+	run   int
+	// failedRuns are the runs that failed. Those of a gang are kept at its first
+	// member.
+	failedRuns []int
 	checkpoint string
 	cur        *attempt
 	// retryAt keeps a task from being placed again at once.
@@ -197,11 +197,11 @@
 func (s *step) marks(to []workload.TaskMark) []workload.TaskMark {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || t.failed == 0 && t.checkpoint == "" {
+		if t.done || len(t.failedRuns) == 0 && t.checkpoint == "" {
 			continue
 		}
 		to = append(to, workload.TaskMark{
-			Occurrence: s.occurrence.index, Step: s.index, Index: i, Run: t.run, Failed: t.failed, Checkpoint: t.checkpoint,
+			Occurrence: s.occurrence.index, Step: s.index, Index: i, Run: t.run, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
 		})
 	}
 	return to
@@ -226,7 +226,7 @@
 			continue
 		}
 		t := &s.tasks[m.Index]
-		t.run, t.failed, t.checkpoint = m.Run, m.Failed, m.Checkpoint
+		t.run, t.failedRuns, t.checkpoint = m.Run, m.FailedRuns, m.Checkpoint
 	}
 }
 
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -24,7 +24,7 @@
 
 // needsLook reports whether the server holds, or may hold, something.
 func (s *server) needsLook() bool {
-	return !s.known || len(s.attempts) > 0 || s.unknown > 0 || s.noted < s.seen
+	return !s.known || len(s.attempts) > 0 || s.unknown > 0 || s.told < s.seen
 }
 
 // look sends a look at a server unless one is under way or none is needed.
@@ -35,10 +35,11 @@
 		return
 	}
 	s.looking = true
+	s.telling = s.noted
 	l := Look{Epoch: c.epoch, Seen: s.noted}
 	if s.known {
 		l.Deadline = c.lease(s)
-		if s.noted == s.seen {
+		if s.noted == s.seen && (len(s.attempts) > 0 || s.unknown > 0) {
 			l.Wait = lookWait
 		}
 	}
@@ -66,6 +67,7 @@
 		c.look(s)
 		return
 	}
+	s.told = s.telling
 	c.enterLife(s, list)
 	s.observe(list.Clock, c.now)
 	c.takeEnds(s, list.Ended)
@@ -108,7 +110,7 @@
 	}
 	if s.born != 0 {
 		c.log.Log(events.ServerReborn, "server", s.info.ID, "born", list.Born, "before", s.born, "attempts", len(s.attempts))
-		s.seen, s.noted = 0, 0
+		s.seen, s.noted, s.told = 0, 0, 0
 		s.until = list.Clock + c.bounds.MaxLease.Milliseconds()
 		here := make(map[runKey]bool)
 		for _, r := range list.Running {
@@ -129,7 +131,7 @@
 		c.lose(a, "the server's life is over")
 	}
 	s.known = false
-	s.seen, s.noted, s.born = 0, 0, 0
+	s.seen, s.noted, s.told, s.born = 0, 0, 0, 0
 	s.until = s.clock
 	c.look(s)
 }
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -39,6 +39,9 @@
 	// seen is the last end that the Core has dealt with; noted is the last one
 	// that is stored too.
 	seen, noted uint64
+	// telling is what the look under way says of noted ends, and told what the
+	// server is known to have heard.
+	telling, told uint64
 	// lookedAt is when the last look was answered.
 	lookedAt time.Time
 	// looking says that a look is under way or due.
--- a/workload/record.go
+++ b/workload/record.go
@@ -11,7 +11,7 @@
 	Step       int    `cbor:"2,keyasint,omitempty"`
 	Index      int    `cbor:"3,keyasint,omitempty"`
 	Run        int    `cbor:"4,keyasint,omitempty"`
-	Failed     int    `cbor:"5,keyasint,omitempty"`
+	FailedRuns []int  `cbor:"5,keyasint,omitempty"`
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
 }
 
