Bound the reads of a claim, and break a gang once

A watcher went on reading after its end where reads fail without an error. Ruled out: the group not dealing the partition (it did), restarts (all came back). Change: every page has a timeout; the watcher looks at its context; a broken gang is stopped and logged once. Test that failed first: TestAll_EndsWhenTheLogFallsSilent.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -209,6 +209,16 @@
 	}
 }
 
+// stands reports whether a member's attempt is not being stopped.
+func (s *step) stands() bool {
+	for i := range s.tasks {
+		if a := s.tasks[i].cur; a != nil && a.state != stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // ended deals with one end that a server listed.
 func (c *Core) ended(s *server, e End) {
 	a := s.attempts[runKey{e.Task, e.Run}]
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -330,7 +330,7 @@
 			continue
 		}
 		waiting := st.waiting()
-		if waiting == 0 || waiting == len(st.tasks) || c.now.Before(st.gatherUntil) {
+		if waiting == 0 || waiting == len(st.tasks) || c.now.Before(st.gatherUntil) || !st.stands() {
 			continue
 		}
 		c.log.Log(events.GangBroken, "step", st.id().StepName(), "missing", waiting, "members", len(st.tasks))
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -99,10 +99,13 @@
 	Shares(ctx context.Context) ([]Share, error)
 }
 
+// pageTimeout is the longest wait for one page.
+const pageTimeout = 1500 * time.Millisecond
+
 // All reads the newest record of every key. Records may be appended between
 // pages; end is where to read on so that none is missed.
 func All(ctx context.Context, log Log, id ID) (records []Record, end uint64, err error) {
-	page, err := log.Newest(ctx, id, "")
+	page, err := newestPage(ctx, log, id, "")
 	if err != nil {
 		return nil, 0, err
 	}
@@ -112,9 +115,16 @@
 		if !page.More || len(page.Records) == 0 {
 			return records, end, nil
 		}
-		page, err = log.Newest(ctx, id, page.Records[len(page.Records)-1].Key)
+		page, err = newestPage(ctx, log, id, page.Records[len(page.Records)-1].Key)
 		if err != nil {
 			return nil, 0, err
 		}
 	}
 }
+
+// newestPage reads one page. A log that falls silent fails it in time.
+func newestPage(ctx context.Context, log Log, id ID, after string) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return log.Newest(ctx, id, after)
+}
--- /dev/null
+++ b/partition/partition_test.go
@@ -0,0 +1,232 @@
+package partition_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/pkg/errors"
+)
+
+var place = partition.ID{Topic: "keyed.test", Part: 1}
+
+// memoryLog is a log of one partition in memory. Fault, if set, is asked before
+// each call and may fail it.
+type memoryLog struct {
+	mu      sync.Mutex
+	records []partition.Record
+	first   uint64
+	epoch   uint64
+	next    uint64
+	// lost appends are done and not answered.
+	lost  int
+	fault func(ctx context.Context, call string) error
+	calls []string
+}
+
+func (l *memoryLog) enter(ctx context.Context, call string) error {
+	l.mu.Lock()
+	l.calls = append(l.calls, call)
+	fault := l.fault
+	l.mu.Unlock()
+	if fault == nil {
+		return nil
+	}
+	return fault(ctx, call)
+}
+
+func (l *memoryLog) Append(ctx context.Context, _ partition.ID, fence partition.Fence, records []partition.Record) error {
+	if err := l.enter(ctx, "append"); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case fence.Epoch < l.epoch:
+		return verdict.New(verdict.NotRun, partition.ReasonFenced, "fenced")
+	case fence.Epoch == l.epoch && fence.Sequence+1 == l.next:
+		return nil
+	case fence.Epoch == l.epoch && fence.Sequence != l.next:
+		return verdict.New(verdict.NotRun, partition.ReasonSequence, "sequence")
+	case fence.At != nil && *fence.At != uint64(len(l.records)):
+		return verdict.New(verdict.NotRun, partition.ReasonMoved, "moved")
+	}
+	l.epoch, l.next = fence.Epoch, fence.Sequence+1
+	l.records = append(l.records, records...)
+	if l.lost > 0 {
+		l.lost--
+		return verdict.New(verdict.MayHaveRun, partition.ReasonNoAnswer, "lost")
+	}
+	return nil
+}
+
+func (l *memoryLog) Newest(ctx context.Context, _ partition.ID, after string) (partition.Page, error) {
+	if err := l.enter(ctx, "newest"); err != nil {
+		return partition.Page{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	newest := make(map[string]partition.Record)
+	for i, r := range l.records {
+		r.Offset = uint64(i)
+		newest[r.Key] = r
+	}
+	var keys []string
+	for key, r := range newest {
+		if key > after && r.Value != nil {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := partition.Page{End: uint64(len(l.records)), More: len(keys) > 2}
+	for _, key := range keys[:min(len(keys), 2)] {
+		page.Records = append(page.Records, newest[key])
+	}
+	return page, nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, _ partition.ID, from uint64, wait time.Duration) (partition.Batch, error) {
+	if err := l.enter(ctx, "read"); err != nil {
+		return partition.Batch{}, err
+	}
+	l.mu.Lock()
+	first, records := l.first, slices.Clone(l.records)
+	l.mu.Unlock()
+	if from < first {
+		return partition.Batch{}, verdict.New(verdict.NotRun, partition.ReasonTruncated, "truncated")
+	}
+	if from >= uint64(len(records)) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		return partition.Batch{Next: from}, nil
+	}
+	return partition.Batch{Records: records[from:], Next: uint64(len(records))}, nil
+}
+
+func record(key, value string) partition.Record {
+	return partition.Record{Key: key, Value: []byte(value)}
+}
+
+// silent never answers.
+func silent(ctx context.Context, _ string) error {
+	<-ctx.Done()
+	return errors.Wrap(ctx.Err(), "no answer")
+}
+
+func TestAll_ReadsEveryPage(t *testing.T) {
+	log := &memoryLog{records: []partition.Record{record("a", "1"), record("b", "1"), record("c", "1"), record("a", "2"), record("d", "1"), record("e", "1")}}
+	records, end, err := partition.All(t.Context(), log, place)
+	if err != nil || end != 6 || len(records) != 5 || string(records[0].Value) != "2" {
+		t.Fatalf("records %v up to %d, %v", records, end, err)
+	}
+}
+
+func TestAll_EndsWhenTheLogFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{fault: silent}
+		done := make(chan error, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			_, _, err := partition.All(ctx, log, place)
+			done <- err
+		}()
+		select {
+		case err := <-done:
+			if err == nil {
+				t.Error("a silent log was read")
+			}
+		case <-time.After(5 * time.Second):
+			t.Error("still reading a silent log after 5 s")
+		}
+	})
+}
+
+func TestWriter_SendsALostAppendAgainOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{}
+		ctx, cancel := context.WithCancel(t.Context())
+		written := make(chan uint64, 8)
+		w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { written <- ticket })
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		log.mu.Lock()
+		log.lost = 1
+		log.mu.Unlock()
+		w.Put(1, []partition.Record{record("a", "1")})
+		if got := <-written; got != 1 {
+			t.Errorf("ticket %d written, want 1", got)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if len(log.records) != 2 {
+			t.Errorf("%d records in the log, want the claim and one write", len(log.records))
+		}
+	})
+}
+
+func TestWriter_EndsWhenALaterOwnerWrote(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{}
+		ignore := func(uint64) {}
+		first, err := partition.Open(t.Context(), log, place, 3, 0, record("o", "first"), time.Now, ignore)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := partition.Open(t.Context(), log, place, 4, 1, record("o", "second"), time.Now, ignore); err != nil {
+			t.Fatal(err)
+		}
+		first.Put(1, []partition.Record{record("a", "1")})
+		if err := first.Run(t.Context()); !errors.Is(err, partition.ErrFenced) {
+			t.Errorf("%v, want ErrFenced", err)
+		}
+	})
+}
+
+func TestOpen_FailsWhenTheLogMovedOn(t *testing.T) {
+	log := &memoryLog{records: []partition.Record{record("a", "1")}}
+	_, err := partition.Open(t.Context(), log, place, 3, 0, record("o", "me"), time.Now, func(uint64) {})
+	if verdict.ReasonOf(err) != partition.ReasonMoved {
+		t.Errorf("%v, want ReasonMoved", err)
+	}
+}
+
+func TestWatcher_StartsAnewWhenHistoryIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{records: []partition.Record{record("a", "1")}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var wholes [][]partition.Record
+		w := &partition.Watcher{
+			Log: log, ID: place,
+			Whole:   func(r []partition.Record) { wholes = append(wholes, r) },
+			Changed: func([]partition.Record) {},
+		}
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		log.mu.Lock()
+		log.records = append(log.records, record("a", ""), record("b", "2"))
+		log.records[1].Value = nil
+		log.first = 3
+		log.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		cancel()
+		<-done
+		if len(wholes) != 2 || len(wholes[1]) != 1 || wholes[1][0].Key != "b" {
+			t.Errorf("whole reads %v, want a second with b alone", wholes)
+		}
+	})
+}
--- a/partition/watch.go
+++ b/partition/watch.go
@@ -34,7 +34,7 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		next, err := w.whole(ctx)
-		for err == nil {
+		for err == nil && ctx.Err() == nil {
 			next, err = w.read(ctx, next)
 		}
 		if verdict.ReasonOf(err) != ReasonTruncated && !pause(ctx, watchRetry) {
