Reach the store through other daemons, and claim nothing while unsure

Ruled out: shorter membership times (the platform grants 1 s at least). Change: package relay repeats a call through another daemon when the store refuses it or is silent for 400 ms beyond the call's own wait; schedulers start only while the group's answer is fresh.

--- a/internal/entry/advice.go
+++ b/internal/entry/advice.go
@@ -46,8 +46,11 @@
 	return a
 }
 
-func (a *Advisors) daemons() []string {
-	names := []string{a.self}
+func (a *Advisors) daemons() []string { return append(a.Others(), a.self) }
+
+// Others lists the other daemons that hold partitions.
+func (a *Advisors) Others() []string {
+	var names []string
 	for _, member := range a.member.Members() {
 		if daemon := DaemonOf(member); daemon != a.self {
 			names = append(names, daemon)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/currantwinch/currantwinch/internal/entry"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/peer"
+	"github.com/currantwinch/currantwinch/internal/relay"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/internal/tenure"
@@ -54,7 +55,7 @@
 	duties  *duty.Group
 	app     *fx.App
 	config  atomic.Pointer[routing.Configuration]
-	store   *platform.Store
+	store   *relay.Relay
 	servers *platform.Servers
 	health  *storeHealth
 
@@ -89,9 +90,9 @@
 	return net.JoinHostPort(s.IP, fmt.Sprint(s.Ports[0]))
 }
 
-func (h *Host) newStore(client *http.Client, s platform.Settings) *platform.Store {
+func (h *Host) newStore(client *http.Client, s platform.Settings, peers *peer.Peers) *relay.Relay {
 	h.health = &storeHealth{now: time.Now, events: h.o.Events}
-	return platform.NewStore(client, s.Store, group, tenure.Topic)
+	return relay.New(platform.NewStore(client, s.Store, group, tenure.Topic), peers, time.Now)
 }
 
 func (h *Host) newPeers() (*peer.Peers, error) {
@@ -106,7 +107,7 @@
 	}), nil
 }
 
-func (h *Host) newMember(store *platform.Store, s platform.Settings) *partition.Member {
+func (h *Host) newMember(store *relay.Relay, s platform.Settings) *partition.Member {
 	name := h.base.Self.Name + "/" + h.base.Self.Incarnation
 	return partition.NewMember(store, name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() })
 }
@@ -125,9 +126,10 @@
 	return entry.NewAdvisors(h.base.Self.Name, platform.NewAdvice(client, s.Advice), member, peers)
 }
 
-func (h *Host) assemble(client *http.Client, store *platform.Store, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, e *entry.Entry, a *entry.Advisors) {
+func (h *Host) assemble(client *http.Client, store *relay.Relay, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, e *entry.Entry, a *entry.Advisors) {
 	h.store, h.member, h.tenures, h.peers, h.entry, h.advisors = store, member, tenures, peers, e, a
 	h.servers = platform.NewServers(client)
+	store.Through(a.Others)
 }
 
 // lifecycle orders start and stop.
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,187 @@
+// Package relay reaches the platform's store through another daemon while the
+// store does not answer this one. Every call may be repeated without harm:
+// appends carry sequence numbers, and the others change nothing that a repeat
+// would change again.
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/roles"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/verdict"
+)
+
+const (
+	// hedgeAfter is how long the store may be silent, beyond what a call waits
+	// for, before another daemon is asked as well. It is above the answers of a
+	// slow store, which others would get no sooner.
+	hedgeAfter = 400 * time.Millisecond
+	// suspectTime is how long calls go to another daemon first after a failure.
+	suspectTime = time.Second
+	// downTime is how long nobody is asked after no daemon was answered: the
+	// store is down for all.
+	downTime = 500 * time.Millisecond
+	// maxRelays bounds the daemons asked about one call.
+	maxRelays = 2
+)
+
+// Store is what is relayed.
+type Store interface {
+	partition.Log
+	partition.Group
+}
+
+// Relay is a Store that asks other daemons when its own path fails.
+type Relay struct {
+	direct  Store
+	peers   roles.Peers
+	daemons func() []string
+	now     func() time.Time
+
+	mu        sync.Mutex
+	suspect   time.Time
+	downUntil time.Time
+	next      int
+}
+
+// New returns a Relay, whose methods it registers with the peers. Daemons lists
+// the others.
+func New(direct Store, peers roles.Peers, now func() time.Time) *Relay {
+	r := &Relay{direct: direct, peers: peers, daemons: func() []string { return nil }, now: now}
+	r.register()
+	return r
+}
+
+// Through sets who the other daemons are.
+func (r *Relay) Through(daemons func() []string) { r.daemons = daemons }
+
+// settled reports whether an answer is the store's own.
+func settled(err error) bool {
+	if err == nil {
+		return true
+	}
+	switch verdict.ReasonOf(err) {
+	case partition.ReasonFenced, partition.ReasonSequence, partition.ReasonMoved, partition.ReasonTruncated:
+		return true
+	}
+	return false
+}
+
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// call makes one call, directly or through another daemon. Wait is how long the
+// store itself may take by request.
+func call[T any](ctx context.Context, r *Relay, wait time.Duration, direct func(context.Context) (T, error), method string, params any) (T, error) {
+	if r.suspected() {
+		if value, err, asked := relayed[T](ctx, r, method, params); asked && settled(err) {
+			return value, err
+		}
+	}
+	answers := make(chan outcome[T], 1)
+	go func() {
+		value, err := direct(ctx)
+		answers <- outcome[T]{value, err}
+	}()
+	hedge := time.NewTimer(wait + hedgeAfter)
+	defer hedge.Stop()
+	select {
+	case got := <-answers:
+		if settled(got.err) || ctx.Err() != nil {
+			return got.value, got.err
+		}
+		r.suspectNow()
+		if value, err, asked := relayed[T](ctx, r, method, params); asked && settled(err) {
+			return value, err
+		}
+		return got.value, got.err
+	case <-hedge.C:
+		r.suspectNow()
+		return first(ctx, r, answers, method, params)
+	}
+}
+
+// first returns the first settled answer of the store's and another daemon's.
+func first[T any](ctx context.Context, r *Relay, direct <-chan outcome[T], method string, params any) (T, error) {
+	through := make(chan outcome[T], 1)
+	go func() {
+		value, err, asked := relayed[T](ctx, r, method, params)
+		if !asked {
+			err = verdict.New(verdict.MayHaveRun, partition.ReasonNoAnswer, "no other daemon to ask")
+		}
+		through <- outcome[T]{value, err}
+	}()
+	select {
+	case got := <-direct:
+		if settled(got.err) {
+			return got.value, got.err
+		}
+		other := <-through
+		return other.value, other.err
+	case got := <-through:
+		if settled(got.err) {
+			return got.value, got.err
+		}
+		other := <-direct
+		return other.value, other.err
+	}
+}
+
+// relayed asks other daemons in turn. It reports false if it asked nobody.
+func relayed[T any](ctx context.Context, r *Relay, method string, params any) (value T, err error, asked bool) {
+	names := r.daemons()
+	if len(names) == 0 || r.down() {
+		return value, nil, false
+	}
+	for range min(maxRelays, len(names)) {
+		value = *new(T)
+		err = r.peers.Call(ctx, names[r.turn()%len(names)], method, params, &value)
+		if settled(err) {
+			return value, err, true
+		}
+		r.advance()
+	}
+	r.markDown()
+	return value, err, true
+}
+
+func (r *Relay) suspected() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now().Before(r.suspect)
+}
+
+func (r *Relay) suspectNow() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspect = r.now().Add(suspectTime)
+}
+
+func (r *Relay) down() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now().Before(r.downUntil)
+}
+
+func (r *Relay) markDown() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.downUntil = r.now().Add(downTime)
+}
+
+func (r *Relay) turn() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next
+}
+
+func (r *Relay) advance() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next++
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -118,6 +118,11 @@
 			running.cancel()
 		}
 	}
+	if !t.o.Member.Sure() {
+		// Another daemon may hold them by now. What runs goes on until it is
+		// fenced, but nothing is claimed anew.
+		return
+	}
 	for _, id := range held {
 		if _, ok := t.engines[id]; !ok && needed[id] && ctx.Err() == nil {
 			t.engines[id] = t.start(ctx, id)
--- a/partition/member.go
+++ b/partition/member.go
@@ -122,6 +122,10 @@
 func (m *Member) Sure() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.sure()
+}
+
+func (m *Member) sure() bool {
 	return !m.left && !m.joinedAt.IsZero() && m.now().Sub(m.joinedAt) < m.ttl
 }
 
@@ -129,7 +133,7 @@
 func (m *Member) Holder(id ID) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if slices.Contains(m.held, id) {
+	if slices.Contains(m.held, id) && m.sure() {
 		return m.name, true
 	}
 	name, ok := m.holders[id]
