Hold room for gathering gangs, and spread advice by its cost

Cause: short questions waited behind long ones at the policy service (advice p90 479 ms for the shortest queue), gangs asked again for every ticket that lapsed (15.7 questions a step), and calls through other daemons stalled 400 ms each second for a probe. Ruled out: capacity (61% of the cores are asked for on average). Change: a third of the daemons takes short questions only and each goes where the least time is open; a gang learns once which servers it may use, holds room there and asks for tickets when the room is there; probes go beside relayed calls.

--- a/internal/entry/advice.go
+++ b/internal/entry/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,15 @@
 
 const methodAdvise = "submission.advise"
 
+const (
+	// longQuestion is the time from which a question may delay short ones.
+	longQuestion = 100 * time.Millisecond
+	// shortPart says that one daemon in so many takes short questions only.
+	shortPart = 3
+	// questionOverhead is the time of a question beside what its terms say.
+	questionOverhead = 2 * time.Millisecond
+)
+
 // question is a question to the policy service, put through another daemon.
 type question struct {
 	Step    string   `json:"step"`
@@ -34,14 +44,15 @@
 	member *partition.Member
 	peers  roles.Peers
 
-	mu   sync.Mutex
-	open map[string]int
+	mu sync.Mutex
+	// open is the time that each daemon's open questions take.
+	open map[string]time.Duration
 	next int
 }
 
 // NewAdvisors returns Advisors and registers their method with the peers.
 func NewAdvisors(self string, direct scheduler.Advisor, member *partition.Member, peers roles.Peers) *Advisors {
-	a := &Advisors{self: self, direct: direct, member: member, peers: peers, open: make(map[string]int)}
+	a := &Advisors{self: self, direct: direct, member: member, peers: peers, open: make(map[string]time.Duration)}
 	peers.Handle(methodAdvise, a.handle)
 	return a
 }
@@ -62,9 +73,15 @@
 // Count returns how many daemons can ask.
 func (a *Advisors) Count() int { return len(a.daemons()) }
 
-// Take returns the daemon with the fewest open questions.
-func (a *Advisors) Take() (scheduler.Advisor, func()) {
+// Take returns the daemon whose open questions take the least time. Questions
+// that take long stay off a part of the daemons, so that short ones need not
+// wait behind them.
+func (a *Advisors) Take(cost time.Duration) (scheduler.Advisor, func()) {
 	names := a.daemons()
+	slices.Sort(names)
+	if cost > longQuestion && len(names) >= shortPart {
+		names = names[len(names)/shortPart:]
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.next++
@@ -75,11 +92,11 @@
 			best = name
 		}
 	}
-	a.open[best]++
+	a.open[best] += cost + questionOverhead
 	done := func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if a.open[best]--; a.open[best] == 0 {
+		if a.open[best] -= cost + questionOverhead; a.open[best] <= 0 {
 			delete(a.open, best)
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,8 +19,9 @@
 	// for, before another daemon is asked as well. It is above the answers of a
 	// slow store, which others would get no sooner.
 	hedgeAfter = 400 * time.Millisecond
-	// suspectTime is how long calls go to another daemon first after a failure.
-	suspectTime = time.Second
+	// probeInterval is the time between two questions to the store itself while
+	// calls go through other daemons.
+	probeInterval = time.Second
 	// downTime is how long nobody is asked after no daemon was answered: the
 	// store is down for all.
 	downTime = 500 * time.Millisecond
@@ -41,8 +42,10 @@
 	daemons func() []string
 	now     func() time.Time
 
-	mu        sync.Mutex
-	suspect   time.Time
+	mu sync.Mutex
+	// suspect says that the store did not answer this daemon when last tried.
+	suspect   bool
+	probedAt  time.Time
 	downUntil time.Time
 	next      int
 }
@@ -79,6 +82,7 @@
 // store itself may take by request.
 func call[T any](ctx context.Context, r *Relay, wait time.Duration, direct func(context.Context) (T, error), method string, params any) (T, error) {
 	if r.suspected() {
+		r.probe()
 		if value, err, asked := relayed[T](ctx, r, method, params); asked && settled(err) {
 			return value, err
 		}
@@ -153,13 +157,34 @@
 func (r *Relay) suspected() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.now().Before(r.suspect)
+	return r.suspect
 }
 
 func (r *Relay) suspectNow() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.suspect = r.now().Add(suspectTime)
+	r.suspect = true
+	r.probedAt = r.now()
+}
+
+// probe asks the store itself now and then, beside the calls that go through
+// others, and ends the suspicion when it answers.
+func (r *Relay) probe() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now().Sub(r.probedAt) < probeInterval {
+		return
+	}
+	r.probedAt = r.now()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter)
+		defer cancel()
+		if _, err := r.direct.Shares(ctx); settled(err) {
+			r.mu.Lock()
+			r.suspect = false
+			r.mu.Unlock()
+		}
+	}()
 }
 
 func (r *Relay) down() bool {
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -37,6 +39,8 @@
 type AskAdvice struct {
 	Step    workload.TaskID
 	Servers []string
+	// Cost is how long the answer takes by the queue's terms.
+	Cost time.Duration
 }
 
 // Store appends records to the partition.
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -77,35 +77,44 @@
 	return p.ticket, true
 }
 
-// ask puts a question for a step about the servers that have room for it, those
-// known to be allowed first.
-func (c *Core) ask(st *step, need int, candidates []*server) {
-	a := &st.advice
-	if a.asking || c.now.Before(a.retryAt) || c.asking >= c.askers*callsPerAsker {
+// ask puts a question for a step about servers with room for it, those known to
+// be allowed first.
+func (p *pass) ask(st *step, need int, candidates []*server) {
+	if !p.core.mayAsk(st) {
 		return
 	}
 	var sure, open []*server
 	for _, s := range candidates {
 		switch key := s.lifeKey(); {
-		case a.refused[key]:
-		case a.allowed[key]:
+		case st.advice.refused[key]:
+		case st.advice.allowed[key]:
 			sure = append(sure, s)
 		default:
 			open = append(open, s)
 		}
 	}
-	chosen := c.choose(st, need, sure, open)
+	share := p.core.allowanceOf(st.job().queue.Name).share
+	p.core.askAbout(st, p.choose(st, need, share, sure, open))
+}
+
+// mayAsk reports whether a question for the step can be put now.
+func (c *Core) mayAsk(st *step) bool {
+	a := &st.advice
+	return !a.asking && !c.now.Before(a.retryAt) && c.asking < c.askers*callsPerAsker
+}
+
+func (c *Core) askAbout(st *step, chosen []string) {
 	if len(chosen) == 0 {
 		return
 	}
-	a.asking = true
+	st.advice.asking = true
 	c.asking++
-	c.act(AskAdvice{Step: st.id(), Servers: chosen})
+	terms := st.job().queue.Advice
+	c.act(AskAdvice{Step: st.id(), Servers: chosen, Cost: terms.Decision + time.Duration(len(chosen))*terms.PerServer})
 }
 
 // choose picks servers until their expected room covers the need.
-func (c *Core) choose(st *step, need int, sure, open []*server) []string {
-	share := c.allowanceOf(st.job().queue.Name).share
+func (p *pass) choose(st *step, need int, share float64, sure, open []*server) []string {
 	want := askMargin * float64(need)
 	var ids []string
 	pick := func(servers []*server, chance float64) {
@@ -118,7 +127,7 @@
 				return
 			}
 			ids = append(ids, s.info.ID)
-			want -= chance * float64(c.slots(st, s))
+			want -= chance * float64(p.slots(st, s))
 		}
 	}
 	pick(sure, 1)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -66,9 +66,11 @@
 	// asking counts questions to the policy service under way; askers is how
 	// many daemons put them.
 	asking, askers int
-	learned        map[string]*allowance
-	fenced         bool
-	place          bool
+	// held is the room that the last pass kept for gangs.
+	held    map[*server]workload.Resources
+	learned map[string]*allowance
+	fenced  bool
+	place   bool
 }
 
 type afterWrite struct {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -44,9 +44,9 @@
 type Advisors interface {
 	// Count returns how many there are.
 	Count() int
-	// Take returns the one with the fewest open questions, and what to call
-	// once it has answered.
-	Take() (Advisor, func())
+	// Take returns the one that is free soonest, given how long the answer
+	// takes, and what to call once it has answered.
+	Take(cost time.Duration) (Advisor, func())
 }
 
 // EngineOptions is what an Engine is built from.
@@ -257,7 +257,7 @@
 func (e *Engine) ask(a AskAdvice) {
 	ctx, cancel := context.WithTimeout(e.ctx, adviceTimeout)
 	defer cancel()
-	advisor, done := e.o.Advisors.Take()
+	advisor, done := e.o.Advisors.Take(a.Cost)
 	tickets, validity, err := advisor.Advise(ctx, a.Step.StepName(), a.Servers)
 	done()
 	e.push(advisedEvent{a, tickets, validity, err})
--- /dev/null
+++ b/internal/scheduler/gather.go
@@ -0,0 +1,172 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+const (
+	// maxHeldPart bounds the part of a service's capacity that is held for gangs
+	// which gather.
+	maxHeldPart = 0.35
+	// gangMargin is how many times its need a gang asks for at first, so that one
+	// question is enough.
+	gangMargin = 2.5
+)
+
+// prospect is a server with the room that it is expected to have soon.
+type prospect struct {
+	server *server
+	free   workload.Resources
+}
+
+// gather is for a gang that cannot start now. It learns which servers the gang
+// may use, holds room on the most promising of them against less pressing
+// steps, and asks for tickets once the room is there.
+func (p *pass) gather(st *step, need int, open []*server) {
+	prospects := p.prospects(st)
+	held, ready := p.hold(st, need, prospects)
+	if st.job().queue.Advice == nil || !p.core.mayAsk(st) {
+		return
+	}
+	switch {
+	case ready >= need:
+		// The room is held; only its tickets are missing.
+		p.core.askAbout(st, ids(held))
+	case held == nil:
+		p.core.askAbout(st, p.unknown(st, need, prospects))
+	}
+}
+
+func ids(servers []*server) []string {
+	out := make([]string, 0, len(servers))
+	for _, s := range servers {
+		out = append(out, s.info.ID)
+	}
+	return out
+}
+
+// prospects lists the servers that the step may use or has not asked about, the
+// one with the most room soon first.
+func (p *pass) prospects(st *step) []prospect {
+	var out []prospect
+	for _, s := range p.candidates(st) {
+		if st.advice.refused[s.lifeKey()] {
+			continue
+		}
+		out = append(out, prospect{s, s.soonFree(p.core.now).Minus(p.held[s])})
+	}
+	slices.SortFunc(out, func(x, y prospect) int {
+		return cmp.Or(cmp.Compare(y.free.CPU, x.free.CPU), cmp.Compare(x.server.info.ID, y.server.info.ID))
+	})
+	return out
+}
+
+// soonFree returns the free room and the part of each attempt's that its age
+// makes likely to be free soon.
+func (s *server) soonFree(now time.Time) workload.Resources {
+	free := s.free
+	for _, a := range s.attempts {
+		estimate := a.task.step.spec.Estimate
+		if a.task.step.spec.LongRunning || estimate <= 0 {
+			continue
+		}
+		part := min(float64(now.Sub(a.sent))/float64(estimate), 1)
+		free.CPU += int64(part * float64(a.need.CPU))
+		free.MemoryMB += int64(part * float64(a.need.MemoryMB))
+		free.GPU += int64(part * float64(a.need.GPU))
+	}
+	return free
+}
+
+// hold keeps room for the gang on allowed servers: room that is free now first,
+// then room that is likely to be free soon. It returns the servers, and how
+// many members fit their free room now; nil if too few are known to be allowed.
+func (p *pass) hold(st *step, need int, prospects []prospect) (chosen []*server, ready int) {
+	counts := make(map[*server]int)
+	take := func(s *server, n int) {
+		if n <= 0 {
+			return
+		}
+		if counts[s] == 0 {
+			chosen = append(chosen, s)
+		}
+		counts[s] += n
+		need -= n
+	}
+	total := need
+	for _, pr := range prospects {
+		if p.allowed(st, pr.server) {
+			take(pr.server, min(p.slots(st, pr.server), need))
+		}
+	}
+	ready = total - need
+	for _, pr := range prospects {
+		if p.allowed(st, pr.server) {
+			take(pr.server, min(slotsIn(st, pr.server, pr.free)-counts[pr.server], need))
+		}
+	}
+	if need > 0 {
+		return nil, 0
+	}
+	p.keep(st, total, counts)
+	return chosen, ready
+}
+
+func (p *pass) allowed(st *step, s *server) bool {
+	return st.job().queue.Advice == nil || st.advice.allowed[s.lifeKey()]
+}
+
+// keep takes the room of a gang off what less pressing steps see, unless too
+// much is kept already.
+func (p *pass) keep(st *step, members int, counts map[*server]int) {
+	each := st.spec.Reserved()
+	if float64(p.heldCPU+int64(members)*each.CPU) > maxHeldPart*float64(p.capacity(st)) {
+		return
+	}
+	p.heldCPU += int64(members) * each.CPU
+	for s, n := range counts {
+		for range n {
+			p.held[s] = p.held[s].Plus(each)
+		}
+	}
+}
+
+// capacity returns the CPU of all servers that the step's service has now.
+func (p *pass) capacity(st *step) int64 {
+	var sum int64
+	for _, s := range p.servers(st.job().sub.Service) {
+		sum += s.info.Capacity.CPU
+	}
+	return sum
+}
+
+// unknown returns servers to ask about: enough that those allowed are expected
+// to hold the gang with room to spare. It returns none while every server was
+// asked about.
+func (p *pass) unknown(st *step, need int, prospects []prospect) []string {
+	share := p.core.allowanceOf(st.job().queue.Name).share
+	want := gangMargin * float64(need)
+	var out, known []string
+	for _, pr := range prospects {
+		if len(out)+len(known) >= maxAsked || want <= 0 && len(out) >= minAsked {
+			break
+		}
+		// A server that is full now may be empty when the gang's turn comes.
+		room := max(float64(slotsIn(st, pr.server, pr.free)), 1)
+		if st.advice.allowed[pr.server.lifeKey()] {
+			known = append(known, pr.server.info.ID)
+			want -= room
+			continue
+		}
+		out = append(out, pr.server.info.ID)
+		want -= share * room
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	return append(out, known...)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/workload"
 )
 
 const (
@@ -22,12 +23,13 @@
 	}
 	c.dropSettled()
 	c.sortQueued()
-	pass := &pass{core: c, reserved: make(map[*server]bool), usable: make(map[string][]*server)}
+	p := &pass{core: c, held: make(map[*server]workload.Resources), before: c.held, usable: make(map[string][]*server)}
 	for _, st := range c.queued {
 		if c.mayPlace(st) {
-			pass.place(st)
+			p.place(st)
 		}
 	}
+	c.held = p.held
 	c.dropSettled()
 }
 
@@ -88,8 +90,10 @@
 // pass is one round of placements.
 type pass struct {
 	core *Core
-	// reserved servers are kept for a gang that waits for room.
-	reserved map[*server]bool
+	// held is the room kept for gangs that gather, and before that of the last
+	// pass.
+	held, before map[*server]workload.Resources
+	heldCPU      int64
 	// usable lists the servers of each service that may get tasks.
 	usable map[string][]*server
 }
@@ -113,7 +117,7 @@
 func (p *pass) candidates(st *step) []*server {
 	var out []*server
 	for _, s := range p.servers(st.job().sub.Service) {
-		if s.hasLabel(st.spec.Label) && !p.reserved[s] {
+		if s.hasLabel(st.spec.Label) {
 			out = append(out, s)
 		}
 	}
@@ -121,7 +125,10 @@
 }
 
 // slots returns how many more tasks of the step s has room for.
-func (c *Core) slots(st *step, s *server) int {
+func (c *Core) slots(st *step, s *server) int { return slotsIn(st, s, s.free) }
+
+// slotsIn returns how many more tasks of the step s would hold with room free.
+func slotsIn(st *step, s *server, free workload.Resources) int {
 	limit := len(st.tasks)
 	if st.spec.MaxPerServer > 0 {
 		limit = st.spec.MaxPerServer - st.onServer[s]
@@ -129,9 +136,12 @@
 	if limit <= 0 {
 		return 0
 	}
-	return st.spec.Reserved().Times(s.free, limit)
+	return st.spec.Reserved().Times(free, limit)
 }
 
+// slots is the Core's without what is held for more pressing gangs.
+func (p *pass) slots(st *step, s *server) int { return slotsIn(st, s, s.free.Minus(p.held[s])) }
+
 func (p *pass) place(st *step) {
 	if st.spec.Gang {
 		p.placeGang(st)
@@ -144,7 +154,7 @@
 // with a valid ticket take.
 func (p *pass) room(st *step) (open, ticketed []*server, slots int) {
 	for _, s := range p.candidates(st) {
-		n := p.core.slots(st, s)
+		n := p.slots(st, s)
 		if n == 0 {
 			continue
 		}
@@ -181,7 +191,7 @@
 		need--
 	}
 	if need > 0 && st.job().queue.Advice != nil {
-		c.ask(st, need, open)
+		p.ask(st, need, open)
 	}
 }
 
@@ -190,7 +200,7 @@
 func (p *pass) best(st *step, servers []*server) *server {
 	var best *server
 	for _, s := range servers {
-		if p.core.slots(st, s) == 0 {
+		if p.slots(st, s) == 0 {
 			continue
 		}
 		if best == nil || p.better(st, s, best) {
@@ -207,6 +217,9 @@
 			return an
 		}
 	}
+	if an, bn := p.before[a].CPU > 0, p.before[b].CPU > 0; an != bn {
+		return bn
+	}
 	return a.free.CPU < b.free.CPU
 }
 
@@ -250,18 +263,14 @@
 	}
 }
 
-// gangServers chooses a server for each of need members, or none. If the room
-// is there but not the tickets, it asks for them; if the room is not there, it
-// keeps servers for the gang.
+// gangServers chooses a server for each of need members, or none. Then it asks
+// for the tickets that are missing, and holds room for the gang.
 func (p *pass) gangServers(st *step, need int) []*server {
-	c := p.core
 	open, ticketed, slots := p.room(st)
 	if slots >= need {
 		return p.fill(st, ticketed, need)
 	}
-	if st.job().queue.Advice != nil {
-		c.ask(st, need, open)
-	}
+	p.gather(st, need, open)
 	return nil
 }
 
@@ -279,7 +288,7 @@
 	})
 	var chosen []*server
 	for _, s := range byRoom {
-		for n := p.core.slots(st, s); n > 0 && len(chosen) < need; n-- {
+		for n := p.slots(st, s); n > 0 && len(chosen) < need; n-- {
 			chosen = append(chosen, s)
 		}
 	}
@@ -303,7 +312,7 @@
 	for _, name := range names {
 		room := 0
 		for _, s := range racks[name] {
-			room += p.core.slots(st, s)
+			room += p.slots(st, s)
 		}
 		if room >= need {
 			return racks[name]
