Pace rounds of placements and make them cheaper

Ruled out: advice (answers came in 0.2 s) and the policy service's queue. Change: four times a round's time passes before the next; servers are ranked and their room summed once a round; steps that nothing has room for are passed over.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,15 +95,18 @@
 // Fenced reports whether a later owner has given orders or written.
 func (c *Core) Fenced() bool { return c.fenced }
 
-// Finish places what can be placed, stores what changed and returns what is to
-// be done.
-func (c *Core) Finish() []Action {
+// Waits reports whether something may be placed.
+func (c *Core) Waits() bool { return c.place }
+
+// Finish places what can be placed, if it may, stores what changed and returns
+// what is to be done.
+func (c *Core) Finish(mayPlace bool) []Action {
 	if c.fenced {
 		c.actions = nil
 		return nil
 	}
 	c.recover()
-	if c.place {
+	if c.place && mayPlace {
 		c.place = false
 		c.placeAll()
 	}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -93,7 +93,7 @@
 }
 
 func (h *harness) finish() {
-	for _, a := range h.core.Finish() {
+	for _, a := range h.core.Finish(true) {
 		switch a := a.(type) {
 		case Answer:
 			a.Reply(a.Answer)
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -26,6 +26,10 @@
 	tickInterval = 50 * time.Millisecond
 	// eventCapacity bounds the events that wait for the Core.
 	eventCapacity = 4096
+	// placeShare is how many times the time of one round of placements passes
+	// before the next: rounds of a long queue leave most of the processor to
+	// the orders and answers that they need.
+	placeShare = 4
 	// maxBurst bounds the events taken before actions are carried out.
 	maxBurst = 64
 )
@@ -144,10 +148,15 @@
 		e.core.Configure(config)
 	}
 	e.core.LookAtAll()
-	e.carryOut(e.core.Finish())
+	e.carryOut(e.core.Finish(true))
+	pacer := newPacer(e.o.Now)
+	defer pacer.stop()
 	for {
 		turn()
 		select {
+		case <-pacer.wake():
+			pacer.armed = false
+			e.begin()
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case ev := <-e.events.C():
@@ -163,7 +172,11 @@
 			e.core.Askers(e.o.Advisors.Count())
 			e.core.Tick()
 		}
-		e.carryOut(e.core.Finish())
+		waits := e.core.Waits()
+		mayPlace := pacer.open()
+		actions := e.core.Finish(mayPlace)
+		pacer.placed(waits, mayPlace)
+		e.carryOut(actions)
 		if e.core.Fenced() {
 			return partition.ErrFenced
 		}
--- a/internal/scheduler/gather.go
+++ b/internal/scheduler/gather.go
@@ -52,19 +52,33 @@
 // prospects lists the servers that the step may use or has not asked about, the
 // one with the most room soon first.
 func (p *pass) prospects(st *step) []prospect {
-	var out []prospect
-	for _, s := range p.candidates(st) {
-		if st.advice.refused[s.lifeKey()] {
+	ranked := p.ranked(st.job().sub.Service)
+	out := make([]prospect, 0, len(ranked))
+	for _, pr := range ranked {
+		if !pr.server.hasLabel(st.spec.Label) || st.advice.refused[pr.server.lifeKey()] {
 			continue
 		}
-		out = append(out, prospect{s, s.soonFree(p.core.now).Minus(p.held[s])})
+		out = append(out, prospect{pr.server, pr.free.Minus(p.held[pr.server])})
 	}
-	slices.SortFunc(out, func(x, y prospect) int {
-		return cmp.Or(cmp.Compare(y.free.CPU, x.free.CPU), cmp.Compare(x.server.info.ID, y.server.info.ID))
-	})
 	return out
 }
 
+// ranked lists a service's servers by the room that they will have soon, once a
+// pass.
+func (p *pass) ranked(service string) []prospect {
+	if ranked, ok := p.soon[service]; ok {
+		return ranked
+	}
+	servers := p.servers(service)
+	ranked := make([]prospect, 0, len(servers))
+	for _, s := range servers {
+		ranked = append(ranked, prospect{s, s.soonFree(p.core.now)})
+	}
+	slices.SortStableFunc(ranked, func(x, y prospect) int { return cmp.Compare(y.free.CPU, x.free.CPU) })
+	p.soon[service] = ranked
+	return ranked
+}
+
 // soonFree returns the free room and the part of each attempt's that its age
 // makes likely to be free soon.
 func (s *server) soonFree(now time.Time) workload.Resources {
@@ -124,7 +138,7 @@
 // much is kept already.
 func (p *pass) keep(st *step, members int, counts map[*server]int) {
 	each := st.spec.Reserved()
-	if float64(p.heldCPU+int64(members)*each.CPU) > maxHeldPart*float64(p.capacity(st)) {
+	if p.heldCPU+int64(members)*each.CPU > p.maxHeld(st) {
 		return
 	}
 	p.heldCPU += int64(members) * each.CPU
@@ -135,13 +149,20 @@
 	}
 }
 
-// capacity returns the CPU of all servers that the step's service has now.
-func (p *pass) capacity(st *step) int64 {
+// maxHeld returns the most CPU that may be held on the servers of the step's
+// service.
+func (p *pass) maxHeld(st *step) int64 {
+	service := st.job().sub.Service
+	if most, ok := p.holdable[service]; ok {
+		return most
+	}
 	var sum int64
-	for _, s := range p.servers(st.job().sub.Service) {
+	for _, s := range p.servers(service) {
 		sum += s.info.Capacity.CPU
 	}
-	return sum
+	most := int64(maxHeldPart * float64(sum))
+	p.holdable[service] = most
+	return most
 }
 
 // unknown returns servers to ask about: enough that those allowed are expected
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -23,9 +23,12 @@
 	}
 	c.dropSettled()
 	c.sortQueued()
-	p := &pass{core: c, held: make(map[*server]workload.Resources), before: c.held, usable: make(map[string][]*server)}
+	p := &pass{
+		core: c, held: make(map[*server]workload.Resources), before: c.held, usable: make(map[string][]*server),
+		holdable: make(map[string]int64), most: make(map[string]workload.Resources), soon: make(map[string][]prospect),
+	}
 	for _, st := range c.queued {
-		if c.mayPlace(st) {
+		if c.mayPlace(st) && p.promising(st) {
 			p.place(st)
 		}
 	}
@@ -94,6 +97,12 @@
 	// pass.
 	held, before map[*server]workload.Resources
 	heldCPU      int64
+	// holdable is the most CPU that may be held of each service.
+	holdable map[string]int64
+	// most is the roomiest of each service's servers.
+	most map[string]workload.Resources
+	// soon ranks each service's servers by the room that they will have.
+	soon map[string][]prospect
 	// usable lists the servers of each service that may get tasks.
 	usable map[string][]*server
 }
@@ -113,6 +122,35 @@
 	return list
 }
 
+// promising reports, at little cost, whether a look at every server can be of
+// use: a gang may hold room in any case, a single task needs a server with room
+// and either a ticket or a question to put.
+func (p *pass) promising(st *step) bool {
+	if st.spec.Gang && p.heldCPU < p.maxHeld(st) {
+		return true
+	}
+	if st.advice.asking && len(st.advice.tickets) == 0 {
+		return false
+	}
+	return st.spec.Reserved().Fits(p.roomiest(st.job().sub.Service))
+}
+
+// roomiest returns, for each resource, the most that any server has free. It is
+// found once a pass, so that it is never too small.
+func (p *pass) roomiest(service string) workload.Resources {
+	if most, ok := p.most[service]; ok {
+		return most
+	}
+	var most workload.Resources
+	for _, s := range p.servers(service) {
+		most.CPU = max(most.CPU, s.free.CPU)
+		most.MemoryMB = max(most.MemoryMB, s.free.MemoryMB)
+		most.GPU = max(most.GPU, s.free.GPU)
+	}
+	p.most[service] = most
+	return most
+}
+
 // candidates returns the servers that may run the step, room aside.
 func (p *pass) candidates(st *step) []*server {
 	var out []*server
