Ask nothing for gangs that have no room soon

Change: no question while the expected room does not hold the gang; a quarter of the daemons, not a third, takes short questions only.

--- a/internal/entry/advice.go
+++ b/internal/entry/advice.go
@@ -20,7 +20,7 @@
 	// longQuestion is the time from which a question may delay short ones.
 	longQuestion = 100 * time.Millisecond
 	// shortPart says that one daemon in so many takes short questions only.
-	shortPart = 3
+	shortPart = 4
 	// questionOverhead is the time of a question beside what its terms say.
 	questionOverhead = 2 * time.Millisecond
 )
--- a/internal/scheduler/gather.go
+++ b/internal/scheduler/gather.go
@@ -171,13 +171,13 @@
 func (p *pass) unknown(st *step, need int, prospects []prospect) []string {
 	share := p.core.allowanceOf(st.job().queue.Name).share
 	want := gangMargin * float64(need)
+	enough := want - float64(need)
 	var out, known []string
 	for _, pr := range prospects {
 		if len(out)+len(known) >= maxAsked || want <= 0 && len(out) >= minAsked {
 			break
 		}
-		// A server that is full now may be empty when the gang's turn comes.
-		room := max(float64(slotsIn(st, pr.server, pr.free)), 1)
+		room := float64(slotsIn(st, pr.server, pr.free))
 		if st.advice.allowed[pr.server.lifeKey()] {
 			known = append(known, pr.server.info.ID)
 			want -= room
@@ -186,7 +186,7 @@
 		out = append(out, pr.server.info.ID)
 		want -= share * room
 	}
-	if len(out) == 0 {
+	if len(out) == 0 || want > enough {
 		return nil
 	}
 	return append(out, known...)
