--- /dev/null
+++ b/internal/host/host_test.go
@@ -0,0 +1,226 @@
+package host_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/host"
+	"github.com/currantwinch/currantwinch/platform"
+	"github.com/currantwinch/currantwinch/platform/standin"
+)
+
+// site is a small deployment of stand-ins.
+type site struct {
+	t       *testing.T
+	store   *standin.Store
+	address string
+	servers []*standin.Server
+}
+
+func newSite(t *testing.T, servers int) *site {
+	s := &site{t: t, store: standin.NewStore(4)}
+	s.address = s.serve(s.store)
+	for i := range servers {
+		server := standin.NewServer(fmt.Sprintf("i-%d", i), 30*time.Millisecond)
+		s.servers = append(s.servers, server)
+		entry := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":4000,"mem_mb":8000},"labels":["a","r1"],"born":1}`, s.serve(server))
+		s.store.Put("keyed.servers", 0, server.ID, []byte(entry))
+	}
+	s.configure(1, "/q/")
+	return s
+}
+
+func (s *site) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	s.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func (s *site) configure(version int, prefix string) {
+	s.store.Put("keyed.op", 0, "config", fmt.Appendf(nil,
+		`{"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":%q,"service":"pool","attempts":2,"stretch":2,"target_latency_ms":400}],"services":[{"name":"pool"}],"limits":{"max_body_bytes":10000}}`, version, prefix))
+}
+
+// start starts a daemon and returns the address of its callers' door.
+func (s *site) start() (*host.Host, string) {
+	s.t.Helper()
+	settings := platform.Settings{
+		Name: "n", IP: "127.0.0.1", Callers: freeAddress(s.t), Ready: freeAddress(s.t), Store: s.address, StoreParts: 4, MinMemberTTL: time.Second,
+		Bounds: platform.Bounds{MaxLease: 6 * time.Second, GangTimeout: 3 * time.Second, StatusKept: time.Minute, Grace: 6 * time.Second},
+	}
+	_, port, _ := net.SplitHostPort(freeAddress(s.t))
+	if _, err := fmt.Sscan(port, &settings.Ports[0]); err != nil {
+		s.t.Fatal(err)
+	}
+	h, err := host.New(host.Options{Settings: settings, Events: events.Discard()})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if err := h.Start(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := h.Stop(ctx); err != nil {
+			s.t.Errorf("stop: %v", err)
+		}
+	})
+	s.await("ready", func() bool {
+		r, err := http.Get("http://" + settings.Ready + "/ready")
+		if err != nil {
+			return false
+		}
+		_ = r.Body.Close()
+		return r.StatusCode == http.StatusOK
+	})
+	return h, settings.Callers
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (s *site) await(what string, done func() bool) {
+	s.t.Helper()
+	for range 400 {
+		if done() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.t.Fatalf("not %s after 8 s", what)
+}
+
+func (s *site) call(method, address, path, body string) (int, string) {
+	s.t.Helper()
+	r, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return response.StatusCode, string(text)
+}
+
+const (
+	id   = "00000000000000a1"
+	work = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimated_ms":30},{"count":2,"cpu":1000,"mem_mb":100,"depends_on":[0],"gang_scheduled":true}]}`
+)
+
+func (s *site) completed(address string) bool {
+	_, text := s.call("GET", address, "/q/"+id, "")
+	var got struct {
+		State string `json:"state"`
+	}
+	return json.Unmarshal([]byte(text), &got) == nil && got.State == "completed"
+}
+
+func TestHost_RunsASubmissionOnce(t *testing.T) {
+	s := newSite(t, 2)
+	_, address := s.start()
+	for range 2 {
+		if status, text := s.call("POST", address, "/q/"+id, work); status != http.StatusOK {
+			t.Fatalf("%d %s", status, text)
+		}
+	}
+	s.await("completed", func() bool { return s.completed(address) })
+	for _, server := range s.servers {
+		for task, n := range server.Starts() {
+			if n != 1 {
+				t.Errorf("%s began %d times on one server", task, n)
+			}
+		}
+	}
+	if status, _ := s.call("GET", address, "/q/00000000000000ff", ""); status != http.StatusGone {
+		t.Errorf("%d for a submission that does not exist", status)
+	}
+}
+
+func TestHost_FollowsTheConfigurationThroughLostHistory(t *testing.T) {
+	s := newSite(t, 1)
+	_, address := s.start()
+	s.configure(2, "/p/")
+	s.store.Forget("keyed.op", 0)
+	s.await("in force", func() bool {
+		status, _ := s.call("GET", address, "/p/", "")
+		return status == http.StatusOK
+	})
+	if status, _ := s.call("GET", address, "/q/", ""); status != http.StatusNotFound {
+		t.Errorf("%d on a route that was removed", status)
+	}
+}
+
+func TestHost_NextOwnerFinishesWhatWasAccepted(t *testing.T) {
+	s := newSite(t, 1)
+	s.servers[0].Work = 2 * time.Second
+	first, address := s.start()
+	_, second := s.start()
+	if status, text := s.call("POST", address, "/q/"+id, work); status != http.StatusOK {
+		t.Fatalf("%d %s", status, text)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := first.Stop(ctx); err != nil {
+		t.Fatal(err)
+	}
+	s.await("completed", func() bool { return s.completed(second) })
+	for task, n := range s.servers[0].Starts() {
+		if n != 1 {
+			t.Errorf("%s began %d times", task, n)
+		}
+	}
+}
+
+func TestHost_RefusesAtOnceWhileNothingCanBeStored(t *testing.T) {
+	s := newSite(t, 1)
+	_, address := s.start()
+	if status, text := s.call("POST", address, "/q/"+id, work); status != http.StatusOK {
+		t.Fatalf("%d %s", status, text)
+	}
+	s.store.SetFault(standin.Status(http.StatusServiceUnavailable, ""))
+	s.await("refused", func() bool {
+		began := time.Now()
+		r, err := http.NewRequestWithContext(t.Context(), "POST", "http://"+address+"/q/00000000000000a2", strings.NewReader(work))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h.example"
+		r.Header.Set("X-Currantwinch-Timeout-Ms", "900")
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		refused := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != ""
+		return refused && time.Since(began) < 200*time.Millisecond
+	})
+	s.store.SetFault(nil)
+	s.await("completed", func() bool { return s.completed(address) })
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,171 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/relay"
+	"github.com/currantwinch/currantwinch/internal/roles"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/verdict"
+)
+
+var place = partition.ID{Topic: "keyed.test"}
+
+// store answers every call, or does what fault says.
+type store struct {
+	fault   func(ctx context.Context) error
+	calls   atomic.Int32
+	appends atomic.Int32
+}
+
+func (s *store) do(ctx context.Context) error {
+	s.calls.Add(1)
+	if s.fault != nil {
+		return s.fault(ctx)
+	}
+	return nil
+}
+
+func (s *store) Append(ctx context.Context, _ partition.ID, _ partition.Fence, _ []partition.Record) error {
+	s.appends.Add(1)
+	return s.do(ctx)
+}
+
+func (s *store) Newest(ctx context.Context, _ partition.ID, _ string) (partition.Page, error) {
+	return partition.Page{End: 7}, s.do(ctx)
+}
+
+func (s *store) Read(ctx context.Context, _ partition.ID, from uint64, _ time.Duration) (partition.Batch, error) {
+	return partition.Batch{Next: from + 1}, s.do(ctx)
+}
+
+func (s *store) Join(ctx context.Context, _ string, _ uint64, _ time.Duration) (partition.Assignment, error) {
+	return partition.Assignment{Generation: 3}, s.do(ctx)
+}
+
+func (s *store) Leave(ctx context.Context, _ string) error { return s.do(ctx) }
+
+func (s *store) Shares(ctx context.Context) ([]partition.Share, error) { return nil, s.do(ctx) }
+
+// peers joins the relays of two daemons.
+type peers struct {
+	handlers map[string]roles.PeerHandler
+	other    *peers
+}
+
+func (p *peers) Handle(method string, h roles.PeerHandler) { p.handlers[method] = h }
+
+func (p *peers) Call(ctx context.Context, _, method string, params, result any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	value, err := p.other.handlers[method](ctx, "a", data)
+	if err != nil {
+		return err
+	}
+	if data, err = json.Marshal(value); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+func pair() (mine, other *store, r *relay.Relay) {
+	mine, other = &store{}, &store{}
+	a, b := &peers{handlers: make(map[string]roles.PeerHandler)}, &peers{handlers: make(map[string]roles.PeerHandler)}
+	a.other, b.other = b, a
+	r = relay.New(mine, a, time.Now)
+	relay.New(other, b, time.Now)
+	r.Through(func() []string { return []string{"b"} })
+	return mine, other, r
+}
+
+func refused(context.Context) error {
+	return verdict.New(verdict.NotRun, partition.ReasonRefused, "busy")
+}
+
+func silent(ctx context.Context) error {
+	<-ctx.Done()
+	return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, partition.ReasonNoAnswer)
+}
+
+func TestRelay_GoesThroughAnotherDaemonWhenRefused(t *testing.T) {
+	mine, other, r := pair()
+	mine.fault = refused
+	if err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if page, err := r.Newest(t.Context(), place, ""); err != nil || page.End != 7 {
+		t.Fatalf("%+v, %v", page, err)
+	}
+	if mine.calls.Load() != 1 || other.calls.Load() != 2 {
+		t.Errorf("%d calls of its own and %d of the other, want 1 and 2", mine.calls.Load(), other.calls.Load())
+	}
+}
+
+func TestRelay_DoesNotWaitOutASilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, _, r := pair()
+		mine.fault = silent
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for call, limit := range []time.Duration{500 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond} {
+			began := time.Now()
+			if err := r.Append(ctx, place, partition.Fence{Epoch: 1}, nil); err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(began); took > limit {
+				t.Errorf("append %d took %s, want at most %s", call, took, limit)
+			}
+			time.Sleep(1100 * time.Millisecond)
+		}
+	})
+}
+
+func TestRelay_ReturnsToTheStoreOnceItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, other, r := pair()
+		mine.fault = refused
+		_, _ = r.Join(t.Context(), "m", 0, time.Second)
+		mine.fault = nil
+		time.Sleep(2 * time.Second)
+		_, _ = r.Join(t.Context(), "m", 0, time.Second)
+		synctest.Wait()
+		before := other.calls.Load()
+		if _, err := r.Join(t.Context(), "m", 0, time.Second); err != nil || other.calls.Load() != before {
+			t.Errorf("still through the other daemon, %v", err)
+		}
+	})
+}
+
+func TestRelay_FencedAppendIsNotRepeated(t *testing.T) {
+	mine, other, r := pair()
+	mine.fault = func(context.Context) error {
+		return verdict.New(verdict.NotRun, partition.ReasonFenced, "fenced")
+	}
+	err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil)
+	if verdict.ReasonOf(err) != partition.ReasonFenced || other.appends.Load() != 0 {
+		t.Errorf("%v, %d appends through the other daemon", err, other.appends.Load())
+	}
+}
+
+func TestRelay_StoreThatIsDownForAllIsAskedLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, other, r := pair()
+		mine.fault, other.fault = refused, refused
+		for range 20 {
+			if err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil); verdict.Of(err) != verdict.NotRun {
+				t.Errorf("%v: want it certain that nothing was done", err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if n := other.calls.Load(); n > 4 {
+			t.Errorf("%d calls through the other daemon in a second", n)
+		}
+	})
+}
