Ask about idle servers beside busy allowed ones

Ruled out: a lost enqueue (the step was queued), the policy service (it answered). Change: room that is held and not free does not count as found; servers that were not asked about are, as long as all of them together have the room. Test that failed first: TestGather_AsksAboutIdleServersBesideBusyAllowedOnes.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -45,11 +45,13 @@
 		Number: 6008, Level: slog.LevelWarn, Name: "run_lost",
 		Fields:  []string{"task", "run", "server", "why"},
 		Meaning: "A run is over without a known end, and its task starts again.",
+		Action:  "Look at the server's events before it; if many servers lose runs at once, at the network between.",
 	}
 	RunUnknown = Event{
 		Number: 6009, Level: slog.LevelWarn, Name: "run_unknown",
 		Fields:  []string{"task", "run", "server"},
 		Meaning: "A backend server runs a task of a submission that has ended; it is stopped.",
+		Action:  "None unless it repeats for one server: then it does not carry out stops.",
 	}
 	RunAdopted = Event{
 		Number: 6010, Level: slog.LevelInfo, Name: "run_adopted",
@@ -70,6 +72,7 @@
 		Number: 6013, Level: slog.LevelWarn, Name: "advice_failed",
 		Fields:  []string{"step", "servers", "error"},
 		Meaning: "The policy service did not answer; it is asked again.",
+		Action:  "If it lasts, see to the policy service; queues with a policy start nothing meanwhile.",
 	}
 	ServerListed = Event{
 		Number: 6020, Level: slog.LevelInfo, Name: "server_listed",
@@ -90,6 +93,7 @@
 		Number: 6023, Level: slog.LevelWarn, Name: "server_silent",
 		Fields:  []string{"server", "attempts", "reason", "error"},
 		Meaning: "A backend server does not answer. What it may run counts until its lease has lapsed.",
+		Action:  "If it is not heard again or leaves the list within seconds, look at the server and the path to it.",
 	}
 	ServerHeard = Event{
 		Number: 6024, Level: slog.LevelInfo, Name: "server_heard",
@@ -100,6 +104,7 @@
 		Number: 6025, Level: slog.LevelWarn, Name: "server_reborn",
 		Fields:  []string{"server", "born", "before", "attempts"},
 		Meaning: "A backend server began anew under its ID; what it ran is over.",
+		Action:  "Look for the reason of its restart.",
 	}
 	ServerForgotten = Event{
 		Number: 6026, Level: slog.LevelInfo, Name: "server_forgotten",
@@ -110,6 +115,7 @@
 		Number: 6027, Level: slog.LevelWarn, Name: "server_rests",
 		Fields:  []string{"server", "faults"},
 		Meaning: "Several runs in a row failed on a backend server; it gets no tasks for a while.",
+		Action:  "Look at what failed there; if only one queue's tasks fail, at that queue.",
 	}
 	OwnerClaimed = Event{
 		Number: 6030, Level: slog.LevelInfo, Name: "owner_claimed",
@@ -125,6 +131,7 @@
 		Number: 6032, Level: slog.LevelWarn, Name: "owner_fenced",
 		Fields:  []string{"server", "epoch"},
 		Meaning: "A later owner has given orders to the server; this daemon stops owning the partition.",
+		Action:  "None unless two daemons fence each other by turns: then look at the store's group.",
 	}
 	OwnerEnded = Event{
 		Number: 6033, Level: slog.LevelInfo, Name: "owner_ended",
@@ -141,6 +148,7 @@
 		Number: 6035, Level: slog.LevelWarn, Name: "store_lost",
 		Fields:  []string{"call", "error"},
 		Meaning: "The platform's store does not answer this daemon.",
+		Action:  "If all daemons report it, the store is down; if one does, look at its path. Calls go through other daemons meanwhile.",
 	}
 	StoreRegained = Event{
 		Number: 6036, Level: slog.LevelInfo, Name: "store_regained",
@@ -162,6 +170,7 @@
 		Number: 6039, Level: slog.LevelWarn, Name: "entry_unreadable",
 		Fields:  []string{"server", "error"},
 		Meaning: "An entry of the platform's list could not be read; it names no backend server.",
+		Action:  "See to the server that wrote the entry.",
 	}
 	CallFailed = Event{
 		Number: 6040, Level: slog.LevelInfo, Name: "call_failed",
--- a/internal/scheduler/gather.go
+++ b/internal/scheduler/gather.go
@@ -32,13 +32,14 @@
 	if st.job().queue.Advice == nil || !p.core.mayAsk(st) {
 		return
 	}
-	switch {
-	case ready >= need:
+	if ready >= need {
 		// The room is held; only its tickets are missing.
 		p.core.askAbout(st, ids(held))
-	case held == nil:
-		p.core.askAbout(st, p.unknown(st, need, prospects))
+		return
 	}
+	// What is held may stay full for long, while others that may be allowed
+	// have room.
+	p.core.askAbout(st, p.unknown(st, need, prospects))
 }
 
 func ids(servers []*server) []string {
@@ -171,22 +172,26 @@
 func (p *pass) unknown(st *step, need int, prospects []prospect) []string {
 	share := p.core.allowanceOf(st.job().queue.Name).share
 	want := gangMargin * float64(need)
-	enough := want - float64(need)
+	room := 0
 	var out, known []string
 	for _, pr := range prospects {
 		if len(out)+len(known) >= maxAsked || want <= 0 && len(out) >= minAsked {
 			break
 		}
-		room := float64(slotsIn(st, pr.server, pr.free))
 		if st.advice.allowed[pr.server.lifeKey()] {
-			known = append(known, pr.server.info.ID)
-			want -= room
+			if n := slotsIn(st, pr.server, pr.server.free.Minus(p.held[pr.server])); n > 0 {
+				known = append(known, pr.server.info.ID)
+				want -= float64(n)
+				room += n
+			}
 			continue
 		}
+		n := slotsIn(st, pr.server, pr.free)
 		out = append(out, pr.server.info.ID)
-		want -= share * room
+		want -= share * float64(n)
+		room += n
 	}
-	if len(out) == 0 || want > enough {
+	if len(out) == 0 || room < need {
 		return nil
 	}
 	return append(out, known...)
--- /dev/null
+++ b/internal/scheduler/gather_test.go
@@ -0,0 +1,121 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/currantwinch/currantwinch/routing"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// advised answers all open questions: the named servers are allowed.
+func (h *harness) advised(allowed ...string) {
+	h.t.Helper()
+	asks := h.asks
+	h.asks = nil
+	for _, ask := range asks {
+		var tickets []Ticket
+		for _, s := range ask.Servers {
+			if slices.Contains(allowed, s) {
+				tickets = append(tickets, Ticket{s, "t"})
+			}
+		}
+		h.do(func(c *Core) { c.Advised(ask.Step, ask.Servers, tickets, 2*time.Second, nil) })
+	}
+}
+
+// withAdvice gives the harness's queue a policy.
+func (h *harness) withAdvice() {
+	h.config.Queues[0].Advice = &routing.Advice{Decision: 400 * time.Millisecond, PerServer: 6 * time.Millisecond, Validity: 2 * time.Second}
+	h.config.Queues = append(h.config.Queues, routing.Queue{Name: "plain", Service: testService, Stretch: 1.5})
+	h.do(func(c *Core) { c.Configure(h.config) })
+}
+
+func TestGather_AsksAboutIdleServersBesideBusyAllowedOnes(t *testing.T) {
+	h := newHarness(t, 14)
+	h.withAdvice()
+	h.listAll()
+	gang := oneTask(20000)
+	gang.Count, gang.Gang = 2, true
+	h.submit(id1, gang)
+	first := h.asks[0].Servers
+	allowed := []string{first[0], first[1]}
+	// A task that runs on far beyond its declared time takes an allowed server.
+	h.core.servers[first[0]].reserve(&attempt{
+		task: newJobTask(h, id2), run: 1, server: h.core.servers[first[0]], state: running, sent: h.now.Add(-2 * time.Second), need: oneTask(31000).Need,
+	})
+	h.advised(allowed...)
+	h.after(3 * time.Second)
+	if len(h.asks) != 1 {
+		t.Fatalf("%d questions while idle servers were not asked about, want one", len(h.asks))
+	}
+	fresh := 0
+	for _, s := range h.asks[0].Servers {
+		if !slices.Contains(first, s) {
+			fresh++
+		}
+	}
+	if fresh == 0 {
+		t.Errorf("asked about %v again, which were asked about before", h.asks[0].Servers)
+	}
+	h.advised(append(allowed, h.asks[0].Servers...)...)
+	if n := len(h.takeStarts()); n != 2 {
+		t.Errorf("%d members started once an idle server was allowed, want 2", n)
+	}
+}
+
+// newJobTask returns a task of a submission beside those of the test.
+func newJobTask(h *harness, id string) *task {
+	h.t.Helper()
+	j := newJob(&subOf(id).sub, h.now)
+	return &j.occurrences[0].steps[0].tasks[0]
+}
+
+func TestGather_HoldsRoomAgainstLessPressingSteps(t *testing.T) {
+	h := newHarness(t, 8)
+	h.config.Queues = append(h.config.Queues, routing.Queue{Name: "later", Service: testService, Priority: 3, Stretch: 9, TargetLatency: time.Minute})
+	h.do(func(c *Core) { c.Configure(h.config) })
+	h.listAll()
+	filler := oneTask(12000)
+	filler.Count = 16
+	h.submit(id1, filler)
+	ends := h.takeStarts()
+	if len(ends) != 16 {
+		t.Fatalf("%d fillers started, want 16", len(ends))
+	}
+	gang := oneTask(20000)
+	gang.Count, gang.Gang = 1, true
+	h.submit(id2, gang)
+	h.after(900 * time.Millisecond)
+	small := subOf("00000000000000a3")
+	small.sub.Queue = "later"
+	small.sub.Steps[0].Count = 40
+	small.sub.Steps[0].Need.CPU = 4000
+	h.do(func(c *Core) { c.Submit(&small.sub, func(Reply) {}) })
+	if n := len(h.takeStarts()); n > 14 {
+		t.Errorf("%d small tasks started, which leaves no room held for the gang", n)
+	}
+}
+
+type submission struct{ sub workload.Submission }
+
+func subOf(id string) *submission {
+	return &submission{workload.Submission{ID: id, Queue: testQueue, Service: testService, Steps: []workload.Step{oneTask(1000)}}}
+}
+
+func TestAllowance_IsLearned(t *testing.T) {
+	h := newHarness(t, 20)
+	h.withAdvice()
+	h.listAll()
+	for i := range 12 {
+		step := oneTask(1000)
+		step.Count = 4
+		h.submit(fmt.Sprintf("%016x", i+1), step)
+		h.advised("s0")
+	}
+	if share := h.core.allowanceOf(testQueue).share; share > 0.3 {
+		t.Errorf("share %.2f after one server in many was allowed", share)
+	}
+}
