End a gang's run for all its members at once

Ruled out: late orders (every one was answered). Change: a run is over once a member of it has ended; the next begins when nothing of it is left. Test that failed first: TestGang_WaitsForAllMembersOfARunThatFailed.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -198,6 +198,7 @@
 	c.log.Log(events.RunLost, "task", a.task.id().String(), "run", a.run, "server", a.server.info.ID, "why", why)
 	c.release(a)
 	if a.task.step.spec.Gang {
+		a.task.step.endRun(a.run)
 		c.breakGang(a.task.step)
 	}
 }
@@ -209,6 +210,9 @@
 	}
 }
 
+// endRun notes that a run of a gang is over for all its members.
+func (s *step) endRun(run int) { s.endedRun = max(s.endedRun, run) }
+
 // stands reports whether a member's attempt is not being stopped.
 func (s *step) stands() bool {
 	for i := range s.tasks {
@@ -235,6 +239,7 @@
 	}
 	j.started = true
 	t.run = max(t.run, e.Run)
+	t.step.endRun(e.Run)
 	if e.Checkpoint != "" && !t.done {
 		c.saved(t, e.Checkpoint)
 	}
--- a/internal/scheduler/gather_test.go
+++ b/internal/scheduler/gather_test.go
@@ -119,3 +119,26 @@
 		t.Errorf("share %.2f after one server in many was allowed", share)
 	}
 }
+
+func TestGang_WaitsForAllMembersOfARunThatFailed(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	gang := oneTask(20000)
+	gang.Count, gang.Gang = 2, true
+	h.submit(id1, gang)
+	starts := h.takeStarts()
+	for _, s := range starts {
+		h.taken(s)
+	}
+	h.list(starts[0].To.ID, Listing{Ended: []End{endOf(starts[0], 1, workload.EndFailed)}})
+	h.after(500 * time.Millisecond)
+	if n := len(h.takeStarts()); n != 0 {
+		t.Fatalf("%d members started while one of the failed run is left", n)
+	}
+	h.list(starts[1].To.ID, Listing{Ended: []End{endOf(starts[1], 1, workload.EndBroken)}})
+	h.after(500 * time.Millisecond)
+	again := h.takeStarts()
+	if len(again) != 2 || again[0].Order.Run != 2 || again[1].Order.Run != 2 {
+		t.Errorf("starts %+v, want both members under run 2", again)
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -59,6 +59,8 @@
 	advice advice
 	// readyAt is when the last dependency was done.
 	readyAt time.Time
+	// endedRun is the last run of a gang of which a member ended or was lost.
+	endedRun int
 	// gatherUntil is when an incomplete gang is given up.
 	gatherUntil time.Time
 	// onServer counts attempts by server.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -284,7 +284,8 @@
 			run = max(run, t.cur.run)
 		}
 	}
-	if present > 0 && (run == 0 || c.now.After(st.gatherUntil)) {
+	if present > 0 && (run <= st.endedRun || c.now.After(st.gatherUntil)) {
+		// The run is over, and the next begins once nothing is left of it.
 		return
 	}
 	chosen := p.gangServers(st, len(missing))
