Count and time what schedulers decide, bound the log, and step out while cut off

Cause: on-call engineers have logs and metrics only; log lines were written in the deciding goroutine without a bound; a daemon that reached nobody still called itself ready and held its callers for seconds.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,8 @@
 	Peers   roles.Peers
 	Parts   int
 	Now     func() time.Time
+	// Cut reports whether this daemon reaches nobody.
+	Cut func() bool
 }
 
 // Entry passes calls to owners.
@@ -99,6 +101,9 @@
 // pass gives a call to the owner. All calls are idempotent, so that one without
 // an answer is repeated at the next owner.
 func (e *Entry) pass(ctx context.Context, method string, c call) (scheduler.Reply, error) {
+	if e.o.Cut() {
+		return scheduler.Reply{}, verdict.New(verdict.NotRun, ReasonNoOwner, "no other daemon answers").WithRetryAfter(ownerRetryAfter)
+	}
 	began := e.o.Now()
 	maybe := false
 	for {
--- a/internal/events/daemon.go
+++ b/internal/events/daemon.go
@@ -54,10 +54,21 @@
 		Meaning: "A library wrote a line to the process's standard logger, such as the HTTP client about an answer that nobody asked for.",
 		Action:  "Where it names a response that was not asked for, see to the backend server that sent it.",
 	}
+	LinesDropped = Event{
+		Number: 1010, Level: slog.LevelWarn, Name: "lines_dropped",
+		Fields:  []string{"count"},
+		Meaning: "Log lines found no room and were dropped, since whoever reads the log is too slow.",
+		Action:  "See to the log's reader; the counters on the metrics page are whole.",
+	}
+	LinesLeftOut = Event{
+		Number: 1011, Level: slog.LevelInfo, Name: "lines_left_out",
+		Fields:  []string{"of", "count"},
+		Meaning: "More lines of the event were due in a second than are written.",
+	}
 )
 
 var daemonEvents = []Event{
 	DaemonStarted, DaemonStopping, DaemonStopped, DaemonCut, DutyFailed, DutyStuck, DocumentAccepted, RoleFailed,
 	LibraryMessage,
-	CertificateRenewed, CertificateUnusable, CertificateExpires, PeerRefused, DoorError,
+	CertificateRenewed, CertificateUnusable, CertificateExpires, PeerRefused, DoorError, LinesDropped, LinesLeftOut,
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -25,7 +25,11 @@
 }
 
 // Logger writes catalogued events.
-type Logger struct{ log *slog.Logger }
+type Logger struct {
+	log *slog.Logger
+	// limit bounds the lines of each event; nil means no bound.
+	limit *limiter
+}
 
 // NewLogger returns a Logger that writes to log.
 func NewLogger(log *slog.Logger) *Logger { return &Logger{log: log} }
@@ -34,7 +38,9 @@
 func Discard() *Logger { return NewLogger(slog.New(slog.DiscardHandler)) }
 
 // With returns a Logger that adds attributes to every event.
-func (l *Logger) With(attrs ...any) *Logger { return &Logger{log: l.log.With(attrs...)} }
+func (l *Logger) With(attrs ...any) *Logger {
+	return &Logger{log: l.log.With(attrs...), limit: l.limit}
+}
 
 // Log writes one event. Attributes are alternating names and values, in the
 // order of the event's Fields.
@@ -43,10 +49,23 @@
 	if !l.log.Enabled(ctx, e.Level) {
 		return
 	}
+	if l.limit != nil {
+		leftOut, ok := l.limit.allow(e.Number)
+		if !ok {
+			return
+		}
+		if leftOut > 0 {
+			l.write(LinesLeftOut, "of", e.Number, "count", leftOut)
+		}
+	}
+	l.write(e, attrs...)
+}
+
+func (l *Logger) write(e Event, attrs ...any) {
 	r := slog.NewRecord(time.Now(), e.Level, e.Name, 0)
 	r.AddAttrs(slog.Int("event", e.Number))
 	r.Add(attrs...)
-	_ = l.log.Handler().Handle(ctx, r)
+	_ = l.log.Handler().Handle(context.Background(), r)
 }
 
 // All returns the whole catalogue in the order of numbers. Each file of this
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -58,6 +58,7 @@
 	store   *relay.Relay
 	servers *platform.Servers
 	health  *storeHealth
+	metrics *scheduler.Metrics
 
 	member   *partition.Member
 	tenures  *tenure.Tenures
@@ -76,6 +77,7 @@
 		Self: cluster.Daemon{Name: peerAddress(o.Settings), Incarnation: uuid.NewString()},
 		Now:  time.Now, Duties: h.duties, Events: o.Events, Metrics: metrics.NewSet(),
 	}
+	h.metrics = scheduler.NewMetrics(h.base.Metrics)
 	h.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(o.Settings),
@@ -91,7 +93,7 @@
 }
 
 func (h *Host) newStore(client *http.Client, s platform.Settings, peers *peer.Peers) *relay.Relay {
-	h.health = &storeHealth{now: time.Now, events: h.o.Events}
+	h.health = &storeHealth{now: time.Now, events: h.o.Events, set: h.base.Metrics}
 	return relay.New(platform.NewStore(client, s.Store, group, tenure.Topic), peers, time.Now)
 }
 
@@ -118,8 +120,8 @@
 	})
 }
 
-func (h *Host) newEntry(member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, s platform.Settings) *entry.Entry {
-	return entry.New(entry.Options{Member: member, Tenures: tenures, Peers: peers, Parts: s.StoreParts, Now: time.Now})
+func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, s platform.Settings) *entry.Entry {
+	return entry.New(entry.Options{Member: member, Cut: store.Cut, Tenures: tenures, Peers: peers, Parts: s.StoreParts, Now: time.Now})
 }
 
 func (h *Host) newAdvisors(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.Advisors {
@@ -155,7 +157,7 @@
 			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept, RemoteFactor: b.RemoteFactor,
 		},
 		Servers: h.servers, Advisors: h.advisors, Config: h.config.Load, Sure: h.member.Sure, Watch: h.watchServers,
-		Events: h.o.Events, Now: time.Now, Wall: wall,
+		Events: h.o.Events, Metrics: h.metrics, Now: time.Now, Wall: wall,
 	})
 }
 
@@ -189,7 +191,7 @@
 }
 
 func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if h.config.Load() == nil || h.stopping.Load() {
+	if h.config.Load() == nil || h.stopping.Load() || h.store.Cut() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -202,6 +204,7 @@
 }
 
 func (h *Host) callFailed(f platform.Failure) {
+	h.base.Metrics.GetOrCreateCounter(fmt.Sprintf(`currantwinch_calls_failed_total{call=%q,status="%d"}`, f.Call, f.Status)).Inc()
 	h.o.Events.Log(events.CallFailed, "call", f.Call, "id", f.ID, "queue", f.Queue, "status", f.Status, "reason", f.Reason, "took", f.Took.Milliseconds())
 }
 
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/scheduler"
@@ -98,11 +100,16 @@
 type storeHealth struct {
 	now    func() time.Time
 	events *events.Logger
+	set    *metrics.Set
 
 	mu   sync.Mutex
 	lost map[string]time.Time
 }
 
+func (s *storeHealth) failures(call string) *metrics.Counter {
+	return s.set.GetOrCreateCounter(fmt.Sprintf("currantwinch_store_failures_total{call=%q}", call))
+}
+
 // report returns a function that is told the outcome of one kind of call.
 func (s *storeHealth) report(call string) func(error) {
 	return func(err error) {
@@ -114,9 +121,12 @@
 		since, down := s.lost[call]
 		switch {
 		case err != nil && !down:
+			s.failures(call).Inc()
 			s.lost[call] = s.now()
 			s.events.Log(events.StoreLost, "call", call, "error", err.Error())
-		case err == nil && down:
+		case err != nil:
+			s.failures(call).Inc()
+		case down:
 			delete(s.lost, call)
 			s.events.Log(events.StoreRegained, "call", call, "lost", s.now().Sub(since).Milliseconds())
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,9 @@
 	downTime = 500 * time.Millisecond
 	// maxRelays bounds the daemons asked about one call.
 	maxRelays = 2
+	// cutAfter is how long nobody may answer before this daemon takes itself for
+	// cut off. The group is asked several times in it.
+	cutAfter = 1200 * time.Millisecond
 )
 
 // Store is what is relayed.
@@ -43,6 +46,8 @@
 	now     func() time.Time
 
 	mu sync.Mutex
+	// heard is when the store or another daemon last answered anything.
+	heard time.Time
 	// suspect says that the store did not answer this daemon when last tried.
 	suspect   bool
 	probedAt  time.Time
@@ -90,6 +95,7 @@
 	answers := make(chan outcome[T], 1)
 	go func() {
 		value, err := direct(ctx)
+		r.note(err)
 		answers <- outcome[T]{value, err}
 	}()
 	hedge := time.NewTimer(wait + hedgeAfter)
@@ -145,6 +151,7 @@
 	for range min(maxRelays, len(names)) {
 		value = *new(T)
 		err = r.peers.Call(ctx, names[r.turn()%len(names)], method, params, &value)
+		r.note(err)
 		if settled(err) {
 			return value, err, true
 		}
@@ -154,6 +161,24 @@
 	return value, err, true
 }
 
+// note takes in whether a call was answered by anybody, if only with a refusal.
+func (r *Relay) note(err error) {
+	if !settled(err) && verdict.ReasonOf(err) != partition.ReasonRefused {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard = r.now()
+}
+
+// Cut reports whether neither the store nor another daemon answers this one.
+// While only the store is away the others do.
+func (r *Relay) Cut() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.heard.IsZero() && r.now().Sub(r.heard) > cutAfter
+}
+
 func (r *Relay) suspected() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -169,3 +169,37 @@
 		}
 	})
 }
+
+func TestRelay_CutOnlyWhenNobodyAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, other, r := pair()
+		try := func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			_, _ = r.Join(ctx, "m", 0, time.Second)
+			time.Sleep(250 * time.Millisecond)
+		}
+		try()
+		mine.fault, other.fault = refused, refused
+		for range 6 {
+			try()
+		}
+		if r.Cut() {
+			t.Error("cut off while others answer that the store is down")
+		}
+		mine.fault, other.fault = silent, silent
+		for range 6 {
+			try()
+		}
+		if !r.Cut() {
+			t.Error("not cut off after seconds without any answer")
+		}
+		mine.fault = nil
+		for range 2 {
+			try()
+		}
+		if r.Cut() {
+			t.Error("still cut off once the store answers")
+		}
+	})
+}
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -26,6 +26,7 @@
 	t.step.onServer[s]++
 	s.reserve(a)
 	c.sendStart(a, 0)
+	c.metric.starts.Inc()
 	c.log.Log(events.TaskPlaced, "task", a.task.id().String(), "run", run, "server", s.info.ID,
 		"waited", c.now.Sub(t.step.readyAt).Milliseconds(), "free", s.free.CPU, "clockAge", c.now.Sub(s.clockAt).Milliseconds())
 }
@@ -93,6 +94,7 @@
 		c.startTaken(a, clock)
 		return
 	}
+	c.metric.orderFailed(err)
 	c.log.Log(events.OrderFailed, "task", o.Task.String(), "run", o.Run, "server", to.ID, "order", "start",
 		"reason", string(verdict.ReasonOf(err)), "verdict", verdict.Of(err).String(), "error", err.Error())
 	if a.state == stopping {
@@ -112,7 +114,10 @@
 		a.state = running
 		a.answered = c.now
 	}
-	a.task.step.job().started = true
+	if j := a.task.step.job(); !j.started {
+		j.started = true
+		c.metric.started.Update(c.now.Sub(j.accepted).Seconds())
+	}
 	c.look(a.server)
 }
 
@@ -161,6 +166,7 @@
 		c.look(a.server)
 		return
 	}
+	c.metric.orderFailed(err)
 	c.log.Log(events.OrderFailed, "task", o.Task.String(), "run", o.Run, "server", to.ID, "order", "stop",
 		"reason", string(verdict.ReasonOf(err)), "verdict", verdict.Of(err).String(), "error", err.Error())
 	switch verdict.ReasonOf(err) {
@@ -195,6 +201,7 @@
 
 // lose releases an attempt whose run is certainly over without a known end.
 func (c *Core) lose(a *attempt, why string) {
+	c.metric.lost.Inc()
 	c.log.Log(events.RunLost, "task", a.task.id().String(), "run", a.run, "server", a.server.info.ID, "why", why)
 	c.release(a)
 	if a.task.step.spec.Gang {
@@ -243,6 +250,7 @@
 	if e.Checkpoint != "" && !t.done {
 		c.saved(t, e.Checkpoint)
 	}
+	c.metric.runEnded(e.Kind)
 	c.log.Log(events.RunEnded, "task", e.Task.String(), "run", e.Run, "server", s.info.ID, "end", e.Kind.String(), "number", e.Number)
 	switch e.Kind {
 	case workload.EndDone:
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -34,6 +34,7 @@
 	epoch  uint64
 	bounds Bounds
 	log    *events.Logger
+	metric *Metrics
 	config *routing.Configuration
 
 	// now is the steady time and wall the time of day, in Unix milliseconds,
@@ -81,9 +82,9 @@
 }
 
 // NewCore returns a Core that continues from the partition's records.
-func NewCore(epoch uint64, bounds Bounds, records []partition.Record, log *events.Logger, now time.Time, wall int64) *Core {
+func NewCore(epoch uint64, bounds Bounds, records []partition.Record, log *events.Logger, metric *Metrics, now time.Time, wall int64) *Core {
 	c := &Core{
-		epoch: epoch, bounds: bounds, log: log, now: now, wall: wall, started: now,
+		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finals: make(map[string]workload.Final),
 		noting: make(map[*server]uint64), learned: make(map[string]*allowance), runs: make(map[string]*runTimes), askers: 1,
 	}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/routing"
@@ -71,7 +72,7 @@
 	}
 	h.starts, h.stops, h.stores, h.asks = nil, nil, nil, nil
 	h.looks = make(map[string]LookAt)
-	h.core = NewCore(h.epoch, h.bounds, records, events.Discard(), h.now, h.wall)
+	h.core = NewCore(h.epoch, h.bounds, records, events.Discard(), NewMetrics(metrics.NewSet()), h.now, h.wall)
 	h.core.Configure(h.config)
 	h.core.SetServers(h.servers)
 	h.core.LookAtAll()
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -69,10 +69,11 @@
 	// Sure reports whether no other daemon can own the partition.
 	Sure func() bool
 	// Watch follows the platform's list of servers until its context ends.
-	Watch  func(ctx context.Context, whole func([]ServerInfo)) error
-	Events *events.Logger
-	Now    func() time.Time
-	Wall   func() int64
+	Watch   func(ctx context.Context, whole func([]ServerInfo)) error
+	Events  *events.Logger
+	Metrics *Metrics
+	Now     func() time.Time
+	Wall    func() int64
 }
 
 // Engine runs a Core: it claims the partition, feeds the Core with events and
@@ -134,7 +135,7 @@
 	if err != nil {
 		return errors.Wrap(err, "claim partition")
 	}
-	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Now(), e.o.Wall())
+	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
 	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
 	return nil
 }
@@ -271,8 +272,10 @@
 	ctx, cancel := context.WithTimeout(e.ctx, adviceTimeout)
 	defer cancel()
 	advisor, done := e.o.Advisors.Take(a.Cost)
+	began := e.o.Now()
 	tickets, validity, err := advisor.Advise(ctx, a.Step.StepName(), a.Servers)
 	done()
+	e.o.Metrics.advised.Update(e.o.Now().Sub(began).Seconds())
 	e.push(advisedEvent{a, tickets, validity, err})
 }
 
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -30,6 +30,7 @@
 		return
 	}
 	if r, refused := c.refuse(sub); refused {
+		c.metric.refused(r.Reason)
 		c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs))
 		c.answer(reply, r)
 		return
@@ -47,6 +48,8 @@
 // accepted is called once a submission is in the log.
 func (c *Core) accepted(j *job) {
 	j.stored = true
+	c.metric.accepted.Inc()
+	c.metric.stored.Update(c.now.Sub(j.accepted).Seconds())
 	c.log.Log(events.SubmissionAccepted, "id", j.sub.ID, "queue", j.sub.Queue, "steps", len(j.sub.Steps), "took", c.now.Sub(j.accepted).Milliseconds())
 	for _, reply := range j.waiting {
 		c.answer(reply, Reply{})
@@ -166,6 +169,7 @@
 		delete(c.jobs, id)
 		c.finals[id] = f
 		c.expiring = append(c.expiring, id)
+		c.metric.finished(status, c.now.Sub(j.accepted))
 		c.log.Log(events.SubmissionEnded, "id", id, "queue", f.Queue, "status", string(status), "age", c.now.Sub(j.accepted).Milliseconds())
 	})
 	for _, o := range j.occurrences {
