Follow the store's speed in membership and relay

Each call was also sent a second time through another daemon, which the slow store answered no sooner. Change: members ask for longer while answers take longer; another daemon is asked after three times the store's recent answer, at least 0.4 s, and any answer of the store ends the suspicion; a claim's append may take 3 s. Tests that failed first: TestMember_OutlastsASlowStore, TestRelay_AsksNoOtherAboutAStoreThatIsMerelySlow.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,9 +16,15 @@
 
 const (
 	// hedgeAfter is how long the store may be silent, beyond what a call waits
-	// for, before another daemon is asked as well. It is above the answers of a
-	// slow store, which others would get no sooner.
+	// for, before another daemon is asked as well.
 	hedgeAfter = 400 * time.Millisecond
+	// hedgeTimes is the same as a multiple of the store's recent answers: those
+	// of a slow store come no sooner through others.
+	hedgeTimes = 3
+	// latencyDecay is what one answer leaves of an earlier, longer one.
+	latencyDecay = 0.8
+	// probeTimeout bounds a question that only shows whether the store answers.
+	probeTimeout = 2 * time.Second
 	// probeInterval is the time between two questions to the store itself while
 	// calls go through other daemons.
 	probeInterval = time.Second
@@ -48,6 +54,8 @@
 	mu sync.Mutex
 	// heard is when the store or another daemon last answered anything.
 	heard time.Time
+	// latency is how long the store's answers take of late.
+	latency time.Duration
 	// suspect says that the store did not answer this daemon when last tried.
 	suspect   bool
 	probedAt  time.Time
@@ -94,11 +102,13 @@
 	}
 	answers := make(chan outcome[T], 1)
 	go func() {
+		began := r.now()
 		value, err := direct(ctx)
 		r.note(err)
+		r.learn(err, r.now().Sub(began), wait)
 		answers <- outcome[T]{value, err}
 	}()
-	hedge := time.NewTimer(wait + hedgeAfter)
+	hedge := time.NewTimer(wait + r.hedge())
 	defer hedge.Stop()
 	select {
 	case got := <-answers:
@@ -171,6 +181,27 @@
 	r.heard = r.now()
 }
 
+// learn takes in how long the store took itself. An answer, however late, ends
+// the suspicion.
+func (r *Relay) learn(err error, took, wait time.Duration) {
+	if !settled(err) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspect = false
+	if wait == 0 {
+		r.latency = max(took, time.Duration(latencyDecay*float64(r.latency)))
+	}
+}
+
+// hedge returns how long the store may be silent before another daemon is asked.
+func (r *Relay) hedge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(hedgeAfter, hedgeTimes*r.latency)
+}
+
 // Cut reports whether neither the store nor another daemon answers this one.
 // While only the store is away the others do.
 func (r *Relay) Cut() bool {
@@ -202,7 +233,7 @@
 	}
 	r.probedAt = r.now()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), hedgeAfter)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		if _, err := r.direct.Shares(ctx); settled(err) {
 			r.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -124,6 +124,8 @@
 			}
 			time.Sleep(1100 * time.Millisecond)
 		}
+		// The last probe of the silent store ends before the test.
+		time.Sleep(3 * time.Second)
 	})
 }
 
@@ -203,3 +205,23 @@
 		}
 	})
 }
+
+func TestRelay_AsksNoOtherAboutAStoreThatIsMerelySlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, other, r := pair()
+		mine.fault = func(context.Context) error {
+			time.Sleep(700 * time.Millisecond)
+			return nil
+		}
+		other.fault = mine.fault
+		for range 10 {
+			if err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := other.appends.Load(); n > 1 {
+			t.Errorf("%d of 10 appends went through another daemon as well", n)
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/partition/member.go
+++ b/partition/member.go
@@ -11,6 +11,14 @@
 	// minTTL is the shortest time in which the group takes a silent member's
 	// partitions away, if the platform allows it.
 	minTTL = time.Second
+	// maxTTL bounds what is asked for while the store is slow.
+	maxTTL = 5 * time.Second
+	// slowTimes is how many times the store's recent answers are added to the
+	// time in which a member may be silent, so that a slow store does not take
+	// every member for dead.
+	slowTimes = 4
+	// latencyDecay is what one answer leaves of an earlier, longer one.
+	latencyDecay = 0.9
 	// joinsPerTTL is how often a member is heard within its time.
 	joinsPerTTL = 4
 	// lookupPause is the least time between two questions for the holders.
@@ -21,7 +29,8 @@
 type Member struct {
 	group Group
 	name  string
-	ttl   time.Duration
+	// least is the shortest time that a member asks for.
+	least time.Duration
 	now   func() time.Time
 	// health is told the outcome of every call.
 	health func(error)
@@ -33,26 +42,29 @@
 	generation uint64
 	held       []ID
 	joinedAt   time.Time
-	holders    map[ID]string
-	lookedUp   time.Time
-	left       bool
+	// granted is the time that the last join asked for.
+	granted time.Duration
+	// latency is how long the store's answers take of late.
+	latency  time.Duration
+	holders  map[ID]string
+	lookedUp time.Time
+	left     bool
 }
 
 // NewMember returns a member that has not joined. PlatformTTL is the shortest
 // time that the platform grants.
 func NewMember(group Group, name string, platformTTL time.Duration, now func() time.Time, health func(error), changed func()) *Member {
 	return &Member{
-		group: group, name: name, ttl: max(minTTL, platformTTL), now: now, health: health, changed: changed,
+		group: group, name: name, least: max(minTTL, platformTTL), now: now, health: health, changed: changed,
 		refresh: make(chan struct{}, 1), holders: make(map[ID]string),
 	}
 }
 
 // Run keeps joining until ctx ends.
 func (m *Member) Run(ctx context.Context) error {
-	interval := m.ttl / joinsPerTTL
 	for {
 		m.join(ctx)
-		timer := time.NewTimer(interval)
+		timer := time.NewTimer(m.least / joinsPerTTL)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -66,22 +78,23 @@
 
 func (m *Member) join(ctx context.Context) {
 	m.mu.Lock()
-	generation, left := m.generation, m.left
+	generation, left, ttl := m.generation, m.left, m.ttl()
 	m.mu.Unlock()
 	if left {
 		return
 	}
 	sent := m.now()
-	call, cancel := context.WithTimeout(ctx, m.ttl/2)
+	call, cancel := context.WithTimeout(ctx, ttl)
 	defer cancel()
-	a, err := m.group.Join(call, m.name, generation, m.ttl)
+	a, err := m.group.Join(call, m.name, generation, ttl)
 	m.health(err)
+	m.learn(m.now().Sub(sent))
 	if err != nil {
 		return
 	}
 	m.mu.Lock()
 	changed := a.Generation != m.generation || !slices.Equal(a.Held, m.held)
-	m.generation, m.held, m.joinedAt = a.Generation, a.Held, sent
+	m.generation, m.held, m.joinedAt, m.granted = a.Generation, a.Held, sent, ttl
 	m.mu.Unlock()
 	if changed {
 		m.lookUp(ctx)
@@ -89,12 +102,25 @@
 	}
 }
 
+// ttl returns how long the member may be silent, which grows while the store is
+// slow.
+func (m *Member) ttl() time.Duration {
+	return min(m.least+slowTimes*m.latency, max(maxTTL, m.least))
+}
+
+// learn takes in how long a call took, answered or not.
+func (m *Member) learn(took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.latency = max(took, time.Duration(latencyDecay*float64(m.latency)))
+}
+
 // lookUp asks for the holders of all partitions.
 func (m *Member) lookUp(ctx context.Context) {
 	m.mu.Lock()
 	m.lookedUp = m.now()
 	m.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, m.ttl/2)
+	call, cancel := context.WithTimeout(ctx, maxTTL/2)
 	defer cancel()
 	shares, err := m.group.Shares(call)
 	m.health(err)
@@ -126,7 +152,7 @@
 }
 
 func (m *Member) sure() bool {
-	return !m.left && !m.joinedAt.IsZero() && m.now().Sub(m.joinedAt) < m.ttl
+	return !m.left && !m.joinedAt.IsZero() && m.now().Sub(m.joinedAt) < m.granted
 }
 
 // Holder returns the member that holds a partition, as last heard.
--- /dev/null
+++ b/partition/member_test.go
@@ -0,0 +1,92 @@
+package partition_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/currantwinch/currantwinch/partition"
+)
+
+// slowGroup is a group with one partition, whose answers take a while.
+type slowGroup struct {
+	mu     sync.Mutex
+	delay  time.Duration
+	holder string
+	until  time.Time
+	// lapses counts how often the holder was silent too long.
+	lapses int
+}
+
+func (g *slowGroup) Join(ctx context.Context, member string, _ uint64, ttl time.Duration) (partition.Assignment, error) {
+	g.mu.Lock()
+	delay := g.delay
+	g.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return partition.Assignment{}, ctx.Err()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.holder != "" && now.After(g.until) {
+		g.lapses++
+	}
+	g.holder, g.until = member, now.Add(ttl)
+	return partition.Assignment{Generation: 1, Held: []partition.ID{place}}, nil
+}
+
+func (g *slowGroup) Leave(context.Context, string) error { return nil }
+
+func (g *slowGroup) Shares(context.Context) ([]partition.Share, error) { return nil, nil }
+
+func TestMember_OutlastsASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &slowGroup{delay: 5 * time.Millisecond}
+		m := partition.NewMember(g, "m", time.Second, time.Now, func(error) {}, func() {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(3 * time.Second)
+		for _, delay := range []time.Duration{400, 700, 900} {
+			g.mu.Lock()
+			g.delay = delay * time.Millisecond
+			g.mu.Unlock()
+			time.Sleep(3 * time.Second)
+			if !m.Sure() {
+				t.Errorf("not sure of its partition with answers after %s", g.delay)
+			}
+		}
+		cancel()
+		<-done
+		if g.lapses > 0 {
+			t.Errorf("taken for dead %d times", g.lapses)
+		}
+	})
+}
+
+func TestMember_IsNotSureOnceItsTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &slowGroup{delay: 5 * time.Millisecond}
+		m := partition.NewMember(g, "m", time.Second, time.Now, func(error) {}, func() {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		if holder, ok := m.Holder(place); !ok || holder != "m" {
+			t.Errorf("holder %q, %t while it is sure", holder, ok)
+		}
+		g.mu.Lock()
+		g.delay = time.Hour
+		g.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if _, ok := m.Holder(place); ok || m.Sure() {
+			t.Error("still sure 2 s after the last answer")
+		}
+		cancel()
+		<-done
+	})
+}
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -100,7 +100,7 @@
 }
 
 // pageTimeout is the longest wait for one page.
-const pageTimeout = 1500 * time.Millisecond
+const pageTimeout = 2 * time.Second
 
 // All reads the newest record of every key. Records may be appended between
 // pages; end is where to read on so that none is missed.
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -17,7 +17,7 @@
 	// meanwhile shares one call.
 	linger = 10 * time.Millisecond
 	// appendTimeout is the longest wait for one answer of the log.
-	appendTimeout = 1500 * time.Millisecond
+	appendTimeout = 3 * time.Second
 	// minRetry and maxRetry bound the wait before an append is sent again.
 	minRetry = 30 * time.Millisecond
 	maxRetry = 300 * time.Millisecond
