Look and order with shorter time-outs, and leave dead connections soon

Ruled out: the servers (they answered the next look at once). Change: a look waits 1 s and 0.5 s more, an order 0.4 s; an append waits four times the log's recent answers, 0.7 to 3 s, and doubles that when it hung. Tests: TestWriter_LeavesADeadConnectionSoon (failed first), TestWriter_WaitsForASlowLog.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -11,7 +11,7 @@
 
 const (
 	// resendDelayMS is the pause before an order without an answer is sent again.
-	resendDelayMS = 150
+	resendDelayMS = 50
 	// rejectPause keeps a task from being placed again at once after a refusal,
 	// and its server from being chosen.
 	rejectPause = 300 * time.Millisecond
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	// orderTimeout is the longest wait for a server's answer to an order.
-	orderTimeout = time.Second
+	// orderTimeout is the longest wait for a server's answer to an order, which is
+	// sent again after it without harm.
+	orderTimeout = 400 * time.Millisecond
 	// lookSlack is the longest wait beyond what a look asks for.
-	lookSlack = 1200 * time.Millisecond
+	lookSlack = 500 * time.Millisecond
 	// adviceTimeout is the longest wait for the policy service, its queue
 	// included.
 	adviceTimeout = 4 * time.Second
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -10,11 +10,12 @@
 )
 
 const (
-	// lookWait is how long a look waits for an end. Leases are renewed by looks,
+	// lookWait is how long a look waits for an end. A lost answer hides the ends
+	// on its server for this long and lookSlack. Leases are renewed by looks,
 	// so that it is well below a lease.
-	lookWait = 2 * time.Second
+	lookWait = time.Second
 	// lookRetryMS is the pause before a look without an answer is sent again.
-	lookRetryMS = 200
+	lookRetryMS = 50
 	// renewAfter is the longest time without a look at a server that holds work
 	// while its ends cannot be stored.
 	renewAfter = 200 * time.Millisecond
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -230,3 +230,70 @@
 		}
 	})
 }
+
+func TestWriter_LeavesADeadConnectionSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{}
+		ctx, cancel := context.WithCancel(t.Context())
+		written := make(chan uint64, 8)
+		w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { written <- ticket })
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		hung := false
+		log.mu.Lock()
+		log.fault = func(ctx context.Context, call string) error {
+			if hung {
+				return nil
+			}
+			hung = true
+			return silent(ctx, call)
+		}
+		log.mu.Unlock()
+		began := time.Now()
+		w.Put(1, []partition.Record{record("a", "1")})
+		<-written
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("written after %s, since one call hung", took)
+		}
+		cancel()
+		<-done
+	})
+}
+
+func TestWriter_WaitsForASlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		log := &memoryLog{}
+		ctx, cancel := context.WithCancel(t.Context())
+		written := make(chan uint64, 8)
+		w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { written <- ticket })
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		log.mu.Lock()
+		log.fault = func(ctx context.Context, _ string) error {
+			calls++
+			select {
+			case <-time.After(900 * time.Millisecond):
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		log.mu.Unlock()
+		for ticket := range uint64(5) {
+			w.Put(ticket, []partition.Record{record("a", "1")})
+			<-written
+		}
+		if calls > 6 {
+			t.Errorf("%d calls for 5 writes to a slow log", calls)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -16,8 +16,12 @@
 	// linger is the least time between the starts of two appends: what comes
 	// meanwhile shares one call.
 	linger = 10 * time.Millisecond
-	// appendTimeout is the longest wait for one answer of the log.
-	appendTimeout = 3 * time.Second
+	// minAppendTimeout and maxAppendTimeout bound the wait for one answer: a call
+	// that hangs on a dead connection delays all that come behind it.
+	minAppendTimeout = 700 * time.Millisecond
+	maxAppendTimeout = 3 * time.Second
+	// appendTimes is the wait as a multiple of the log's recent answers.
+	appendTimes = 4
 	// minRetry and maxRetry bound the wait before an append is sent again.
 	minRetry = 30 * time.Millisecond
 	maxRetry = 300 * time.Millisecond
@@ -50,12 +54,14 @@
 	wake    chan struct{}
 	now     func() time.Time
 	next    uint64
+	// latency is how long the log's answers take of late.
+	latency time.Duration
 }
 
 // Open claims the partition for epoch by appending claim at the offset end, and
 // returns its Writer. It fails with ReasonMoved if anything was appended since.
 func Open(ctx context.Context, log Log, id ID, epoch, end uint64, claim Record, now func() time.Time, written func(ticket uint64)) (*Writer, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
 	defer cancel()
 	if err := log.Append(ctx, id, Fence{producer, epoch, 0, &end}, []Record{claim}); err != nil {
 		return nil, err
@@ -143,14 +149,22 @@
 // append sends one batch until its fate is known.
 func (w *Writer) append(ctx context.Context, records []Record) error {
 	fence := Fence{Producer: producer, Epoch: w.epoch, Sequence: w.next}
+	timeout := min(max(appendTimes*w.latency, minAppendTimeout), maxAppendTimeout)
 	for wait := minRetry; ; wait = min(2*wait, maxRetry) {
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		call, cancel := context.WithTimeout(ctx, timeout)
+		began := w.now()
 		err := w.log.Append(call, w.id, fence, records)
+		hung := call.Err() != nil
 		cancel()
 		if err == nil {
 			w.next++
+			w.latency = max(w.now().Sub(began), time.Duration(latencyDecay*float64(w.latency)))
 			return nil
 		}
+		if hung {
+			// The log may merely be slow.
+			timeout = min(2*timeout, maxAppendTimeout)
+		}
 		switch verdict.ReasonOf(err) {
 		case ReasonFenced, ReasonSequence:
 			return ErrFenced
