Dump a scheduler's state, write library lines in one place, compare failure domains

Cause: the second keeper of a stopping daemon's bills was chosen by the whole location, rack included, so that it could be in the writer's failure domain; two writers turned library lines into events; a scheduler's book could not be seen. Change: Location.SameDomain, events.LineWriter, /debug/state beside the metrics; the callers' door bounds headers and idle connections.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -25,6 +25,11 @@
 	Rack          string `json:"rack,omitempty"`
 }
 
+// SameDomain reports whether both places fail together, whatever their racks.
+func (l Location) SameDomain(o Location) bool {
+	return l.Region == o.Region && l.FailureDomain == o.FailureDomain
+}
+
 // VM is one entry of the platform's list.
 type VM struct {
 	Name     string   `json:"name"`
--- a/internal/command/librarylog_test.go
+++ b/internal/command/librarylog_test.go
@@ -12,10 +12,11 @@
 )
 
 func TestLibraryLog_BecomesEvents(t *testing.T) {
+	const longest = 1 << 10
 	cases := []struct{ name, line, want string }{
 		{"plain", "unsolicited response", "unsolicited response"},
 		{"newline inside stays one event", "a\nb", "a\nb"},
-		{"too long", strings.Repeat("x", 2*maxLibraryLine), strings.Repeat("x", maxLibraryLine)},
+		{"too long", strings.Repeat("x", 2*longest), strings.Repeat("x", longest)},
 		{"not UTF-8", "a\xffb", "a?b"},
 	}
 	before := log.Writer()
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -6,7 +6,6 @@
 	"log"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -59,18 +58,7 @@
 
 // doorLog turns what the HTTP server logs into events.
 func doorLog(l *events.Logger, door string) *log.Logger {
-	return log.New(&doorWriter{l, door}, "", 0)
-}
-
-type doorWriter struct {
-	events *events.Logger
-	door   string
-}
-
-// Write takes one line of the HTTP server's log.
-func (w *doorWriter) Write(line []byte) (int, error) {
-	w.events.Log(events.DoorError, "door", w.door, "error", strings.TrimSpace(string(line)))
-	return len(line), nil
+	return log.New(&events.LineWriter{To: l, Event: events.DoorError, Field: "error", Attrs: []any{"door", door}}, "", 0)
 }
 
 // counted keeps the number of requests that were taken and not answered yet.
--- a/internal/gateway/billcopy.go
+++ b/internal/gateway/billcopy.go
@@ -152,7 +152,7 @@
 
 // sameDomain is 1 for a daemon in the failure domain of another, else 0.
 func sameDomain(m roles.Member, other cluster.Daemon) int {
-	if m.Daemon.Location == other.Location {
+	if m.Daemon.Location.SameDomain(other.Location) {
 		return 1
 	}
 	return 0
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -38,6 +39,12 @@
 	balancerLag = 2500 * time.Millisecond
 	// leaveTimeout bounds the giving up of partitions at a planned stop.
 	leaveTimeout = time.Second
+	// dumpTimeout bounds the answer of a state dump.
+	dumpTimeout = time.Second
+	// headerTimeout bounds the headers of a request, and idleTimeout the time
+	// between two on one connection, above that of the platform's balancer.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
 	// maxHeaderBytes bounds the headers of one request.
 	maxHeaderBytes = 64 << 10
 )
@@ -169,8 +176,9 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/ready", h.answerReady)
 	router.HandleFunc("/metrics", h.answerMetrics)
-	h.callers = &http.Server{Handler: door, MaxHeaderBytes: maxHeaderBytes}
-	h.ready = &http.Server{Handler: router}
+	router.HandleFunc("/debug/state", h.answerState)
+	h.callers = &http.Server{Handler: door, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.ready = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		server  *http.Server
 		address string
@@ -203,6 +211,34 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// hostState is the daemon's state dump.
+type hostState struct {
+	Daemon     string                 `json:"daemon"`
+	Config     uint64                 `json:"configurationVersion"`
+	Cut        bool                   `json:"cutOff"`
+	Sure       bool                   `json:"membershipSure"`
+	Held       []partition.ID         `json:"held"`
+	Members    []string               `json:"members"`
+	Schedulers map[int]scheduler.Dump `json:"schedulers"`
+	Peers      any                    `json:"peers"`
+}
+
+func (h *Host) answerState(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), dumpTimeout)
+	defer cancel()
+	state := hostState{
+		Daemon: h.base.Self.Name, Cut: h.store.Cut(), Sure: h.member.Sure(), Held: h.member.Held(), Members: h.member.Members(),
+		Schedulers: h.tenures.Dump(ctx), Peers: h.peers.Dump(),
+	}
+	if config := h.config.Load(); config != nil {
+		state.Config = config.Version
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(state); err != nil {
+		h.o.Events.Log(events.LibraryMessage, "message", "state dump: "+err.Error())
+	}
+}
+
 func (h *Host) callFailed(f platform.Failure) {
 	h.base.Metrics.GetOrCreateCounter(fmt.Sprintf(`currantwinch_calls_failed_total{call=%q,status="%d"}`, f.Call, f.Status)).Inc()
 	h.o.Events.Log(events.CallFailed, "call", f.Call, "id", f.ID, "queue", f.Queue, "status", f.Status, "reason", f.Reason, "took", f.Took.Milliseconds())
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -24,6 +24,8 @@
 	store   *standin.Store
 	address string
 	servers []*standin.Server
+	// ready is the readiness address of the daemon that started last.
+	ready string
 }
 
 func newSite(t *testing.T, servers int) *site {
@@ -64,6 +66,7 @@
 	if _, err := fmt.Sscan(port, &settings.Ports[0]); err != nil {
 		s.t.Fatal(err)
 	}
+	s.ready = settings.Ready
 	h, err := host.New(host.Options{Settings: settings, Events: events.Discard()})
 	if err != nil {
 		s.t.Fatal(err)
@@ -163,6 +166,22 @@
 	}
 }
 
+func TestHost_DumpsItsState(t *testing.T) {
+	s := newSite(t, 1)
+	s.servers[0].Work = 5 * time.Second
+	_, address := s.start()
+	if status, text := s.call("POST", address, "/q/"+id, work); status != http.StatusOK {
+		t.Fatalf("%d %s", status, text)
+	}
+	s.await("dumped", func() bool {
+		_, text := s.call("GET", s.ready, "/debug/state", "")
+		return strings.Contains(text, `"jobs":1`) && strings.Contains(text, `"attempts":3`) && strings.Contains(text, `"configurationVersion":1`)
+	})
+	if status, text := s.call("GET", s.ready, "/metrics", ""); status != http.StatusOK || !strings.Contains(text, "currantwinch_starts_sent_total 3") {
+		t.Errorf("metrics: %d without three starts", status)
+	}
+}
+
 func TestHost_FollowsTheConfigurationThroughLostHistory(t *testing.T) {
 	s := newSite(t, 1)
 	_, address := s.start()
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -416,3 +416,66 @@
 		t.Fatalf("starts %+v, want run 2 after the server began anew", starts)
 	}
 }
+
+func TestCore_StartsOnlyWhereItMay(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(s *ServerInfo)
+		step   func(s *workload.Step)
+		config func(c *routing.Configuration)
+		starts int
+	}{
+		{name: "plain", starts: 1},
+		{name: "draining", change: func(s *ServerInfo) { s.Draining = true }},
+		{name: "of another service", change: func(s *ServerInfo) { s.Service = "other" }},
+		{name: "without the label", step: func(s *workload.Step) { s.Label = "b" }},
+		{name: "with the label", step: func(s *workload.Step) { s.Label = "a" }, starts: 1},
+		{name: "too small", step: func(s *workload.Step) { s.Need.MemoryMB = 70000 }},
+		{name: "beyond the bound a server", step: func(s *workload.Step) { s.Count, s.MaxPerServer = 3, 2 }, starts: 2},
+		{name: "queue led elsewhere", config: func(c *routing.Configuration) { c.Queues[0].Service = "other" }},
+		{name: "queue removed", config: func(c *routing.Configuration) { c.Queues = nil }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.listAll()
+			step := oneTask(1000)
+			if c.step != nil {
+				c.step(&step)
+			}
+			h.holdStores = true
+			h.submit(id1, step)
+			if c.change != nil {
+				c.change(&h.servers[0])
+				h.do(func(k *Core) { k.SetServers(h.servers) })
+			}
+			if c.config != nil {
+				next := &routing.Configuration{Version: 2, Queues: append([]routing.Queue(nil), h.config.Queues...)}
+				c.config(next)
+				h.do(func(k *Core) { k.Configure(next) })
+			}
+			h.storeAll()
+			if n := len(h.takeStarts()); n != c.starts {
+				t.Errorf("%d starts, want %d", n, c.starts)
+			}
+		})
+	}
+}
+
+func TestCore_OccurrencesStartWhenTheyAreDue(t *testing.T) {
+	h := newHarness(t, 1)
+	h.listAll()
+	sub := &workload.Submission{
+		ID: id1, Queue: testQueue, Service: testService, Steps: []workload.Step{oneTask(1000)},
+		FirstRun: h.wall + 1000, Interval: time.Second, Repeat: 2, Accepted: h.wall,
+	}
+	h.do(func(c *Core) { c.Submit(sub, func(Reply) {}) })
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{900 * time.Millisecond, 0}, {150 * time.Millisecond, 1}, {800 * time.Millisecond, 0}, {200 * time.Millisecond, 1}} {
+		h.after(c.after)
+		if n := len(h.takeStarts()); n != c.want {
+			t.Errorf("%d starts %s later, want %d", n, c.after, c.want)
+		}
+	}
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -183,3 +183,20 @@
 		}
 	}
 }
+
+// Dump returns the state of all schedulers, by partition.
+func (t *Tenures) Dump(ctx context.Context) map[int]scheduler.Dump {
+	t.mu.Lock()
+	engines := make(map[int]*scheduler.Engine, len(t.engines))
+	for id, r := range t.engines {
+		engines[id.Part] = r.engine
+	}
+	t.mu.Unlock()
+	out := make(map[int]scheduler.Dump, len(engines))
+	for part, engine := range engines {
+		if d, ok := engine.Dump(ctx); ok {
+			out[part] = d
+		}
+	}
+	return out
+}
