Say 503 only where no attempt was accepted

Ruled out: leaving it to callers, who would submit anew under another ID and be served twice. Change: the owner looks the ID up before it refuses; a daemon without the owner's answer says 504 with a Retry-After, that it may have been accepted.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,6 +48,7 @@
 	Dump       dumpCommand       `cmd:"" help:"Print a daemon's state dump."`
 	Completion completionCommand `cmd:"" help:"Print a shell's completion script."`
 	Explain    explainCommand    `cmd:"" help:"Explain a logged event by its number or name."`
+	Trace      traceCommand      `cmd:"" help:"Print what logs say of one submission, in order."`
 }
 
 // env is what a command runs with.
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -47,7 +47,7 @@
 	defer signal.Stop(signals)
 	lines := events.NewWriter(e.out)
 	defer lines.Close()
-	log := events.NewLogger(slog.New(slog.NewJSONHandler(lines, nil))).Limited(time.Now)
+	log := events.NewLogger(slog.New(slog.NewJSONHandler(lines, nil))).Limited(time.Now).With("daemon", s.Name)
 	defer redirectLibraryLog(log)()
 	debug.SetGCPercent(heapGrowthPercent)
 	debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryMB) * megabyte))
@@ -58,7 +58,7 @@
 	if err := h.Start(context.Background()); err != nil {
 		return err
 	}
-	log.Log(events.DaemonStarted, "daemon", s.Name, "incarnation", "", "callers", s.Callers, "operators", s.Ready, "peers", s.IP)
+	log.Log(events.DaemonStarted, "incarnation", "", "callers", s.Callers, "operators", s.Ready, "peers", s.IP)
 	return c.serve(h, s, log, signals)
 }
 
@@ -80,14 +80,14 @@
 }
 
 func (c *hostCommand) stop(h *host.Host, s platform.Settings, log *events.Logger) error {
-	log.Log(events.DaemonStopping, "daemon", s.Name)
+	log.Log(events.DaemonStopping)
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), s.Bounds.Grace-stopMargin)
 	defer cancel()
 	if err := h.Stop(ctx); err != nil {
-		log.Log(events.DaemonCut, "daemon", s.Name, "inFlight", 0)
+		log.Log(events.DaemonCut, "inFlight", 0)
 		return err
 	}
-	log.Log(events.DaemonStopped, "daemon", s.Name, "took", time.Since(began).Milliseconds())
+	log.Log(events.DaemonStopped, "took", time.Since(began).Milliseconds())
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -78,9 +78,15 @@
 	return daemon
 }
 
-// Submit accepts a submission, or says whether it may have been accepted.
+// Submit accepts a submission, or says that it may have been accepted: only the
+// owner knows that no attempt through another daemon was.
 func (e *Entry) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
-	return e.pass(ctx, methodSubmit, call{Service: sub.Service, Submission: sub})
+	r, err := e.pass(ctx, methodSubmit, call{Service: sub.Service, Submission: sub})
+	if err == nil {
+		return r, nil
+	}
+	unknown := verdict.New(verdict.MayHaveRun, verdict.ReasonOf(err), "%v", err)
+	return r, unknown.WithRetryAfter(verdict.RetryAfterOf(err))
 }
 
 // Status returns a submission's state.
@@ -101,7 +107,7 @@
 // pass gives a call to the owner. All calls are idempotent, so that one without
 // an answer is repeated at the next owner.
 func (e *Entry) pass(ctx context.Context, method string, c call) (scheduler.Reply, error) {
-	if e.o.Cut() {
+	if _, here := e.o.Tenures.Engine(tenure.PartitionOf(c.Service, e.o.Parts)); !here && e.o.Cut() {
 		return scheduler.Reply{}, verdict.New(verdict.NotRun, ReasonNoOwner, "no other daemon answers").WithRetryAfter(ownerRetryAfter)
 	}
 	began := e.o.Now()
@@ -114,7 +120,7 @@
 		if verdict.Of(err) != verdict.NotRun {
 			maybe = true
 		}
-		if verdict.ReasonOf(err) == scheduler.ReasonStoreDown || ctx.Err() != nil || e.o.Now().Sub(began) > searchTime {
+		if ctx.Err() != nil || e.o.Now().Sub(began) > searchTime {
 			return scheduler.Reply{}, final(err, maybe)
 		}
 		e.o.Member.Refresh(ctx)
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -73,6 +73,8 @@
 	OutcomeUnknown
 	// OutcomeRefused means that the submission was not accepted and never runs.
 	OutcomeRefused
+	// OutcomeUnavailable means the same, since nothing can be stored now.
+	OutcomeUnavailable
 )
 
 // Reply is the answer to a caller's call.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -12,17 +12,19 @@
 	// storeSilence is how long writes may wait before new submissions are
 	// refused: nothing can be accepted while nothing can be stored.
 	storeSilence = 700 * time.Millisecond
-	// storeRetryAfter is what callers are told then.
-	storeRetryAfter = time.Second
+	// storeRetryAfterMS is what callers are told then, in milliseconds.
+	storeRetryAfterMS = 1000
 )
 
 // Submit accepts a submission once it is stored. It may be repeated: the same
-// ID is accepted once.
+// ID is accepted once, and again whether or not anything can be stored now.
 func (e *Engine) Submit(ctx context.Context, sub *workload.Submission) (Reply, error) {
-	if err := e.storable(ctx); err != nil {
+	if err := e.owns(ctx); err != nil {
 		return Reply{}, err
 	}
-	return e.call(ctx, func(c *Core, reply func(Reply)) { c.Submit(sub, reply) })
+	return e.call(ctx, func(c *Core, reply func(Reply)) {
+		c.Submit(sub, e.writer.Behind() <= storeSilence, reply)
+	})
 }
 
 // Cancel ends a submission once that is stored.
@@ -49,19 +51,16 @@
 	return r, err
 }
 
-// storable reports why nothing can be accepted now.
-func (e *Engine) storable(ctx context.Context) error {
+// owns waits until the partition is this Engine's.
+func (e *Engine) owns(ctx context.Context) error {
 	select {
 	case <-e.done:
 		return verdict.New(verdict.NotRun, ReasonNotOwner, "the partition has another owner")
 	case <-e.claimed:
+		return nil
 	case <-ctx.Done():
 		return verdict.Wrap(ctx.Err(), verdict.NotRun, ReasonTimeout)
 	}
-	if e.writer.Behind() > storeSilence {
-		return verdict.New(verdict.NotRun, ReasonStoreDown, "the store has not answered for %s", storeSilence).WithRetryAfter(storeRetryAfter)
-	}
-	return nil
 }
 
 // callEvent is a caller's call.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -39,8 +39,6 @@
 const (
 	// ReasonNotOwner means that this daemon does not own the partition.
 	ReasonNotOwner verdict.Reason = "not_owner"
-	// ReasonStoreDown means that nothing can be stored now.
-	ReasonStoreDown verdict.Reason = "store_down"
 	// ReasonTimeout means that the caller's time ended first.
 	ReasonTimeout verdict.Reason = "timeout"
 )
