Stop an unanswered start where it may not begin any more

Change: it is stopped in that case; a stop that is answered forbids the late copy. Test that failed first: TestCore_UnansweredStartIsStoppedWhereItMayNotBegin (3 cases).

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -101,8 +101,7 @@
 		return
 	}
 	if verdict.Of(err) != verdict.NotRun {
-		c.sendStart(a, resendDelayMS)
-		c.look(a.server)
+		c.startUnanswered(a)
 		return
 	}
 	c.startRefused(a, verdict.ReasonOf(err))
@@ -121,6 +120,17 @@
 	c.look(a.server)
 }
 
+// startUnanswered sends a start again, or stops it where it may not begin any
+// more: once the stop is answered, a late copy of the start does nothing.
+func (c *Core) startUnanswered(a *attempt) {
+	if a.server.info.Draining || !a.server.listed || !c.mayPlace(a.task.step) {
+		c.stop(a)
+	} else {
+		c.sendStart(a, resendDelayMS)
+	}
+	c.look(a.server)
+}
+
 // startRefused deals with a start that certainly had no effect. If it was sent
 // before without an answer, only the server's list tells whether that copy did.
 func (c *Core) startRefused(a *attempt, reason verdict.Reason) {
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -498,3 +498,33 @@
 		t.Errorf("a submission that was turned away is shown as %q", got)
 	}
 }
+
+func TestCore_UnansweredStartIsStoppedWhereItMayNotBegin(t *testing.T) {
+	for name, change := range map[string]func(h *harness){
+		"draining": func(h *harness) {
+			h.servers[0].Draining = true
+			h.do(func(c *Core) { c.SetServers(h.servers) })
+		},
+		"unlisted": func(h *harness) { h.do(func(c *Core) { c.SetServers(nil) }) },
+		"queue removed": func(h *harness) {
+			h.do(func(c *Core) { c.Configure(&routing.Configuration{Version: 2}) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.listAll()
+			h.submit(id1, oneTask(1000))
+			start := h.takeStarts()[0]
+			change(h)
+			h.do(func(c *Core) {
+				c.Started(start.To, start.Order, 0, verdict.New(verdict.MayHaveRun, ReasonSilent, "no answer"))
+			})
+			if n := len(h.takeStarts()); n != 0 {
+				t.Errorf("%d starts sent again", n)
+			}
+			if len(h.stops) != 1 || h.stops[0].Order.Run != start.Order.Run {
+				t.Errorf("stops %+v, want that of the start", h.stops)
+			}
+		})
+	}
+}
