--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/internal/tenure"
@@ -124,7 +125,7 @@
 			return scheduler.Reply{}, final(err, maybe)
 		}
 		e.o.Member.Refresh(ctx)
-		if !pause(ctx, searchPause) {
+		if !duty.Sleep(ctx, searchPause) {
 			return scheduler.Reply{}, final(err, maybe)
 		}
 	}
@@ -138,17 +139,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (e *Entry) attempt(ctx context.Context, method string, c call) (scheduler.Reply, error) {
 	id := tenure.PartitionOf(c.Service, e.o.Parts)
 	if _, ok := e.o.Tenures.Engine(id); ok {
--- a/internal/gateway/bills.go
+++ b/internal/gateway/bills.go
@@ -94,7 +94,7 @@
 // run writes what is pending, in batches.
 func (b *bills) run(ctx context.Context, turn duty.Turn) error {
 	wait := billsEvery
-	for sleep(ctx, wait) {
+	for duty.Sleep(ctx, wait) {
 		turn()
 		b.review()
 		err := b.write(ctx)
@@ -195,7 +195,7 @@
 		if !b.o.Now().Before(patience) && b.entrustAll(ctx) {
 			break
 		}
-		if !sleep(ctx, billsEvery) {
+		if !duty.Sleep(ctx, billsEvery) {
 			return verdict.Wrap(ctx.Err(), verdict.Ran, ReasonStopping)
 		}
 	}
--- a/internal/gateway/keyclient.go
+++ b/internal/gateway/keyclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/currantwinch/currantwinch/duty"
 	"time"
 
 	"github.com/currantwinch/currantwinch/cluster"
@@ -41,7 +42,7 @@
 			return d, nil
 		}
 		last = err
-		if !sleep(ctx, wait) {
+		if !duty.Sleep(ctx, wait) {
 			return idempotency.Decision{}, verdict.Wrap(ctx.Err(), unsentVerdict(c), ReasonCallerGone)
 		}
 		wait = min(2*wait, maxKeyWait)
@@ -93,18 +94,6 @@
 	return verdict.MayHaveRun
 }
 
-// sleep waits and reports whether ctx is still alive after that.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // issueKeys returns new keys of this daemon's shares or, where it owns none,
 // of a peer's.
 func (g *Gateway) issueKeys(ctx context.Context, count int) ([]string, error) {
--- a/internal/gateway/settler.go
+++ b/internal/gateway/settler.go
@@ -72,7 +72,7 @@
 			return nil
 		case <-s.wake:
 			s.deliver(ctx)
-			if !sleep(ctx, settleEvery) {
+			if !duty.Sleep(ctx, settleEvery) {
 				return nil
 			}
 		case <-idle.C:
@@ -167,7 +167,7 @@
 // flush waits until nothing is left to deliver, at most until ctx ends.
 func (s *settler) flush(ctx context.Context) error {
 	for s.depth() > 0 {
-		if !sleep(ctx, settleEvery) {
+		if !duty.Sleep(ctx, settleEvery) {
 			return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, ReasonStopping)
 		}
 	}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -208,7 +208,7 @@
 			g.askBackends(ctx, g.uncertainBackends())
 		}
 		turn()
-		if !sleep(ctx, watchEvery) {
+		if !duty.Sleep(ctx, watchEvery) {
 			return nil
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -123,7 +123,7 @@
 
 func (h *Host) newTenures(member *partition.Member, s platform.Settings) *tenure.Tenures {
 	return tenure.New(tenure.Options{
-		Member: member, Parts: s.StoreParts, Config: h.config.Load, New: h.newEngine, Duties: h.duties, Events: h.o.Events,
+		Member: member, Parts: s.StoreParts, Config: h.config.Load, New: h.newEngine, Events: h.o.Events,
 	})
 }
 
@@ -161,7 +161,7 @@
 	return scheduler.NewEngine(scheduler.EngineOptions{
 		Log: h.store, Partition: id, Daemon: h.base.Self.Name,
 		Bounds: scheduler.Bounds{
-			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept, RemoteFactor: b.RemoteFactor,
+			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept,
 		},
 		Servers: h.servers, Advisors: h.advisors, Config: h.config.Load, Sure: h.member.Sure, Watch: h.watchServers,
 		Events: h.o.Events, Metrics: h.metrics, Now: time.Now, Wall: wall,
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -24,8 +24,6 @@
 	GangTimeout time.Duration
 	// StatusKept is how long the state of an ended submission can be read.
 	StatusKept time.Duration
-	// RemoteFactor is how much longer tasks take away from their data.
-	RemoteFactor float64
 }
 
 // Core holds one partition's submissions and the book of its servers. Every
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -223,17 +223,7 @@
 // wait pauses for a number of milliseconds and reports whether the Engine still
 // runs.
 func (e *Engine) wait(ms int) bool {
-	if ms == 0 {
-		return e.ctx.Err() == nil
-	}
-	timer := time.NewTimer(msDuration(int64(ms)))
-	defer timer.Stop()
-	select {
-	case <-e.ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return duty.Sleep(e.ctx, msDuration(int64(ms)))
 }
 
 func (e *Engine) start(a StartTask) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -162,9 +162,6 @@
 	return out
 }
 
-// slots returns how many more tasks of the step s has room for.
-func (c *Core) slots(st *step, s *server) int { return slotsIn(st, s, s.free) }
-
 // slotsIn returns how many more tasks of the step s would hold with room free.
 func slotsIn(st *step, s *server, free workload.Resources) int {
 	limit := len(st.tasks)
@@ -177,7 +174,8 @@
 	return st.spec.Reserved().Times(free, limit)
 }
 
-// slots is the Core's without what is held for more pressing gangs.
+// slots returns how many more tasks of the step s has room for, beside what is
+// held for more pressing gangs.
 func (p *pass) slots(st *step, s *server) int { return slotsIn(st, s, s.free.Minus(p.held[s])) }
 
 func (p *pass) place(st *step) {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -42,7 +42,6 @@
 	Config func() *routing.Configuration
 	// New returns a scheduler for a partition.
 	New    func(id partition.ID) *scheduler.Engine
-	Duties *duty.Group
 	Events *events.Logger
 }
 
--- a/partition/watch.go
+++ b/partition/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/verdict"
 )
 
@@ -37,7 +38,7 @@
 		for err == nil && ctx.Err() == nil {
 			next, err = w.read(ctx, next)
 		}
-		if verdict.ReasonOf(err) != ReasonTruncated && !pause(ctx, watchRetry) {
+		if verdict.ReasonOf(err) != ReasonTruncated && !duty.Sleep(ctx, watchRetry) {
 			return nil
 		}
 	}
@@ -71,7 +72,7 @@
 			return batch.Next, nil
 		case verdict.ReasonOf(err) == ReasonTruncated:
 			return 0, err
-		case !pause(ctx, watchRetry):
+		case !duty.Sleep(ctx, watchRetry):
 			return 0, ctx.Err()
 		}
 	}
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/pkg/errors"
 )
@@ -112,7 +113,7 @@
 			}
 			w.drop(n)
 			w.written(ticket)
-			if rest := linger - w.now().Sub(started); rest > 0 && !pause(ctx, rest) {
+			if rest := linger - w.now().Sub(started); rest > 0 && !duty.Sleep(ctx, rest) {
 				return nil
 			}
 		}
@@ -169,20 +170,8 @@
 		case ReasonFenced, ReasonSequence:
 			return ErrFenced
 		}
-		if !pause(ctx, wait) {
+		if !duty.Sleep(ctx, wait) {
 			return errors.Wrap(err, "append")
 		}
 	}
 }
-
-// pause waits for d and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -42,10 +42,6 @@
 // Service is a pool of backend servers.
 type Service struct {
 	Name string
-	// Guarded servers refuse what does not fit.
-	Guarded bool
-	// Standby pools are switched off.
-	Standby bool
 }
 
 // Configuration is one version of what operators published, whole.
@@ -53,11 +49,8 @@
 	Version  uint64
 	Queues   []Queue
 	Services map[string]Service
-	// MaxBodyBytes and MaxHeaderBytes bound one request; 0 means no bound.
-	MaxBodyBytes   int64
-	MaxHeaderBytes int
-	IdleTimeout    time.Duration
-	HeaderTimeout  time.Duration
+	// MaxBodyBytes bounds one request's body; 0 means no bound.
+	MaxBodyBytes int64
 }
 
 // Match returns the queue of a request: the host's queue with the longest
