--- a/internal/gateway/keyclient.go
+++ b/internal/gateway/keyclient.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"github.com/currantwinch/currantwinch/duty"
 	"time"
 
 	"github.com/currantwinch/currantwinch/cluster"
+	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/idempotency"
 	"github.com/currantwinch/currantwinch/verdict"
 )
