Look for the next owner longer, and leave a silent one sooner

Change: an owner's answer is waited for 0.7 s before it is looked up again; the search lasts 2.2 s, so that a call is served by the next owner.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,13 +19,17 @@
 )
 
 const (
-	// searchTime is how long a call may look for an owner before it is answered
-	// that there is none.
-	searchTime = 1200 * time.Millisecond
+	// searchTime is how long a call may look for an owner: a take-over after a
+	// lost member takes about 1.5 s, and the call is served by the next owner then.
+	searchTime = 2200 * time.Millisecond
 	// searchPause is the time between two attempts.
 	searchPause = 60 * time.Millisecond
-	// ownerTimeout is the longest wait for an owner's answer.
-	ownerTimeout = 1500 * time.Millisecond
+	// ownerTimeout is the longest wait for an owner's answer before the owner is
+	// looked up again. A call that a slow owner still works on is repeated without
+	// harm.
+	ownerTimeout = 700 * time.Millisecond
+	// handleTimeout bounds a call of another daemon.
+	handleTimeout = 2 * time.Second
 	// ownerRetryAfter is what callers are told when there is no owner: the group
 	// finds another within about this time.
 	ownerRetryAfter = time.Second
@@ -183,7 +187,7 @@
 		if method == methodSubmit && c.Submission == nil {
 			return nil, verdict.New(verdict.NotRun, "bad_call", "no submission")
 		}
-		ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+		ctx, cancel := context.WithTimeout(ctx, handleTimeout)
 		defer cancel()
 		return e.local(ctx, tenure.PartitionOf(c.Service, e.o.Parts), method, c)
 	}
