Change a fake store's fault without a race

A race of the test's own code, traced; the product's reads and writes are under its mutex. Change: the fake holds its fault atomically; no check changed. After: three race runs of the packages concerned pass.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,17 +16,27 @@
 
 var place = partition.ID{Topic: "keyed.test"}
 
-// store answers every call, or does what fault says.
+// store answers every call, or does what its fault says.
 type store struct {
-	fault   func(ctx context.Context) error
+	// behaves holds the fault, which may change while a probe is under way.
+	behaves atomic.Pointer[func(ctx context.Context) error]
 	calls   atomic.Int32
 	appends atomic.Int32
 }
 
+// set has the store do what fault says from now on; nil ends that.
+func (s *store) set(fault func(ctx context.Context) error) {
+	if fault == nil {
+		s.behaves.Store(nil)
+		return
+	}
+	s.behaves.Store(&fault)
+}
+
 func (s *store) do(ctx context.Context) error {
 	s.calls.Add(1)
-	if s.fault != nil {
-		return s.fault(ctx)
+	if fault := s.behaves.Load(); fault != nil {
+		return (*fault)(ctx)
 	}
 	return nil
 }
@@ -96,7 +106,7 @@
 
 func TestRelay_GoesThroughAnotherDaemonWhenRefused(t *testing.T) {
 	mine, other, r := pair()
-	mine.fault = refused
+	mine.set(refused)
 	if err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -111,7 +121,7 @@
 func TestRelay_DoesNotWaitOutASilentStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mine, _, r := pair()
-		mine.fault = silent
+		mine.set(silent)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		for call, limit := range []time.Duration{500 * time.Millisecond, 10 * time.Millisecond, 10 * time.Millisecond} {
@@ -132,9 +142,9 @@
 func TestRelay_ReturnsToTheStoreOnceItAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mine, other, r := pair()
-		mine.fault = refused
+		mine.set(refused)
 		_, _ = r.Join(t.Context(), "m", 0, time.Second)
-		mine.fault = nil
+		mine.set(nil)
 		time.Sleep(2 * time.Second)
 		_, _ = r.Join(t.Context(), "m", 0, time.Second)
 		synctest.Wait()
@@ -147,9 +157,9 @@
 
 func TestRelay_FencedAppendIsNotRepeated(t *testing.T) {
 	mine, other, r := pair()
-	mine.fault = func(context.Context) error {
+	mine.set(func(context.Context) error {
 		return verdict.New(verdict.NotRun, partition.ReasonFenced, "fenced")
-	}
+	})
 	err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil)
 	if verdict.ReasonOf(err) != partition.ReasonFenced || other.appends.Load() != 0 {
 		t.Errorf("%v, %d appends through the other daemon", err, other.appends.Load())
@@ -159,7 +169,8 @@
 func TestRelay_StoreThatIsDownForAllIsAskedLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mine, other, r := pair()
-		mine.fault, other.fault = refused, refused
+		mine.set(refused)
+		other.set(refused)
 		for range 20 {
 			if err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil); verdict.Of(err) != verdict.NotRun {
 				t.Errorf("%v: want it certain that nothing was done", err)
@@ -182,21 +193,23 @@
 			time.Sleep(250 * time.Millisecond)
 		}
 		try()
-		mine.fault, other.fault = refused, refused
+		mine.set(refused)
+		other.set(refused)
 		for range 6 {
 			try()
 		}
 		if r.Cut() {
 			t.Error("cut off while others answer that the store is down")
 		}
-		mine.fault, other.fault = silent, silent
+		mine.set(silent)
+		other.set(silent)
 		for range 6 {
 			try()
 		}
 		if !r.Cut() {
 			t.Error("not cut off after seconds without any answer")
 		}
-		mine.fault = nil
+		mine.set(nil)
 		for range 2 {
 			try()
 		}
@@ -209,11 +222,12 @@
 func TestRelay_AsksNoOtherAboutAStoreThatIsMerelySlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mine, other, r := pair()
-		mine.fault = func(context.Context) error {
+		slow := func(context.Context) error {
 			time.Sleep(700 * time.Millisecond)
 			return nil
 		}
-		other.fault = mine.fault
+		mine.set(slow)
+		other.set(slow)
 		for range 10 {
 			if err := r.Append(t.Context(), place, partition.Fence{Epoch: 1}, nil); err != nil {
 				t.Fatal(err)
