Drop a rejoin and a generation that nothing used

Cause: read-through. Member.Rejoin was called by nobody and its channel made Run wait by hand beside duty.Sleep; EngineOptions.Generation was never set, so that the epoch has always been the one after the record's. Change: both are gone, Run sleeps by duty.Sleep; the daemon tests' submission, in the platform's words, stands in platform/standin. No behaviour, bound or check changes.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -134,7 +134,7 @@
 
 const (
 	id   = "00000000000000a1"
-	work = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimated_ms":30},{"count":2,"cpu":1000,"mem_mb":100,"depends_on":[0],"gang_scheduled":true}]}`
+	work = standin.GangAfterStep
 )
 
 func (s *site) completed(address string) bool {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -57,12 +57,10 @@
 	Log       partition.Log
 	Partition partition.ID
 	// Daemon names this daemon in the claim.
-	Daemon string
-	// Generation is the group's when it gave the partition to this daemon.
-	Generation uint64
-	Bounds     Bounds
-	Servers    Servers
-	Advisors   Advisors
+	Daemon   string
+	Bounds   Bounds
+	Servers  Servers
+	Advisors Advisors
 	// Config returns the configuration in force, which may be nil.
 	Config func() *routing.Configuration
 	// Sure reports whether no other daemon can own the partition.
@@ -127,7 +125,7 @@
 	if err != nil {
 		return errors.Wrap(err, "read partition")
 	}
-	epoch := max(e.o.Generation, LastTenure(records).Epoch+1)
+	epoch := LastTenure(records).Epoch + 1
 	claim := ClaimRecord(workload.Tenure{Epoch: epoch, Daemon: e.o.Daemon})
 	written := func(ticket uint64) { e.push(storedEvent{ticket}) }
 	e.writer, err = partition.Open(ctx, e.o.Log, e.o.Partition, epoch, end, claim, e.o.Now, written)
--- a/partition/member.go
+++ b/partition/member.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/currantwinch/currantwinch/duty"
 )
 
 const (
@@ -36,7 +38,6 @@
 	health func(error)
 	// changed is called after what this member holds may have changed.
 	changed func()
-	refresh chan struct{}
 
 	mu         sync.Mutex
 	generation uint64
@@ -56,7 +57,7 @@
 func NewMember(group Group, name string, platformTTL time.Duration, now func() time.Time, health func(error), changed func()) *Member {
 	return &Member{
 		group: group, name: name, least: max(minTTL, platformTTL), now: now, health: health, changed: changed,
-		refresh: make(chan struct{}, 1), holders: make(map[ID]string),
+		holders: make(map[ID]string),
 	}
 }
 
@@ -64,14 +65,8 @@
 func (m *Member) Run(ctx context.Context) error {
 	for {
 		m.join(ctx)
-		timer := time.NewTimer(m.least / joinsPerTTL)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !duty.Sleep(ctx, m.least/joinsPerTTL) {
 			return nil
-		case <-m.refresh:
-			timer.Stop()
-		case <-timer.C:
 		}
 	}
 }
@@ -192,14 +187,6 @@
 	}
 }
 
-// Rejoin makes the next join come at once.
-func (m *Member) Rejoin() {
-	select {
-	case m.refresh <- struct{}{}:
-	default:
-	}
-}
-
 // Leave gives up this member's partitions at once.
 func (m *Member) Leave(ctx context.Context) error {
 	m.mu.Lock()
