Ask other daemons for a sign of life while the store is silent

Cause: while the store is silent for everybody, no relayed call is answered either, so after 1.2 s each daemon took itself for cut off: it said 'not ready', refused reads with 503 and submissions with 504 at once, although the owner was alive and reachable.

Ruled out: the owner (it answered what reached it) and the limits of the store.

Change: a duty asks three other daemons for a sign of life whenever nobody has answered for 400 ms. Only a daemon that reaches neither the store nor any other daemon is cut off.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -152,6 +152,7 @@
 	h.duties.Go("configuration", 0, h.watchConfiguration)
 	h.duties.Go("membership", 0, func(ctx context.Context, _ duty.Turn) error { return h.member.Run(ctx) })
 	h.duties.Go("tenures", 0, h.tenures.Run)
+	h.duties.Go("contact", 0, h.store.WatchContact)
 	return nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,10 @@
 	probedAt  time.Time
 	downUntil time.Time
 	next      int
+
+	// asked counts the daemons that WatchContact has asked, which only its
+	// goroutine reads.
+	asked int
 }
 
 // New returns a Relay, whose methods it registers with the peers. Daemons lists
@@ -176,9 +180,7 @@
 	if !settled(err) && verdict.ReasonOf(err) != partition.ReasonRefused {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.heard = r.now()
+	r.hear()
 }
 
 // learn takes in how long the store took itself. An answer, however late, ends
@@ -203,7 +205,7 @@
 }
 
 // Cut reports whether neither the store nor another daemon answers this one.
-// While only the store is away the others do.
+// While only the store is away the others do, which WatchContact finds out.
 func (r *Relay) Cut() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
