Cut services into shards with owners of their own

Cause: one service was one partition with one owner.

Ruled out: the store (appends took 40 ms), memory (83 MB), the pacing of rounds alone (the round itself is the cost).

Change: package shard. A service's servers are dealt to shards by rack and its submissions by ID; the layout is a record in a keyed topic, decided once by the owner of the first shard when the servers have settled, appended at a known offset, and only ever extended by new racks. Each owner now looks at its own servers only, which also ends that owners of two services fence each other. Entries of several servers share one read (200 ms).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/internal/tenure"
 	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/shard"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
 	"github.com/pkg/errors"
@@ -43,17 +44,26 @@
 	methodPending = "submission.pending"
 )
 
-// ReasonNoOwner means that no daemon owns the partition now.
-const ReasonNoOwner verdict.Reason = "no_owner"
+const (
+	// ReasonNoOwner means that no daemon owns the partition now.
+	ReasonNoOwner verdict.Reason = "no_owner"
+	// ReasonNoLayout means that this daemon does not know yet how the service is
+	// cut into shards.
+	ReasonNoLayout verdict.Reason = "no_layout"
+)
 
 // call is a call between daemons.
 type call struct {
-	Service    string               `json:"service"`
+	Service string `json:"service"`
+	// Part is the partition of the shard that is called.
+	Part       int                  `json:"part"`
 	ID         string               `json:"id,omitempty"`
 	Queue      string               `json:"queue,omitempty"`
 	Submission *workload.Submission `json:"submission,omitempty"`
 }
 
+func (c call) partition() partition.ID { return partition.ID{Topic: tenure.Topic, Part: c.Part} }
+
 // Options is what an Entry is built from.
 type Options struct {
 	Member  *partition.Member
@@ -61,6 +71,8 @@
 	Peers   roles.Peers
 	Parts   int
 	Now     func() time.Time
+	// Layout returns how a service is cut into shards, if that is known.
+	Layout func(service string) (shard.Layout, bool)
 	// Cut reports whether this daemon reaches nobody.
 	Cut func() bool
 }
@@ -86,7 +98,7 @@
 // Submit accepts a submission, or says that it may have been accepted: only the
 // owner knows that no attempt through another daemon was.
 func (e *Entry) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
-	r, err := e.pass(ctx, methodSubmit, call{Service: sub.Service, Submission: sub})
+	r, err := e.pass(ctx, methodSubmit, call{Service: sub.Service, ID: sub.ID, Submission: sub})
 	if err == nil {
 		return r, nil
 	}
@@ -106,13 +118,51 @@
 
 // Pending returns how many of a queue's submissions have not started.
 func (e *Entry) Pending(ctx context.Context, service, queue string) (scheduler.Reply, error) {
-	return e.pass(ctx, methodPending, call{Service: service, Queue: queue})
+	layout, ok := e.o.Layout(service)
+	if !ok {
+		return scheduler.Reply{}, noLayout(service)
+	}
+	type part struct {
+		reply scheduler.Reply
+		err   error
+	}
+	parts := make(chan part, layout.Shards)
+	for number := range layout.Shards {
+		go func() {
+			c := call{Service: service, Queue: queue, Part: shard.Part(service, number, e.o.Parts)}
+			r, err := e.toOwner(ctx, methodPending, c)
+			parts <- part{r, err}
+		}()
+	}
+	var sum scheduler.Reply
+	for range layout.Shards {
+		p := <-parts
+		if p.err != nil {
+			return scheduler.Reply{}, p.err
+		}
+		sum.Pending += p.reply.Pending
+	}
+	return sum, nil
 }
 
-// pass gives a call to the owner. All calls are idempotent, so that one without
-// an answer is repeated at the next owner.
+func noLayout(service string) error {
+	return verdict.New(verdict.NotRun, ReasonNoLayout, "no layout of service %q yet", service).WithRetryAfter(ownerRetryAfter)
+}
+
+// pass gives a call about one submission to the owner of its shard.
 func (e *Entry) pass(ctx context.Context, method string, c call) (scheduler.Reply, error) {
-	if _, here := e.o.Tenures.Engine(tenure.PartitionOf(c.Service, e.o.Parts)); !here && e.o.Cut() {
+	layout, ok := e.o.Layout(c.Service)
+	if !ok {
+		return scheduler.Reply{}, noLayout(c.Service)
+	}
+	c.Part = shard.Part(c.Service, layout.OfSubmission(c.ID), e.o.Parts)
+	return e.toOwner(ctx, method, c)
+}
+
+// toOwner gives a call to the owner of its partition. All calls are idempotent, so that one without
+// an answer is repeated at the next owner.
+func (e *Entry) toOwner(ctx context.Context, method string, c call) (scheduler.Reply, error) {
+	if _, here := e.o.Tenures.Engine(c.partition()); !here && e.o.Cut() {
 		return scheduler.Reply{}, verdict.New(verdict.NotRun, ReasonNoOwner, "no other daemon answers").WithRetryAfter(ownerRetryAfter)
 	}
 	began := e.o.Now()
@@ -144,7 +194,7 @@
 }
 
 func (e *Entry) attempt(ctx context.Context, method string, c call) (scheduler.Reply, error) {
-	id := tenure.PartitionOf(c.Service, e.o.Parts)
+	id := c.partition()
 	if _, ok := e.o.Tenures.Engine(id); ok {
 		return e.local(ctx, id, method, c)
 	}
@@ -189,6 +239,6 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, handleTimeout)
 		defer cancel()
-		return e.local(ctx, tenure.PartitionOf(c.Service, e.o.Parts), method, c)
+		return e.local(ctx, c.partition(), method, c)
 	}
 }
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -177,6 +177,17 @@
 		Fields:  []string{"call", "id", "queue", "status", "reason", "took"},
 		Meaning: "A caller was answered with an error; took is in milliseconds.",
 	}
+	LayoutTaken = Event{
+		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
+		Fields:  []string{"service", "shards", "racks"},
+		Meaning: "How a service is cut into shards, and how many racks have a shard, is known to this daemon.",
+	}
+	LayoutUnreadable = Event{
+		Number: 6043, Level: slog.LevelWarn, Name: "layout_unreadable",
+		Fields:  []string{"service", "error"},
+		Meaning: "A record of a service's shards could not be read or contradicts the one in force; it was passed over.",
+		Action:  "Report it; racks that are new may go unused.",
+	}
 	SettingsReloaded = Event{
 		Number: 6041, Level: slog.LevelInfo, Name: "settings_reloaded",
 		Fields:  []string{"file", "error"},
@@ -190,5 +201,5 @@
 	TaskPlaced, OrderFailed, RunEnded, RunLost, RunUnknown, RunAdopted, GangBroken, AdviceTaken, AdviceFailed,
 	ServerListed, ServerUnlisted, ServerDraining, ServerSilent, ServerHeard, ServerReborn, ServerForgotten, ServerRests,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRegained,
-	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded,
+	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded, LayoutTaken, LayoutUnreadable,
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -25,6 +25,7 @@
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/platform"
 	"github.com/currantwinch/currantwinch/routing"
+	"github.com/currantwinch/currantwinch/shard"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
@@ -64,6 +65,7 @@
 	config  atomic.Pointer[routing.Configuration]
 	store   *relay.Relay
 	servers *platform.Servers
+	shards  *shard.Keeper
 	health  *storeHealth
 	metrics *scheduler.Metrics
 
@@ -75,6 +77,8 @@
 
 	callers, ready *http.Server
 	stopping       atomic.Bool
+	// started says that the daemon knew all that it needs to serve.
+	started atomic.Bool
 }
 
 // New returns a Host that serves nothing before Start.
@@ -88,7 +92,7 @@
 	h.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(o.Settings),
-		fx.Provide(platform.NewHTTPClient, h.newStore, h.newPeers, h.newMember, h.newTenures, h.newEntry, h.newAdvisors),
+		fx.Provide(platform.NewHTTPClient, h.newStore, h.newPeers, h.newShards, h.newMember, h.newTenures, h.newEntry, h.newAdvisors),
 		fx.Invoke(h.assemble),
 		fx.Invoke(h.lifecycle),
 	)
@@ -116,26 +120,41 @@
 	}), nil
 }
 
+func (h *Host) newShards(store *relay.Relay, s platform.Settings) *shard.Keeper {
+	return shard.NewKeeper(shard.Options{
+		Log: store, Most: s.StoreParts, Now: time.Now, Taken: h.layoutTaken, Health: h.health.report("shards"),
+		Unreadable: func(service string, err error) {
+			h.o.Events.Log(events.LayoutUnreadable, "service", service, "error", err.Error())
+		},
+	})
+}
+
+func (h *Host) layoutTaken(service string, l shard.Layout) {
+	h.o.Events.Log(events.LayoutTaken, "service", service, "shards", l.Shards, "racks", len(l.Racks))
+	h.tenures.Wake()
+}
+
 func (h *Host) newMember(store *relay.Relay, s platform.Settings) *partition.Member {
 	name := h.base.Self.Name + "/" + h.base.Self.Incarnation
 	return partition.NewMember(store, name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() })
 }
 
-func (h *Host) newTenures(member *partition.Member, s platform.Settings) *tenure.Tenures {
+func (h *Host) newTenures(member *partition.Member, shards *shard.Keeper, s platform.Settings) *tenure.Tenures {
 	return tenure.New(tenure.Options{
-		Member: member, Parts: s.StoreParts, Config: h.config.Load, New: h.newEngine, Events: h.o.Events,
+		Member: member, Parts: s.StoreParts, Config: h.config.Load, Layout: shards.Layout, New: h.newEngine, Events: h.o.Events,
 	})
 }
 
-func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, s platform.Settings) *entry.Entry {
-	return entry.New(entry.Options{Member: member, Cut: store.Cut, Tenures: tenures, Peers: peers, Parts: s.StoreParts, Now: time.Now})
+func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, shards *shard.Keeper, s platform.Settings) *entry.Entry {
+	return entry.New(entry.Options{Member: member, Cut: store.Cut, Layout: shards.Layout, Tenures: tenures, Peers: peers, Parts: s.StoreParts, Now: time.Now})
 }
 
 func (h *Host) newAdvisors(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.Advisors {
 	return entry.NewAdvisors(h.base.Self.Name, platform.NewAdvice(client, s.Advice), member, peers)
 }
 
-func (h *Host) assemble(client *http.Client, store *relay.Relay, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, e *entry.Entry, a *entry.Advisors) {
+func (h *Host) assemble(client *http.Client, store *relay.Relay, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, shards *shard.Keeper, e *entry.Entry, a *entry.Advisors) {
+	h.shards = shards
 	h.store, h.member, h.tenures, h.peers, h.entry, h.advisors = store, member, tenures, peers, e, a
 	h.servers = platform.NewServers(client)
 	store.Through(a.Others)
@@ -151,6 +170,7 @@
 func (h *Host) startDuties(context.Context) error {
 	h.duties.Go("configuration", 0, h.watchConfiguration)
 	h.duties.Go("membership", 0, func(ctx context.Context, _ duty.Turn) error { return h.member.Run(ctx) })
+	h.duties.Go("shards", 0, func(ctx context.Context, _ duty.Turn) error { return h.shards.Run(ctx) })
 	h.duties.Go("tenures", 0, h.tenures.Run)
 	h.duties.Go("contact", 0, h.store.WatchContact)
 	return nil
@@ -164,7 +184,10 @@
 		Bounds: scheduler.Bounds{
 			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept,
 		},
-		Servers: h.servers, Advisors: h.advisors, Config: h.config.Load, Sure: h.member.Sure, Watch: h.watchServers,
+		Servers: h.servers, Advisors: h.advisors, Config: h.config.Load, Sure: h.member.Sure,
+		Watch: func(ctx context.Context, whole func([]scheduler.ServerInfo)) error {
+			return h.watchServers(ctx, id, whole)
+		},
 		Events: h.o.Events, Metrics: h.metrics, Now: time.Now, Wall: wall,
 	})
 }
@@ -200,13 +223,33 @@
 }
 
 func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if h.config.Load() == nil || h.stopping.Load() || h.store.Cut() {
+	if !h.layoutsKnown() || h.stopping.Load() || h.store.Cut() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// layoutsKnown reports whether the configuration was read, and the layouts of all
+// its services were known once. A service that is added later does not turn
+// callers of the others away.
+func (h *Host) layoutsKnown() bool {
+	config := h.config.Load()
+	if config == nil {
+		return false
+	}
+	if h.started.Load() {
+		return true
+	}
+	for _, service := range config.ServiceNames() {
+		if _, ok := h.shards.Layout(service); !ok {
+			return false
+		}
+	}
+	h.started.Store(true)
+	return true
+}
+
 func (h *Host) answerMetrics(w http.ResponseWriter, _ *http.Request) {
 	h.base.Metrics.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -9,7 +9,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/events"
-	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/platform"
 )
@@ -47,54 +46,6 @@
 	return records[len(records)-1].Offset
 }
 
-// watchServers follows the platform's list of backend servers.
-func (h *Host) watchServers(ctx context.Context, whole func([]scheduler.ServerInfo)) error {
-	list := &serverList{entries: make(map[string]scheduler.ServerInfo), events: h.o.Events}
-	w := &partition.Watcher{
-		Log: h.store, ID: platform.ServerRecords, Health: h.health.report("servers"),
-		Whole: func(records []partition.Record) {
-			clear(list.entries)
-			list.take(records)
-			whole(list.all())
-		},
-		Changed: func(records []partition.Record) {
-			list.take(records)
-			whole(list.all())
-		},
-	}
-	return w.Run(ctx)
-}
-
-// serverList is the platform's list as last read.
-type serverList struct {
-	entries map[string]scheduler.ServerInfo
-	events  *events.Logger
-}
-
-func (l *serverList) take(records []partition.Record) {
-	for _, r := range records {
-		if r.Value == nil {
-			delete(l.entries, r.Key)
-			continue
-		}
-		info, err := platform.DecodeServer(r)
-		if err != nil {
-			delete(l.entries, r.Key)
-			l.events.Log(events.EntryUnreadable, "server", r.Key, "error", err.Error())
-			continue
-		}
-		l.entries[r.Key] = info
-	}
-}
-
-func (l *serverList) all() []scheduler.ServerInfo {
-	out := make([]scheduler.ServerInfo, 0, len(l.entries))
-	for _, info := range l.entries {
-		out = append(out, info)
-	}
-	return out
-}
-
 // storeHealth logs when calls to the store begin to fail and when they succeed
 // again.
 type storeHealth struct {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -337,7 +337,7 @@
 func (p *pass) oneRack(st *step, servers []*server, need int) []*server {
 	racks := make(map[string][]*server)
 	for _, s := range servers {
-		racks[s.rack()] = append(racks[s.rack()], s)
+		racks[s.info.Rack()] = append(racks[s.info.Rack()], s)
 	}
 	names := make([]string, 0, len(racks))
 	for name := range racks {
--- a/internal/scheduler/ports.go
+++ b/internal/scheduler/ports.go
@@ -50,6 +50,14 @@
 	Born int64
 }
 
+// Rack returns the server's rack, by the convention that it is the last label.
+func (i ServerInfo) Rack() string {
+	if len(i.Labels) == 0 {
+		return ""
+	}
+	return i.Labels[len(i.Labels)-1]
+}
+
 // Life names one life of a backend server.
 type Life struct {
 	ID      string
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -99,14 +99,6 @@
 	return false
 }
 
-// rack returns the server's rack, by the convention that it is the last label.
-func (s *server) rack() string {
-	if len(s.info.Labels) == 0 {
-		return ""
-	}
-	return s.info.Labels[len(s.info.Labels)-1]
-}
-
 // attemptState is how far a run has come.
 type attemptState uint8
 
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/routing"
+	"github.com/currantwinch/currantwinch/shard"
 )
 
 // Topic holds the submissions of all services.
@@ -27,11 +27,9 @@
 	stopTimeout = time.Second
 )
 
-// PartitionOf returns the partition of a service's submissions.
-func PartitionOf(service string, parts int) partition.ID {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(service))
-	return partition.ID{Topic: Topic, Part: int(h.Sum32() % uint32(max(parts, 1)))}
+// PartitionOf returns the partition of a shard's submissions.
+func PartitionOf(service string, number, parts int) partition.ID {
+	return partition.ID{Topic: Topic, Part: shard.Part(service, number, parts)}
 }
 
 // Options is what Tenures are built from.
@@ -40,6 +38,8 @@
 	// Parts is the number of partitions.
 	Parts  int
 	Config func() *routing.Configuration
+	// Layout returns how a service is cut into shards, if that is known.
+	Layout func(service string) (shard.Layout, bool)
 	// New returns a scheduler for a partition.
 	New    func(id partition.ID) *scheduler.Engine
 	Events *events.Logger
@@ -136,11 +136,12 @@
 	if config == nil {
 		return ids
 	}
-	for i := range config.Queues {
-		ids[PartitionOf(config.Queues[i].Service, t.o.Parts)] = true
-	}
-	for name := range config.Services {
-		ids[PartitionOf(name, t.o.Parts)] = true
+	for _, service := range config.ServiceNames() {
+		// The owner of the first shard decides the layout.
+		layout, _ := t.o.Layout(service)
+		for number := range max(layout.Shards, 1) {
+			ids[PartitionOf(service, number, t.o.Parts)] = true
+		}
 	}
 	return ids
 }
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -40,7 +40,7 @@
 	Offset uint64
 }
 
-// Fence guards an append.
+// Fence guards an append. Without a producer only the offset guards it.
 type Fence struct {
 	Producer string
 	// Epoch rises with each owner.
--- a/partition/watch.go
+++ b/partition/watch.go
@@ -1,6 +1,7 @@
 package partition
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -27,6 +28,11 @@
 	// Changed is told further records in order; one without a value drops its
 	// key.
 	Changed func([]Record)
+	// Wait is how long one read waits for a record; 0 means watchWait.
+	Wait time.Duration
+	// Pause is the time between reads while records come, so that several share
+	// one call.
+	Pause time.Duration
 	// Health, if set, is told the outcome of every call.
 	Health func(error)
 }
@@ -59,15 +65,17 @@
 
 // read reads on until the records at next are no longer kept.
 func (w *Watcher) read(ctx context.Context, next uint64) (uint64, error) {
+	wait := cmp.Or(w.Wait, watchWait)
 	for {
-		call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-		batch, err := w.Log.Read(call, w.ID, next, watchWait)
+		call, cancel := context.WithTimeout(ctx, wait+watchSlack)
+		batch, err := w.Log.Read(call, w.ID, next, wait)
 		cancel()
 		w.report(err)
 		switch {
 		case err == nil:
 			if len(batch.Records) > 0 {
 				w.Changed(batch.Records)
+				duty.Sleep(ctx, w.Pause)
 			}
 			return batch.Next, nil
 		case verdict.ReasonOf(err) == ReasonTruncated:
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -91,3 +92,19 @@
 	}
 	return nil, false
 }
+
+// ServiceNames lists the services that the configuration names, sorted.
+func (c *Configuration) ServiceNames() []string {
+	if c == nil {
+		return nil
+	}
+	names := make([]string, 0, len(c.Services))
+	for name := range c.Services {
+		names = append(names, name)
+	}
+	for i := range c.Queues {
+		names = append(names, c.Queues[i].Service)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
--- /dev/null
+++ b/shard/keeper_test.go
@@ -0,0 +1,152 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// fakeLog is one partition whose appends are guarded by offset.
+type fakeLog struct {
+	mu      sync.Mutex
+	records []partition.Record
+	// lose has appends take effect and not be answered.
+	lose bool
+}
+
+func (f *fakeLog) Append(_ context.Context, _ partition.ID, fence partition.Fence, records []partition.Record) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if fence.At != nil && *fence.At != uint64(len(f.records)) {
+		return verdict.New(verdict.NotRun, partition.ReasonMoved, "moved")
+	}
+	for _, r := range records {
+		r.Offset = uint64(len(f.records))
+		f.records = append(f.records, r)
+	}
+	if f.lose {
+		return verdict.New(verdict.MayHaveRun, partition.ReasonNoAnswer, "lost")
+	}
+	return nil
+}
+
+func (f *fakeLog) Newest(context.Context, partition.ID, string) (partition.Page, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return partition.Page{Records: f.records, End: uint64(len(f.records))}, nil
+}
+
+func (f *fakeLog) Read(ctx context.Context, _ partition.ID, from uint64, wait time.Duration) (partition.Batch, error) {
+	select {
+	case <-ctx.Done():
+		return partition.Batch{}, ctx.Err()
+	case <-time.After(min(wait, 100*time.Millisecond)):
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return partition.Batch{Records: f.records[from:], Next: uint64(len(f.records))}, nil
+}
+
+// start returns a Keeper that follows the log until the test ends.
+func start(t *testing.T, log partition.Log) *Keeper {
+	k := NewKeeper(Options{
+		Log: log, Most: 12, Now: time.Now, Taken: func(string, Layout) {}, Health: func(error) {},
+		Unreadable: func(service string, err error) { t.Logf("%s: %v", service, err) },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = k.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(200 * time.Millisecond)
+	return k
+}
+
+// offer offers racks every half second for a time.
+func offer(t *testing.T, k *Keeper, racks map[string]int, for_ time.Duration) {
+	for end := time.Now().Add(for_); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		if err := k.Offer(t.Context(), "pool", racks); err != nil {
+			t.Logf("offer: %v", err)
+		}
+	}
+}
+
+func TestKeeper_DecidesOnceServersHaveSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := start(t, &fakeLog{})
+		for n := range 4 {
+			offer(t, k, racksOf(2, 10*(n+1)), time.Second)
+			if l, ok := k.Layout("pool"); ok {
+				t.Fatalf("decided on %d shards while servers still register", l.Shards)
+			}
+		}
+		offer(t, k, racksOf(18, 20), 3*time.Second)
+		if l, ok := k.Layout("pool"); !ok || l.Shards != 6 {
+			t.Errorf("%+v, want 6 shards", l)
+		}
+	})
+}
+
+func TestKeeper_CutsAServiceWithoutServersOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := start(t, &fakeLog{})
+		offer(t, k, nil, 4*time.Second)
+		if _, ok := k.Layout("pool"); ok {
+			t.Fatal("decided at once that there are no servers")
+		}
+		offer(t, k, nil, 4*time.Second)
+		if l, ok := k.Layout("pool"); !ok || l.Shards != 1 {
+			t.Errorf("%+v, want one shard", l)
+		}
+	})
+}
+
+func TestKeeper_TwoOwnersAgree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{lose: true}
+		first, second := start(t, log), start(t, log)
+		offer(t, first, racksOf(18, 20), 2*time.Second)
+		offer(t, second, racksOf(6, 8), 2*time.Second)
+		for range 3 {
+			offer(t, first, racksOf(18, 20), time.Second)
+			offer(t, second, racksOf(19, 8), time.Second)
+		}
+		a, _ := first.Layout("pool")
+		b, _ := second.Layout("pool")
+		if a.Shards != 6 || b.Shards != 6 || len(a.Racks) != 19 || !a.continues(b) || !b.continues(a) {
+			t.Errorf("%+v and %+v, want the same 6 shards of 19 racks", a, b)
+		}
+	})
+}
+
+func TestKeeper_PassesOverWhatContradicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &fakeLog{}
+		k := start(t, log)
+		offer(t, k, racksOf(18, 20), 3*time.Second)
+		for _, l := range []Layout{{Shards: 2}, {Shards: 0}, {Shards: 6, Racks: map[string]int{"r0": 9}}} {
+			value, err := workload.Encode(l)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := log.Append(t.Context(), Records, partition.Fence{}, []partition.Record{{Key: "pool", Value: value}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_ = log.Append(t.Context(), Records, partition.Fence{}, []partition.Record{{Key: "pool", Value: []byte("{")}})
+		time.Sleep(time.Second)
+		if l, _ := k.Layout("pool"); l.Shards != 6 || len(l.Racks) != 18 {
+			t.Errorf("%+v, want what was decided", l)
+		}
+		// New racks are still taken in after it.
+		offer(t, k, racksOf(20, 20), time.Second)
+		if l, _ := k.Layout("pool"); len(l.Racks) != 20 {
+			t.Errorf("%d racks, want 20", len(l.Racks))
+		}
+	})
+}
--- /dev/null
+++ b/shard/layout_test.go
@@ -0,0 +1,78 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+)
+
+func racksOf(racks, servers int) map[string]int {
+	out := make(map[string]int, racks)
+	for i := range racks {
+		out[fmt.Sprintf("r%d", i)] = servers
+	}
+	return out
+}
+
+func TestDecide_ShardsBySize(t *testing.T) {
+	tests := []struct {
+		name                 string
+		racks, servers, most int
+		want                 int
+	}{
+		{"no servers yet", 0, 0, 12, 1},
+		{"one rack holds all", 1, 400, 12, 1},
+		{"small", 6, 8, 12, 1},
+		{"just above one shard", 9, 8, 12, 2},
+		{"large", 18, 20, 12, 6},
+		{"no more than there are partitions", 140, 20, 12, 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			racks := racksOf(tt.racks, tt.servers)
+			l := Decide(racks, tt.most)
+			if l.Shards != tt.want {
+				t.Fatalf("%d shards, want %d", l.Shards, tt.want)
+			}
+			load := make([]int, l.Shards)
+			for rack, n := range racks {
+				s, ok := l.OfRack(rack)
+				if !ok {
+					t.Fatalf("rack %s has no shard", rack)
+				}
+				load[s] += n
+			}
+			for s, n := range load {
+				if mean := tt.racks * tt.servers / l.Shards; n > mean+tt.servers || n < mean-tt.servers {
+					t.Errorf("shard %d has %d servers, the mean is %d", s, n, mean)
+				}
+			}
+		})
+	}
+}
+
+func TestExtend_MovesNoRack(t *testing.T) {
+	before := Decide(racksOf(18, 20), 12)
+	after, changed := before.Extend(racksOf(30, 20))
+	if !changed || !after.continues(before) || len(after.Racks) != 30 {
+		t.Errorf("%d racks after %d, changed %t", len(after.Racks), len(before.Racks), changed)
+	}
+	if _, changed := after.Extend(racksOf(12, 20)); changed {
+		t.Error("changed by racks that are known")
+	}
+	if before.continues(after) {
+		t.Error("a layout that lost racks continues the one before")
+	}
+}
+
+func TestOfSubmission_SpreadsEvenly(t *testing.T) {
+	l := Layout{Shards: 6}
+	counts := make([]int, l.Shards)
+	for i := range 6000 {
+		counts[l.OfSubmission(fmt.Sprintf("%016x", uint64(i)*0x9e3779b97f4a7c15))]++
+	}
+	for s, n := range counts {
+		if n < 850 || n > 1150 {
+			t.Errorf("shard %d got %d of 6000", s, n)
+		}
+	}
+}
