Give each scheduler its own daemons to ask through, and stop refused repeats

Six schedulers on six daemons all put their questions to the policy service through the twelve daemons that hold partitions, each knowing only of its own questions. A start that was sent twice and refused the second time was only looked for in the server's list. A late copy of the first could still begin after the task had moved. Callers were told to come back after 1 s throughout an outage of the store.

Ruled out: too little work of the policy service in all: 38 daemons suffice.

Change: the known daemons are those with partitions and those with an open connection; schedulers share them out by place; a daemon that failed to answer rests for 1 s. A refused repeat is stopped, which forbids the run, before the task moves. Retry-After is the age of the outage, 1 to 4 s. Shards have 128 servers in place of 64: a third of 58 servers cannot hold the widest gangs.

--- a/internal/entry/advice.go
+++ b/internal/entry/advice.go
@@ -21,6 +21,9 @@
 	longQuestion = 100 * time.Millisecond
 	// shortPart says that one daemon in so many takes short questions only.
 	shortPart = 4
+	// restTime is how long a daemon gets no question after it failed to answer one,
+	// if there are others: its queue at the policy service is full or it is gone.
+	restTime = time.Second
 	// questionOverhead is the time of a question beside what its terms say.
 	questionOverhead = 2 * time.Millisecond
 )
@@ -36,76 +39,134 @@
 	ValidityMS int64              `json:"validityMS"`
 }
 
+// Daemons is how other daemons are known and called.
+type Daemons interface {
+	roles.Peers
+	// Connected lists the daemons with an open connection.
+	Connected() []string
+}
+
 // Advisors spread questions to the policy service over the daemons, since it
 // answers each of them one at a time.
 type Advisors struct {
 	self   string
 	direct scheduler.Advisor
 	member *partition.Member
-	peers  roles.Peers
+	peers  Daemons
+	now    func() time.Time
 
 	mu sync.Mutex
 	// open is the time that each daemon's open questions take.
 	open map[string]time.Duration
-	next int
+	// resting holds until when daemons that failed to answer get no question.
+	resting map[string]time.Time
+	next    int
 }
 
 // NewAdvisors returns Advisors and registers their method with the peers.
-func NewAdvisors(self string, direct scheduler.Advisor, member *partition.Member, peers roles.Peers) *Advisors {
-	a := &Advisors{self: self, direct: direct, member: member, peers: peers, open: make(map[string]time.Duration)}
+func NewAdvisors(self string, direct scheduler.Advisor, member *partition.Member, peers Daemons, now func() time.Time) *Advisors {
+	a := &Advisors{
+		self: self, direct: direct, member: member, peers: peers, now: now,
+		open: make(map[string]time.Duration), resting: make(map[string]time.Time),
+	}
 	peers.Handle(methodAdvise, a.handle)
 	return a
 }
 
-func (a *Advisors) daemons() []string { return append(a.Others(), a.self) }
-
-// Others lists the other daemons that hold partitions.
+// Others lists the other daemons that are known: those that hold partitions
+// and those with a connection to this one.
 func (a *Advisors) Others() []string {
 	var names []string
 	for _, member := range a.member.Members() {
-		if daemon := DaemonOf(member); daemon != a.self {
-			names = append(names, daemon)
-		}
+		names = append(names, DaemonOf(member))
 	}
-	return names
+	names = append(names, a.peers.Connected()...)
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return name == a.self })
+}
+
+// Lane returns the part of the daemons that one of several schedulers asks
+// through. Place gives the scheduler's place among them and their number.
+// Schedulers on different daemons know nothing of each other's questions, so
+// that each keeps to its own part.
+func (a *Advisors) Lane(place func() (place, of int)) *Lane { return &Lane{a, place} }
+
+// Lane is a scheduler's part of the daemons. It implements
+// scheduler.Advisors.
+type Lane struct {
+	all   *Advisors
+	place func() (place, of int)
+}
+
+func (l *Lane) daemons() []string {
+	names := append(l.all.Others(), l.all.self)
+	slices.Sort(names)
+	place, of := l.place()
+	return laneOf(names, place, of)
+}
+
+// laneOf returns each of-th name from place on, and all names if there are too
+// few for everyone.
+func laneOf(names []string, place, of int) []string {
+	if of <= 1 || len(names) < of {
+		return names
+	}
+	var out []string
+	for i := place % of; i < len(names); i += of {
+		out = append(out, names[i])
+	}
+	return out
 }
 
 // Count returns how many daemons can ask.
-func (a *Advisors) Count() int { return len(a.daemons()) }
+func (l *Lane) Count() int { return len(l.daemons()) }
 
 // Take returns the daemon whose open questions take the least time. Questions
 // that take long stay off a part of the daemons, so that short ones need not
 // wait behind them.
-func (a *Advisors) Take(cost time.Duration) (scheduler.Advisor, func()) {
-	names := a.daemons()
-	slices.Sort(names)
+func (l *Lane) Take(cost time.Duration) (scheduler.Advisor, func(error)) {
+	return l.all.take(l.daemons(), cost)
+}
+
+func (a *Advisors) take(names []string, cost time.Duration) (scheduler.Advisor, func(error)) {
 	if cost > longQuestion && len(names) >= shortPart {
 		names = names[len(names)/shortPart:]
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.next++
-	best := ""
+	now := a.now()
+	best, bestRests := "", false
 	for i := range names {
 		name := names[(a.next+i)%len(names)]
-		if best == "" || a.open[name] < a.open[best] {
-			best = name
+		rests := now.Before(a.resting[name])
+		if best == "" || bestRests && !rests || rests == bestRests && a.open[name] < a.open[best] {
+			best, bestRests = name, rests
 		}
 	}
 	a.open[best] += cost + questionOverhead
-	done := func() {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if a.open[best] -= cost + questionOverhead; a.open[best] <= 0 {
-			delete(a.open, best)
-		}
-	}
+	done := func(err error) { a.done(best, cost, err) }
 	if best == a.self {
 		return a.direct, done
 	}
 	return remoteAdvisor{a.peers, best}, done
 }
 
+// done takes a question off a daemon, which rests if it brought no answer.
+func (a *Advisors) done(name string, cost time.Duration, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.open[name] -= cost + questionOverhead; a.open[name] <= 0 {
+		delete(a.open, name)
+	}
+	if err != nil {
+		a.resting[name] = a.now().Add(restTime)
+	} else {
+		delete(a.resting, name)
+	}
+}
+
 func (a *Advisors) handle(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	var q question
 	if err := json.Unmarshal(params, &q); err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,7 +150,7 @@
 }
 
 func (h *Host) newAdvisors(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.Advisors {
-	return entry.NewAdvisors(h.base.Self.Name, platform.NewAdvice(client, s.Advice), member, peers)
+	return entry.NewAdvisors(h.base.Self.Name, platform.NewAdvice(client, s.Advice), member, peers, time.Now)
 }
 
 func (h *Host) assemble(client *http.Client, store *relay.Relay, member *partition.Member, tenures *tenure.Tenures, peers *peer.Peers, shards *shard.Keeper, e *entry.Entry, a *entry.Advisors) {
@@ -184,7 +184,7 @@
 		Bounds: scheduler.Bounds{
 			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept,
 		},
-		Servers: h.servers, Advisors: h.advisors, Config: h.config.Load, Sure: h.member.Sure,
+		Servers: h.servers, Advisors: h.advisors.Lane(func() (int, int) { return h.tenures.Place(id) }), Config: h.config.Load, Sure: h.member.Sure,
 		Watch: func(ctx context.Context, whole func([]scheduler.ServerInfo)) error {
 			return h.watchServers(ctx, id, whole)
 		},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -214,6 +214,13 @@
 	return h(ctx, from, params)
 }
 
+// Connected lists the daemons with an open connection, in order.
+func (p *Peers) Connected() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.links))
+}
+
 // Dump returns the open connections.
 func (p *Peers) Dump() any {
 	p.mu.Lock()
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -132,7 +132,7 @@
 }
 
 // startRefused deals with a start that certainly had no effect. If it was sent
-// before without an answer, only the server's list tells whether that copy did.
+// before without an answer, that copy may have had or may have yet.
 func (c *Core) startRefused(a *attempt, reason verdict.Reason) {
 	s, t := a.server, a.task
 	switch reason {
@@ -149,12 +149,18 @@
 	default:
 		s.avoidUntil = c.now.Add(rejectPause)
 	}
-	if a.sends > 1 || reason == ReasonOldRun {
+	if reason == ReasonOldRun {
 		a.state = running
 		a.answered = c.now
 		c.look(s)
 		return
 	}
+	if a.sends > 1 {
+		// An earlier copy may still begin until a stop forbids the run.
+		c.stop(a)
+		c.look(s)
+		return
+	}
 	t.retryAt = c.now.Add(failurePause)
 	c.release(a)
 }
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -12,8 +12,11 @@
 	// storeSilence is how long writes may wait before new submissions are
 	// refused: nothing can be accepted while nothing can be stored.
 	storeSilence = 700 * time.Millisecond
-	// storeRetryAfterMS is what callers are told then, in milliseconds.
-	storeRetryAfterMS = 1000
+	// minStoreRetryAfter and maxStoreRetryAfter bound what callers are told then.
+	// Between them it is how long the store has been away: an outage that lasts
+	// tends to last on, and callers have few attempts.
+	minStoreRetryAfter = time.Second
+	maxStoreRetryAfter = 4 * time.Second
 )
 
 // Submit accepts a submission once it is stored. It may be repeated: the same
@@ -23,7 +26,7 @@
 		return Reply{}, err
 	}
 	return e.call(ctx, func(c *Core, reply func(Reply)) {
-		c.Submit(sub, e.writer.Behind() <= storeSilence, reply)
+		c.Submit(sub, e.writer.Behind(), reply)
 	})
 }
 
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -178,7 +178,7 @@
 	var got *Reply
 	reply := &Reply{}
 	h.do(func(c *Core) {
-		c.Submit(sub, true, func(r Reply) { *reply = r; got = reply })
+		c.Submit(sub, 0, func(r Reply) { *reply = r; got = reply })
 	})
 	_ = got
 	return reply
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -48,8 +48,8 @@
 	// Count returns how many there are.
 	Count() int
 	// Take returns the one that is free soonest, given how long the answer
-	// takes, and what to call once it has answered.
-	Take(cost time.Duration) (Advisor, func())
+	// takes, and what to call with the outcome.
+	Take(cost time.Duration) (Advisor, func(error))
 }
 
 // EngineOptions is what an Engine is built from.
@@ -261,7 +261,7 @@
 	advisor, done := e.o.Advisors.Take(a.Cost)
 	began := e.o.Now()
 	tickets, validity, err := advisor.Advise(ctx, a.Step.StepName(), a.Servers)
-	done()
+	done(err)
 	e.o.Metrics.advised.Update(e.o.Now().Sub(began).Seconds())
 	e.push(advisedEvent{a, tickets, validity, err})
 }
--- a/internal/scheduler/gather_test.go
+++ b/internal/scheduler/gather_test.go
@@ -93,7 +93,7 @@
 	small.sub.Queue = "later"
 	small.sub.Steps[0].Count = 40
 	small.sub.Steps[0].Need.CPU = 4000
-	h.do(func(c *Core) { c.Submit(&small.sub, true, func(Reply) {}) })
+	h.do(func(c *Core) { c.Submit(&small.sub, 0, func(Reply) {}) })
 	if n := len(h.takeStarts()); n > 14 {
 		t.Errorf("%d small tasks started, which leaves no room held for the gang", n)
 	}
--- a/internal/scheduler/starts_test.go
+++ b/internal/scheduler/starts_test.go
@@ -60,7 +60,7 @@
 		ID: id1, Queue: testQueue, Service: testService, Steps: []workload.Step{oneTask(1000)},
 		FirstRun: h.wall + 1000, Interval: time.Second, Repeat: 2, Accepted: h.wall,
 	}
-	h.do(func(c *Core) { c.Submit(sub, true, func(Reply) {}) })
+	h.do(func(c *Core) { c.Submit(sub, 0, func(Reply) {}) })
 	for _, c := range []struct {
 		after time.Duration
 		want  int
@@ -81,7 +81,7 @@
 	}{{id1, OutcomeDone}, {id2, OutcomeUnavailable}} {
 		sub := &workload.Submission{ID: c.id, Queue: testQueue, Service: testService, Steps: []workload.Step{oneTask(1000)}}
 		var got Reply
-		h.do(func(core *Core) { core.Submit(sub, false, func(r Reply) { got = r }) })
+		h.do(func(core *Core) { core.Submit(sub, time.Second, func(r Reply) { got = r }) })
 		if got.Outcome != c.want {
 			t.Errorf("%s: outcome %d, want %d", c.id, got.Outcome, c.want)
 		}
@@ -120,3 +120,56 @@
 		})
 	}
 }
+
+// A refusal of the second copy says nothing of the first, which may still begin
+// late: the run is stopped, which forbids that, before the task goes elsewhere.
+func TestCore_RefusedRepeatIsStoppedBeforeTheTaskMoves(t *testing.T) {
+	for _, reason := range []verdict.Reason{ReasonTicket, ReasonUnhealthy, ReasonNoRoom, ReasonLate} {
+		t.Run(string(reason), func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.listAll()
+			h.submit(id1, oneTask(1000))
+			start := h.takeStarts()[0]
+			h.do(func(c *Core) {
+				c.Started(start.To, start.Order, 0, verdict.New(verdict.MayHaveRun, ReasonSilent, "no answer"))
+			})
+			if n := len(h.takeStarts()); n != 1 {
+				t.Fatalf("%d starts sent again, want 1", n)
+			}
+			h.do(func(c *Core) {
+				c.Started(start.To, start.Order, h.clock(), verdict.New(verdict.NotRun, reason, "refused"))
+			})
+			if len(h.stops) != 1 || h.stops[0].Order.Run != start.Order.Run {
+				t.Fatalf("stops %+v, want that of the start", h.stops)
+			}
+			h.list(start.To.ID, Listing{})
+			h.after(time.Second)
+			if n := len(h.takeStarts()); n != 0 {
+				t.Errorf("%d starts while a late copy may begin", n)
+			}
+			h.do(func(c *Core) { c.Stopped(h.stops[0].To, h.stops[0].Order, nil) })
+			h.now = h.now.Add(time.Millisecond)
+			h.list(start.To.ID, Listing{})
+			h.after(time.Second)
+			if starts := h.takeStarts(); len(starts) != 1 || starts[0].Order.Run != 2 {
+				t.Errorf("starts %+v once the run is forbidden, want run 2", starts)
+			}
+		})
+	}
+}
+
+// The longer the log has been away, the later callers are told to come back.
+func TestCore_RetryAfterGrowsWithTheOutage(t *testing.T) {
+	h := newHarness(t, 1)
+	for _, c := range []struct {
+		behind time.Duration
+		want   int64
+	}{{800 * time.Millisecond, 1000}, {1800 * time.Millisecond, 1800}, {3 * time.Second, 3000}, {time.Minute, 4000}} {
+		sub := &workload.Submission{ID: id2, Queue: testQueue, Service: testService, Steps: []workload.Step{oneTask(1000)}}
+		var got Reply
+		h.do(func(core *Core) { core.Submit(sub, c.behind, func(r Reply) { got = r }) })
+		if got.Outcome != OutcomeUnavailable || got.RetryAfterMS != c.want {
+			t.Errorf("log away for %s: %+v, want back in %d ms", c.behind, got, c.want)
+		}
+	}
+}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -16,8 +16,8 @@
 
 // Submit accepts a submission and replies once it is stored. A submission that
 // was accepted before is accepted again without effect. A new one is turned away
-// if nothing can be stored.
-func (c *Core) Submit(sub *workload.Submission, storable bool, reply func(Reply)) {
+// if the oldest write has waited too long for the log.
+func (c *Core) Submit(sub *workload.Submission, behind time.Duration, reply func(Reply)) {
 	if _, ended := c.finals[sub.ID]; ended {
 		c.answer(reply, Reply{})
 		return
@@ -30,7 +30,7 @@
 		j.waiting = append(j.waiting, reply)
 		return
 	}
-	if r, refused := c.refuse(sub, storable); refused {
+	if r, refused := c.refuse(sub, behind); refused {
 		c.metric.refused(r.Reason)
 		c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs))
 		c.answer(reply, r)
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -146,6 +146,18 @@
 	return ids
 }
 
+// Place returns a partition's place among those that serve a service, and their
+// number.
+func (t *Tenures) Place(id partition.ID) (place, of int) {
+	ids := t.needed()
+	for other := range ids {
+		if other.Part < id.Part {
+			place++
+		}
+	}
+	return place, len(ids)
+}
+
 func (t *Tenures) start(ctx context.Context, id partition.ID) *tenure {
 	ctx, cancel := context.WithCancel(ctx)
 	running := &tenure{engine: t.o.New(id), cancel: cancel, done: make(chan struct{})}
--- a/shard/layout.go
+++ b/shard/layout.go
@@ -11,10 +11,10 @@
 	"slices"
 )
 
-// serversPerShard is how many backend servers make a service worth another
-// shard: fewer would leave too little room for the widest gangs, more would take
-// an owner on the smallest VM more time than it has.
-const serversPerShard = 64
+// serversPerShard is the most backend servers of one shard, as long as there are
+// partitions: where a policy allows a third of them, forty are left for the widest
+// gang, and an owner on a fifth of a core still gets through its rounds.
+const serversPerShard = 128
 
 // Layout says how a service is cut.
 type Layout struct {
