Wait less after a take-over, ask while storing, and relay through the nearest daemon

After a take-over inherited tasks waited 10.5 s for servers that had left before, because their records were kept until their leases lapsed, and for the platform's longest lease though owners send at most 6 s. 2. An owner that is cut off from the store reached it through any daemon, also one in another region. 3. A question to the policy service was put only once the submission was stored, and one through a daemon that is out of reach took 4 s to fail. 4. A task that failed on a server was started there again, as the fullest.

Ruled out: the claim itself (0.2 s) and the looks at living servers (0.1 s).

Change: a server that left and certainly holds nothing is forgotten at once; the claim records the longest lease that its owner sends; signs of life tell how near a daemon is and whether the store answers it; questions go out while a submission is being stored and time out by what they should take; a failed task prefers another server; a server on which three submissions in a row fail rests, longer each time. The group's estimate of the store's latency falls within a second after an outage.

--- a/internal/entry/advice.go
+++ b/internal/entry/advice.go
@@ -21,9 +21,11 @@
 	longQuestion = 100 * time.Millisecond
 	// shortPart says that one daemon in so many takes short questions only.
 	shortPart = 4
-	// restTime is how long a daemon gets no question after it failed to answer one,
+	// minRest is how long a daemon gets no question after it failed to answer one,
 	// if there are others: its queue at the policy service is full or it is gone.
-	restTime = time.Second
+	// It doubles with each further failure up to maxRest.
+	minRest = time.Second
+	maxRest = 8 * time.Second
 	// questionOverhead is the time of a question beside what its terms say.
 	questionOverhead = 2 * time.Millisecond
 )
@@ -58,16 +60,22 @@
 	mu sync.Mutex
 	// open is the time that each daemon's open questions take.
 	open map[string]time.Duration
-	// resting holds until when daemons that failed to answer get no question.
-	resting map[string]time.Time
+	// resting holds the daemons that failed to answer.
+	resting map[string]rest
 	next    int
 }
 
+// rest is a daemon's time without questions.
+type rest struct {
+	until time.Time
+	last  time.Duration
+}
+
 // NewAdvisors returns Advisors and registers their method with the peers.
 func NewAdvisors(self string, direct scheduler.Advisor, member *partition.Member, peers Daemons, now func() time.Time) *Advisors {
 	a := &Advisors{
 		self: self, direct: direct, member: member, peers: peers, now: now,
-		open: make(map[string]time.Duration), resting: make(map[string]time.Time),
+		open: make(map[string]time.Duration), resting: make(map[string]rest),
 	}
 	peers.Handle(methodAdvise, a.handle)
 	return a
@@ -122,14 +130,14 @@
 // Count returns how many daemons can ask.
 func (l *Lane) Count() int { return len(l.daemons()) }
 
-// Take returns the daemon whose open questions take the least time. Questions
-// that take long stay off a part of the daemons, so that short ones need not
-// wait behind them.
-func (l *Lane) Take(cost time.Duration) (scheduler.Advisor, func(error)) {
+// Take returns the daemon whose open questions take the least time, and when its
+// answer is expected. Questions that take long stay off a part of the daemons,
+// so that short ones need not wait behind them.
+func (l *Lane) Take(cost time.Duration) (scheduler.Advisor, time.Duration, func(error)) {
 	return l.all.take(l.daemons(), cost)
 }
 
-func (a *Advisors) take(names []string, cost time.Duration) (scheduler.Advisor, func(error)) {
+func (a *Advisors) take(names []string, cost time.Duration) (scheduler.Advisor, time.Duration, func(error)) {
 	if cost > longQuestion && len(names) >= shortPart {
 		names = names[len(names)/shortPart:]
 	}
@@ -140,17 +148,18 @@
 	best, bestRests := "", false
 	for i := range names {
 		name := names[(a.next+i)%len(names)]
-		rests := now.Before(a.resting[name])
+		rests := now.Before(a.resting[name].until)
 		if best == "" || bestRests && !rests || rests == bestRests && a.open[name] < a.open[best] {
 			best, bestRests = name, rests
 		}
 	}
 	a.open[best] += cost + questionOverhead
+	wait := a.open[best]
 	done := func(err error) { a.done(best, cost, err) }
 	if best == a.self {
-		return a.direct, done
+		return a.direct, wait, done
 	}
-	return remoteAdvisor{a.peers, best}, done
+	return remoteAdvisor{a.peers, best}, wait, done
 }
 
 // done takes a question off a daemon, which rests if it brought no answer.
@@ -160,11 +169,17 @@
 	if a.open[name] -= cost + questionOverhead; a.open[name] <= 0 {
 		delete(a.open, name)
 	}
-	if err != nil {
-		a.resting[name] = a.now().Add(restTime)
-	} else {
+	if err == nil {
 		delete(a.resting, name)
+		return
+	}
+	now, r := a.now(), a.resting[name]
+	if now.Before(r.until) {
+		// Questions that were under way together failed for one reason.
+		return
 	}
+	last := min(max(2*r.last, minRest), maxRest)
+	a.resting[name] = rest{now.Add(last), last}
 }
 
 func (a *Advisors) handle(ctx context.Context, _ string, params json.RawMessage) (any, error) {
--- a/internal/entry/advice_test.go
+++ b/internal/entry/advice_test.go
@@ -46,10 +46,10 @@
 	now := time.Unix(0, 0)
 	a := &Advisors{
 		self: "d00", now: func() time.Time { return now },
-		open: make(map[string]time.Duration), resting: make(map[string]time.Time),
+		open: make(map[string]time.Duration), resting: make(map[string]rest),
 	}
 	asked := func(err error) string {
-		advisor, done := a.take(names(3), time.Millisecond)
+		advisor, _, done := a.take(names(3), time.Millisecond)
 		done(err)
 		if r, ok := advisor.(remoteAdvisor); ok {
 			return r.daemon
@@ -64,7 +64,7 @@
 	if slices.Contains(others, failed) {
 		t.Errorf("%s is asked again at once", failed)
 	}
-	now = now.Add(restTime)
+	now = now.Add(minRest)
 	others = nil
 	for range 3 {
 		others = append(others, asked(nil))
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -113,7 +113,7 @@
 	}
 	ServerRests = Event{
 		Number: 6027, Level: slog.LevelWarn, Name: "server_rests",
-		Fields:  []string{"server", "faults"},
+		Fields:  []string{"server", "faults", "rest"},
 		Meaning: "Several runs in a row failed on a backend server; it gets no tasks for a while.",
 		Action:  "Look at what failed there; if only one queue's tasks fail, at that queue.",
 	}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -102,7 +102,9 @@
 	handle(r.peers, methodLeave, func(ctx context.Context, c joinCall) (any, error) {
 		return nothing{}, r.direct.Leave(ctx, c.Member)
 	})
-	handle(r.peers, methodContact, func(context.Context, nothing) (any, error) { return nothing{}, nil })
+	handle(r.peers, methodContact, func(context.Context, nothing) (any, error) {
+		return contactAnswer{Store: !r.suspected()}, nil
+	})
 	handle(r.peers, methodShares, func(ctx context.Context, _ nothing) (any, error) {
 		return r.direct.Shares(ctx)
 	})
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
-	"github.com/currantwinch/currantwinch/verdict"
 )
 
 const (
@@ -16,23 +15,41 @@
 	// contactTimeout bounds the wait for other daemons, well above a round trip
 	// between regions. It and contactInterval fit into cutAfter.
 	contactTimeout = 500 * time.Millisecond
-	// contacts is how many daemons are asked at once, so that one that is down
-	// proves nothing.
-	contacts = 3
+	// surveyInterval is the time between two surveys while the store does not
+	// answer, below wayKept.
+	surveyInterval = 3 * time.Second
 )
 
-// WatchContact asks other daemons whether they are there while the store is
-// silent: a store that is away for all leaves them reachable, a cut does not.
+// WatchContact asks other daemons for a sign of life while the store does not
+// answer this one: a store that is away for all leaves them reachable, a cut
+// does not, and some of them may reach the store.
 func (r *Relay) WatchContact(ctx context.Context, turn duty.Turn) error {
-	for duty.Sleep(ctx, contactInterval) {
+	var surveyed time.Time
+	for r.waitSuspect(ctx) {
 		turn()
-		if r.quiet() {
-			r.contact(ctx)
+		now := r.now()
+		if r.suspected() && now.Sub(surveyed) >= surveyInterval || r.quiet() {
+			surveyed = now
+			r.survey(ctx)
 		}
 	}
 	return nil
 }
 
+// waitSuspect waits for an interval, or until the store stops answering. It
+// reports false once ctx has ended.
+func (r *Relay) waitSuspect(ctx context.Context) bool {
+	timer := time.NewTimer(contactInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-r.woken:
+	}
+	return true
+}
+
 // quiet reports whether nobody has answered for an interval.
 func (r *Relay) quiet() bool {
 	r.mu.Lock()
@@ -40,33 +57,6 @@
 	return !r.heard.IsZero() && r.now().Sub(r.heard) >= contactInterval
 }
 
-// contact asks a few daemons and returns once one has answered.
-func (r *Relay) contact(ctx context.Context) {
-	names := r.daemons()
-	if len(names) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
-	defer cancel()
-	n := min(contacts, len(names))
-	first := r.asked
-	r.asked += n
-	answered := make(chan bool, n)
-	for i := range n {
-		name := names[(first+i)%len(names)]
-		go func() {
-			err := r.peers.Call(ctx, name, methodContact, nothing{}, nil)
-			answered <- err == nil || verdict.Of(err) == verdict.Ran
-		}()
-	}
-	for range n {
-		if <-answered {
-			r.hear()
-			return
-		}
-	}
-}
-
 func (r *Relay) hear() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,17 +60,19 @@
 	suspect   bool
 	probedAt  time.Time
 	downUntil time.Time
-	next      int
+	ways      map[string]way
+	// woken tells WatchContact that the store has stopped answering.
+	woken chan struct{}
 
-	// asked counts the daemons that WatchContact has asked, which only its
-	// goroutine reads.
+	// asked counts the daemons that were asked for a sign of life. Only
+	// WatchContact's goroutine reads it.
 	asked int
 }
 
 // New returns a Relay, whose methods it registers with the peers. Daemons lists
 // the others.
 func New(direct Store, peers roles.Peers, now func() time.Time) *Relay {
-	r := &Relay{direct: direct, peers: peers, daemons: func() []string { return nil }, now: now}
+	r := &Relay{ways: make(map[string]way), woken: make(chan struct{}, 1), direct: direct, peers: peers, daemons: func() []string { return nil }, now: now}
 	r.register()
 	return r
 }
@@ -162,19 +164,32 @@
 	if len(names) == 0 || r.down() {
 		return value, nil, false
 	}
-	for range min(maxRelays, len(names)) {
+	chosen := r.choose(names)
+	for i, name := range chosen {
 		value = *new(T)
-		err = r.peers.Call(ctx, names[r.turn()%len(names)], method, params, &value)
+		attempt, cancel := share(ctx, len(chosen)-i)
+		err = r.peers.Call(attempt, name, method, params, &value)
+		cancel()
 		r.note(err)
 		if settled(err) {
 			return value, err, true
 		}
-		r.advance()
+		r.learnWay(name, way{rank: rankFailed})
 	}
 	r.markDown()
 	return value, err, true
 }
 
+// share returns a context with an equal part of the time that is left for so many
+// attempts, so that a daemon that is silent leaves some for the next.
+func share(ctx context.Context, attempts int) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/time.Duration(attempts))
+}
+
 // note takes in whether a call was answered by anybody, if only with a refusal.
 func (r *Relay) note(err error) {
 	if !settled(err) && verdict.ReasonOf(err) != partition.ReasonRefused {
@@ -221,6 +236,12 @@
 func (r *Relay) suspectNow() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.suspect {
+		select {
+		case r.woken <- struct{}{}:
+		default:
+		}
+	}
 	r.suspect = true
 	r.probedAt = r.now()
 }
@@ -256,15 +277,3 @@
 	defer r.mu.Unlock()
 	r.downUntil = r.now().Add(downTime)
 }
-
-func (r *Relay) turn() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.next
-}
-
-func (r *Relay) advance() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.next++
-}
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -299,7 +299,7 @@
 
 func (c *Core) taskDone(s *server, t *task) {
 	step := t.step
-	s.faults = 0
+	s.succeeded()
 	if step.spec.LongRunning {
 		c.touch(step.job())
 		c.enqueue(step)
@@ -325,7 +325,11 @@
 }
 
 func (c *Core) taskFailed(s *server, t *task, run int) {
-	s.faults++
+	s.failed(t.step.job().sub.ID)
+	if t.failedOn == nil {
+		t.failedOn = make(map[string]bool)
+	}
+	t.failedOn[s.info.ID] = true
 	step := t.step
 	counted := t
 	if step.spec.Gang {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -40,6 +40,9 @@
 	now  time.Time
 	wall int64
 
+	// longest is the longest lease that this or an earlier owner may have sent.
+	longest time.Duration
+
 	servers map[string]*server
 	jobs    map[string]*job
 	finals  map[string]workload.Final
@@ -86,10 +89,19 @@
 		servers: make(map[string]*server), jobs: make(map[string]*job), finals: make(map[string]workload.Final),
 		noting: make(map[*server]uint64), learned: make(map[string]*allowance), runs: make(map[string]*runTimes), askers: 1,
 	}
+	c.longest = max(bounds.lease(), earlierLease(records, bounds))
 	c.load(records)
 	return c
 }
 
+// earlierLease returns the longest lease that an earlier owner may have sent.
+func earlierLease(records []partition.Record, bounds Bounds) time.Duration {
+	if ms := LastTenure(records).LeaseMS; ms > 0 {
+		return msDuration(ms)
+	}
+	return bounds.MaxLease
+}
+
 // Begin sets the time of the next event.
 func (c *Core) Begin(now time.Time, wall int64) { c.now, c.wall = now, wall }
 
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -416,3 +416,132 @@
 		t.Fatalf("starts %+v, want run 2 after the server began anew", starts)
 	}
 }
+
+// The next owner waits for the leases that were sent, not for those that might
+// have been.
+func TestCore_InheritedTaskWaitsForTheLeaseOfTheLastOwner(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	h.taken(start)
+	claim := ClaimRecord(workload.Tenure{Epoch: 1, Daemon: "d", LeaseMS: 4000})
+	h.log[claim.Key] = claim
+	h.bounds.MaxLease = 10 * time.Second
+	h.takeOver()
+	for _, s := range h.servers {
+		if s.ID != start.To.ID {
+			h.list(s.ID, Listing{})
+		}
+	}
+	h.after(5900 * time.Millisecond)
+	if n := len(h.takeStarts()); n != 0 {
+		t.Fatalf("%d starts before this owner's own longest lease", n)
+	}
+	h.after(800 * time.Millisecond)
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts after the longest lease that was sent, want one", n)
+	}
+}
+
+// A server that left empty keeps nobody waiting after a take-over.
+func TestCore_ServerThatLeftEmptyIsForgottenAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	h.servers = h.servers[:1]
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.after(100 * time.Millisecond)
+	if _, kept := h.log[string(keyServer)+"s1"]; kept {
+		t.Fatal("a server that holds nothing is still recorded after it left")
+	}
+	h.submit(id1, oneTask(1000))
+	h.takeOver()
+	h.list("s0", Listing{})
+	h.after(100 * time.Millisecond)
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts after the take-over, want one at once", n)
+	}
+}
+
+// A task that failed on a server runs elsewhere next, though that is less full.
+func TestCore_FailedTaskRunsElsewhere(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	h.submit(id2, oneTask(4000))
+	h.submit(id1, oneTask(1000))
+	starts := h.takeStarts()
+	first := starts[len(starts)-1]
+	if starts[0].To.ID != first.To.ID {
+		t.Fatalf("tasks on %s and %s, want both on the fullest server", starts[0].To.ID, first.To.ID)
+	}
+	for _, s := range starts {
+		h.taken(s)
+	}
+	h.list(first.To.ID, Listing{
+		Running: []Running{runOf(starts[0])},
+		Ended:   []End{{Number: 1, Task: first.Order.Task, Run: 1, Kind: workload.EndFailed}},
+	})
+	h.after(time.Second)
+	again := h.takeStarts()
+	if len(again) != 1 || again[0].To.ID == first.To.ID {
+		t.Errorf("started again as %+v, want on the other server", again)
+	}
+}
+
+// A server that fails everything rests longer and longer; failures of one
+// submission are one piece of evidence.
+func TestServer_RestsByEvidence(t *testing.T) {
+	s := newServer(ServerInfo{ID: "s0"})
+	now := time.Unix(0, 0)
+	for range 10 {
+		s.failed(id1)
+	}
+	if s.faults >= faultLimit {
+		t.Fatal("one submission is taken for a faulty server")
+	}
+	s.failed(id2)
+	s.failed("00000000000000a3")
+	if s.faults < faultLimit {
+		t.Fatalf("%d faults after three submissions failed", s.faults)
+	}
+	var rests []time.Duration
+	for i := range 5 {
+		rests = append(rests, s.rest(now))
+		s.failed(string(rune('a' + i)))
+		if s.faults < faultLimit {
+			t.Error("one more failure after a rest is not enough")
+		}
+	}
+	if rests[0] != minRest || rests[1] != 2*minRest || rests[4] != maxRest {
+		t.Errorf("rests %v", rests)
+	}
+	s.succeeded()
+	if s.faults != 0 || s.rest(now) != minRest {
+		t.Error("a success changes nothing")
+	}
+}
+
+// The policy service is asked while a submission is being stored, so that its
+// answer is there when the tasks may start; nothing starts before.
+func TestCore_AsksWhileASubmissionIsStored(t *testing.T) {
+	h := newHarness(t, 4)
+	h.config.Queues[0].Advice = &routing.Advice{Decision: 10 * time.Millisecond, PerServer: time.Millisecond, Validity: 2500 * time.Millisecond}
+	h.listAll()
+	h.holdStores = true
+	h.submit(id1, oneTask(1000))
+	if len(h.asks) != 1 {
+		t.Fatalf("%d questions while the submission is being stored, want one", len(h.asks))
+	}
+	var tickets []Ticket
+	for _, id := range h.asks[0].Servers {
+		tickets = append(tickets, Ticket{id, "t-" + id})
+	}
+	h.do(func(c *Core) { c.Advised(h.asks[0].Step, h.asks[0].Servers, tickets, 2500*time.Millisecond, nil) })
+	if n := len(h.takeStarts()); n != 0 {
+		t.Fatalf("%d starts before the submission is stored", n)
+	}
+	h.storeAll()
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts once it is stored, want one", n)
+	}
+}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -21,8 +21,11 @@
 	// lookSlack is the longest wait beyond what a look asks for.
 	lookSlack = 500 * time.Millisecond
 	// adviceTimeout is the longest wait for the policy service, its queue
-	// included.
+	// included. One that takes adviceTimes as long as expected and adviceSlack, for
+	// the way through another daemon, will not answer.
 	adviceTimeout = 4 * time.Second
+	adviceTimes   = 2
+	adviceSlack   = 600 * time.Millisecond
 	// tickInterval is the time between two checks of what only time brings.
 	tickInterval = 50 * time.Millisecond
 	// eventCapacity bounds the events that wait for the Core.
@@ -48,8 +51,8 @@
 	// Count returns how many there are.
 	Count() int
 	// Take returns the one that is free soonest, given how long the answer
-	// takes, and what to call with the outcome.
-	Take(cost time.Duration) (Advisor, func(error))
+	// takes, when that is expected, and what to call with the outcome.
+	Take(cost time.Duration) (Advisor, time.Duration, func(error))
 }
 
 // EngineOptions is what an Engine is built from.
@@ -126,7 +129,7 @@
 		return errors.Wrap(err, "read partition")
 	}
 	epoch := LastTenure(records).Epoch + 1
-	claim := ClaimRecord(workload.Tenure{Epoch: epoch, Daemon: e.o.Daemon})
+	claim := ClaimRecord(workload.Tenure{Epoch: epoch, Daemon: e.o.Daemon, LeaseMS: e.o.Bounds.lease().Milliseconds()})
 	written := func(ticket uint64) { e.push(storedEvent{ticket}) }
 	e.writer, err = partition.Open(ctx, e.o.Log, e.o.Partition, epoch, end, claim, e.o.Now, written)
 	if err != nil {
@@ -256,9 +259,9 @@
 }
 
 func (e *Engine) ask(a AskAdvice) {
-	ctx, cancel := context.WithTimeout(e.ctx, adviceTimeout)
+	advisor, expected, done := e.o.Advisors.Take(a.Cost)
+	ctx, cancel := context.WithTimeout(e.ctx, min(adviceTimes*expected+adviceSlack, adviceTimeout))
 	defer cancel()
-	advisor, done := e.o.Advisors.Take(a.Cost)
 	began := e.o.Now()
 	tickets, validity, err := advisor.Advise(ctx, a.Step.StepName(), a.Servers)
 	done(err)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -76,6 +76,8 @@
 	// failedRuns are the runs that failed. Those of a gang are kept at its first
 	// member.
 	failedRuns []int
+	// failedOn holds the servers on which it failed under this owner.
+	failedOn   map[string]bool
 	checkpoint string
 	cur        *attempt
 	// retryAt keeps a task from being placed again at once.
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -19,8 +19,13 @@
 	// renewAfter is the longest time without a look at a server that holds work
 	// while its ends cannot be stored.
 	renewAfter = 200 * time.Millisecond
-	// faultLimit is how many runs in a row may fail on a server before it rests.
-	faultLimit = 4
+	// faultLimit is how many submissions in a row may fail on a server before it
+	// rests: where one in twenty fails by itself, that many hardly do by chance.
+	faultLimit = 3
+	// minRest is the first rest of a server on which everything fails, and maxRest
+	// the longest.
+	minRest = 2 * time.Second
+	maxRest = 16 * time.Second
 )
 
 // needsLook reports whether the server holds, or may hold, something.
@@ -28,6 +33,13 @@
 	return !s.known || len(s.attempts) > 0 || s.unknown > 0 || s.told < s.seen
 }
 
+// holdsNothing reports whether it is certain that nothing runs on the server and
+// that no order under way can begin anything: each was answered, and those in
+// doubt were stopped.
+func (s *server) holdsNothing() bool {
+	return s.known && len(s.attempts) == 0 && s.unknown == 0 && s.noted == s.seen
+}
+
 // look sends a look at a server unless one is under way or none is needed.
 func (c *Core) look(s *server) { c.lookAfter(s, 0) }
 
@@ -76,7 +88,7 @@
 	if !s.known {
 		s.known = true
 		// An earlier owner may have sent the longest lease just before.
-		s.until = max(s.until, list.Clock+c.bounds.MaxLease.Milliseconds())
+		s.until = max(s.until, list.Clock+c.longest.Milliseconds())
 		c.place = true
 	}
 	s.lookedAt = c.now
@@ -112,7 +124,7 @@
 	if s.born != 0 {
 		c.log.Log(events.ServerReborn, "server", s.info.ID, "born", list.Born, "before", s.born, "attempts", len(s.attempts))
 		s.seen, s.noted, s.told = 0, 0, 0
-		s.until = list.Clock + c.bounds.MaxLease.Milliseconds()
+		s.until = list.Clock + c.longest.Milliseconds()
 		here := make(map[runKey]bool)
 		for _, r := range list.Running {
 			here[runKey{r.Task, r.Run}] = true
@@ -150,9 +162,8 @@
 		c.noting[s] = s.seen
 	}
 	if s.faults >= faultLimit {
-		s.faults = 0
-		s.avoidUntil = c.now.Add(2 * time.Second)
-		c.log.Log(events.ServerRests, "server", s.info.ID, "faults", faultLimit)
+		faults := s.faults
+		c.log.Log(events.ServerRests, "server", s.info.ID, "faults", faults, "rest", s.rest(c.now).Milliseconds())
 	}
 }
 
@@ -286,7 +297,7 @@
 		}
 		s.known = false
 	}
-	if !s.listed && len(s.attempts) == 0 && s.stored && c.now.After(s.lapsed()) {
+	if !s.listed && s.stored && (s.holdsNothing() || len(s.attempts) == 0 && c.now.After(s.lapsed())) {
 		c.forget(s)
 		return
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -28,8 +28,12 @@
 		holdable: make(map[string]int64), most: make(map[string]workload.Resources), soon: make(map[string][]prospect),
 	}
 	for _, st := range c.queued {
-		if c.mayPlace(st) && p.promising(st) {
+		switch {
+		case !c.routed(st) || !p.promising(st):
+		case c.mayPlace(st):
 			p.place(st)
+		default:
+			p.askAhead(st)
 		}
 	}
 	c.held = p.held
@@ -50,14 +54,18 @@
 	c.queued = kept
 }
 
+// routed reports whether the step's queue still leads to the servers that the
+// submission was accepted for.
+func (c *Core) routed(st *step) bool {
+	sub := st.job().sub
+	q, ok := c.config.Queue(sub.Queue)
+	return ok && q.Service == sub.Service
+}
+
 // mayPlace reports whether anything of the step may start now.
 func (c *Core) mayPlace(st *step) bool {
 	j := st.job()
-	if !j.stored || j.inherited && !c.recovered {
-		return false
-	}
-	q, ok := c.config.Queue(j.sub.Queue)
-	return ok && q.Service == j.sub.Service
+	return j.stored && (!j.inherited || c.recovered) && c.routed(st)
 }
 
 // urgency orders steps: those that can still be in time come before late ones,
@@ -186,6 +194,20 @@
 	p.placeTasks(st)
 }
 
+// askAhead puts the question of a step that may not start yet, so that the answer
+// is there when it may.
+func (p *pass) askAhead(st *step) {
+	if st.job().queue.Advice == nil || st.job().stored {
+		return
+	}
+	open, _, _ := p.room(st)
+	if st.spec.Gang {
+		p.gather(st, len(st.tasks), open)
+		return
+	}
+	p.ask(st, len(st.tasks), open)
+}
+
 // room lists servers with room for the step, and how many of its tasks those
 // with a valid ticket take.
 func (p *pass) room(st *step) (open, ticketed []*server, slots int) {
@@ -218,7 +240,7 @@
 		if !t.waits() || c.now.Before(t.retryAt) {
 			continue
 		}
-		s := p.best(st, ticketed)
+		s := p.best(t, ticketed)
 		if s == nil {
 			break
 		}
@@ -231,22 +253,26 @@
 	}
 }
 
-// best returns the fullest server that has room, near the step's data if it
-// can.
-func (p *pass) best(st *step, servers []*server) *server {
+// best returns the fullest server that has room, one where the task has not
+// failed and near the step's data if it can.
+func (p *pass) best(t *task, servers []*server) *server {
 	var best *server
 	for _, s := range servers {
-		if p.slots(st, s) == 0 {
+		if p.slots(t.step, s) == 0 {
 			continue
 		}
-		if best == nil || p.better(st, s, best) {
+		if best == nil || p.better(t, s, best) {
 			best = s
 		}
 	}
 	return best
 }
 
-func (p *pass) better(st *step, a, b *server) bool {
+func (p *pass) better(t *task, a, b *server) bool {
+	if an, bn := t.failedOn[a.info.ID], t.failedOn[b.info.ID]; an != bn {
+		return bn
+	}
+	st := t.step
 	if st.spec.Rack != "" {
 		an, bn := a.hasLabel(st.spec.Rack), b.hasLabel(st.spec.Rack)
 		if an != bn {
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -125,7 +125,7 @@
 	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address})
 	s.stored = true
 	// An earlier owner may have sent a full lease just before this moment.
-	s.until = c.bounds.MaxLease.Milliseconds()
+	s.until = c.longest.Milliseconds()
 	s.clockAt = c.now
 	c.servers[id] = s
 	return nil
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -50,8 +50,11 @@
 	silentSince time.Time
 	// avoidUntil keeps placements off a server that refused or failed.
 	avoidUntil time.Time
-	// faults counts failed runs since the last good end.
+	// faults counts the submissions in a row that failed here since the last good
+	// end, faulty is the last of them, and rests how often the server has rested.
 	faults int
+	faulty string
+	rests  int
 }
 
 func newServer(info ServerInfo) *server {
@@ -85,6 +88,28 @@
 	return s.clockAt.Add(time.Duration(float64(left)*clockDrift) + lapseSlack)
 }
 
+// failed takes in that a run failed here. Several failures of one submission
+// are one piece of evidence, since they may be the submission's own.
+func (s *server) failed(submission string) {
+	if s.faulty == submission {
+		return
+	}
+	s.faulty = submission
+	s.faults++
+}
+
+func (s *server) succeeded() { s.faults, s.faulty, s.rests = 0, "", 0 }
+
+// rest keeps placements off the server, longer each time until something
+// succeeds on it. One more failure after a rest is enough for the next.
+func (s *server) rest(now time.Time) time.Duration {
+	d := min(minRest<<s.rests, maxRest)
+	s.rests++
+	s.faults = faultLimit - 1
+	s.avoidUntil = now.Add(d)
+	return d
+}
+
 // hasLabel reports whether the server has a label; every server has the empty
 // one.
 func (s *server) hasLabel(label string) bool {
--- a/partition/member.go
+++ b/partition/member.go
@@ -20,7 +20,7 @@
 	// every member for dead.
 	slowTimes = 4
 	// latencyDecay is what one answer leaves of an earlier, longer one.
-	latencyDecay = 0.9
+	latencyDecay = 0.6
 	// joinsPerTTL is how often a member is heard within its time.
 	joinsPerTTL = 4
 	// lookupPause is the least time between two questions for the holders.
--- a/workload/record.go
+++ b/workload/record.go
@@ -48,6 +48,8 @@
 	// Epoch rises with each owner. It is the fencing token of all orders.
 	Epoch  uint64 `cbor:"1,keyasint"`
 	Daemon string `cbor:"2,keyasint"`
+	// LeaseMS is the longest lease that the owner sends, in milliseconds.
+	LeaseMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Encode returns v as CBOR.
