Keep a daemon's place through a restart, forget drained servers, evacuate

A restarted daemon joined the group under a new name, so that its partitions waited for the loss of the old one to be noticed, 1 s or more, and were dealt elsewhere, also where all daemons restart at once. 2. Tasks with checkpoints were lost with servers that had announced their leave.

Change: members are named by their daemon's address, and epochs tell its lives apart; the first joins come every 100 ms; a draining server that certainly holds nothing is forgotten and not recorded again; tasks with checkpoints on a leaving server are stopped 1.5 s before it may be gone and go on elsewhere.

Tests failed first: a list that is told again moved the time of leaving on.

--- a/internal/entry/advice.go
+++ b/internal/entry/advice.go
@@ -84,11 +84,8 @@
 // Others lists the other daemons that are known: those that hold partitions
 // and those with a connection to this one.
 func (a *Advisors) Others() []string {
-	var names []string
-	for _, member := range a.member.Members() {
-		names = append(names, DaemonOf(member))
-	}
-	names = append(names, a.peers.Connected()...)
+	// Members of the group are named as daemons are.
+	names := append(a.member.Members(), a.peers.Connected()...)
 	slices.Sort(names)
 	names = slices.Compact(names)
 	return slices.DeleteFunc(names, func(name string) bool { return name == a.self })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
@@ -89,12 +88,6 @@
 	return e
 }
 
-// DaemonOf returns the daemon of a member's name.
-func DaemonOf(member string) string {
-	daemon, _, _ := strings.Cut(member, "/")
-	return daemon
-}
-
 // Submit accepts a submission, or says that it may have been accepted: only the
 // owner knows that no attempt through another daemon was.
 func (e *Entry) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
@@ -205,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	var r scheduler.Reply
-	err := e.o.Peers.Call(ctx, DaemonOf(holder), method, c, &r)
+	err := e.o.Peers.Call(ctx, holder, method, c, &r)
 	return r, err
 }
 
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -117,6 +117,11 @@
 		Meaning: "Several runs in a row failed on a backend server; it gets no tasks for a while.",
 		Action:  "Look at what failed there; if only one queue's tasks fail, at that queue.",
 	}
+	TaskEvacuated = Event{
+		Number: 6028, Level: slog.LevelInfo, Name: "task_evacuated",
+		Fields:  []string{"task", "run", "server", "leavesMS"},
+		Meaning: "A task is stopped so that it goes on elsewhere from its checkpoint, since its server leaves in leavesMS.",
+	}
 	OwnerClaimed = Event{
 		Number: 6030, Level: slog.LevelInfo, Name: "owner_claimed",
 		Fields:  []string{"partition", "epoch", "records", "took"},
@@ -199,7 +204,7 @@
 var submissionEvents = []Event{
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded,
 	TaskPlaced, OrderFailed, RunEnded, RunLost, RunUnknown, RunAdopted, GangBroken, AdviceTaken, AdviceFailed,
-	ServerListed, ServerUnlisted, ServerDraining, ServerSilent, ServerHeard, ServerReborn, ServerForgotten, ServerRests,
+	ServerListed, ServerUnlisted, ServerDraining, ServerSilent, ServerHeard, ServerReborn, ServerForgotten, ServerRests, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRegained,
 	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded, LayoutTaken, LayoutUnreadable,
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -135,8 +135,9 @@
 }
 
 func (h *Host) newMember(store *relay.Relay, s platform.Settings) *partition.Member {
-	name := h.base.Self.Name + "/" + h.base.Self.Incarnation
-	return partition.NewMember(store, name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() })
+	// A daemon that was killed and is back within its time in the group has its
+	// partitions at once; epochs tell its lives apart.
+	return partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() })
 }
 
 func (h *Host) newTenures(member *partition.Member, shards *shard.Keeper, s platform.Settings) *tenure.Tenures {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -182,6 +182,24 @@
 	}
 }
 
+// A daemon that is killed and started again is the same member of the group, so
+// that its partitions need not wait for the loss of the first one to be noticed.
+func TestHost_IsOneMemberThroughRestarts(t *testing.T) {
+	s := newSite(t, 1)
+	_, address := s.start()
+	var state struct {
+		Daemon  string   `json:"daemon"`
+		Members []string `json:"members"`
+	}
+	s.await("member", func() bool {
+		_, text := s.call("GET", s.ready, "/debug/state", "")
+		return json.Unmarshal([]byte(text), &state) == nil && len(state.Members) == 1
+	})
+	if state.Members[0] != state.Daemon {
+		t.Errorf("daemon %s is member %s, which the next process on %s would not be", state.Daemon, state.Members[0], address)
+	}
+}
+
 func TestHost_FollowsTheConfigurationThroughLostHistory(t *testing.T) {
 	s := newSite(t, 1)
 	_, address := s.start()
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -545,3 +545,65 @@
 		t.Errorf("%d starts once it is stored, want one", n)
 	}
 }
+
+// A draining server that holds nothing is no longer recorded, and is not
+// recorded again while it is listed.
+func TestCore_DrainedServerKeepsNoOwnerWaiting(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	h.servers[1].Draining = true
+	for range 3 {
+		h.do(func(c *Core) { c.SetServers(h.servers) })
+		h.after(100 * time.Millisecond)
+	}
+	if _, kept := h.log[string(keyServer)+"s1"]; kept {
+		t.Error("a drained server is still recorded")
+	}
+}
+
+// Work that would be lost with its server is stopped for its checkpoint and goes
+// on elsewhere; what cannot be resumed is left to end.
+func TestCore_EvacuatesALeavingServer(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	saving, plain := oneTask(20000), oneTask(4000)
+	saving.Checkpoints = true
+	h.submit(id1, saving, plain)
+	starts := h.takeStarts()
+	if len(starts) != 2 || starts[0].To.ID != starts[1].To.ID {
+		t.Fatalf("starts %+v, want two on one server", starts)
+	}
+	var running []Running
+	for _, s := range starts {
+		h.taken(s)
+		running = append(running, runOf(s))
+	}
+	home := starts[0].To.ID
+	for i := range h.servers {
+		if h.servers[i].ID == home {
+			h.servers[i].Draining, h.servers[i].Remaining = true, 4*time.Second
+		}
+	}
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.after(2 * time.Second)
+	if len(h.stops) != 0 {
+		t.Fatalf("stops %+v while there is time", h.stops)
+	}
+	// The list is told again for another server; this one said nothing new.
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.after(time.Second)
+	if len(h.stops) != 1 || h.stops[0].Order.Task.Step != 0 {
+		t.Fatalf("stops %+v, want that of the task with checkpoints", h.stops)
+	}
+	h.do(func(c *Core) { c.Stopped(h.stops[0].To, h.stops[0].Order, nil) })
+	h.now = h.now.Add(time.Millisecond)
+	h.list(home, Listing{
+		Running: running[1:],
+		Ended:   []End{{Number: 1, Task: starts[0].Order.Task, Run: 1, Kind: workload.EndStopped, Checkpoint: "saved"}},
+	})
+	h.after(time.Second)
+	again := h.takeStarts()
+	if len(again) != 1 || again[0].To.ID == home || again[0].Order.Checkpoint != "saved" {
+		t.Errorf("started again as %+v, want on the other server from the checkpoint", again)
+	}
+}
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -16,6 +16,9 @@
 	lookWait = time.Second
 	// lookRetryMS is the pause before a look without an answer is sent again.
 	lookRetryMS = 50
+	// evacuationTime is left of a leaving server's time for a stop, its grace and
+	// the look that lists the checkpoint, each repeated once.
+	evacuationTime = 1500 * time.Millisecond
 	// renewAfter is the longest time without a look at a server that holds work
 	// while its ends cannot be stored.
 	renewAfter = 200 * time.Millisecond
@@ -241,6 +244,10 @@
 
 func (c *Core) setServer(info ServerInfo) {
 	s := c.servers[info.ID]
+	if s == nil && info.Draining {
+		// No owner has left anything there, and nothing may start.
+		return
+	}
 	if s == nil {
 		s = newServer(info)
 		c.servers[info.ID] = s
@@ -251,6 +258,10 @@
 	if info.Draining && !s.info.Draining {
 		c.log.Log(events.ServerDraining, "server", info.ID, "attempts", len(s.attempts), "remainingMS", info.Remaining.Milliseconds())
 	}
+	said := info.Remaining != s.info.Remaining || !s.info.Draining
+	if info.Draining && info.Remaining > 0 && said {
+		s.leavesAt = c.now.Add(info.Remaining)
+	}
 	s.info, s.listed = info, true
 	if !s.stored {
 		kept := workload.Server{Service: info.Service, Address: info.Address}
@@ -297,15 +308,40 @@
 		}
 		s.known = false
 	}
-	if !s.listed && s.stored && (s.holdsNothing() || len(s.attempts) == 0 && c.now.After(s.lapsed())) {
+	if c.leftEmpty(s) {
 		c.forget(s)
 		return
 	}
+	c.evacuate(s)
 	if !s.looking && c.now.Sub(s.lookedAt) > renewAfter {
 		c.look(s)
 	}
 }
 
+// leftEmpty reports whether a server that gets nothing more holds nothing. Its
+// record would keep the next owner waiting for it.
+func (c *Core) leftEmpty(s *server) bool {
+	if !s.stored || s.listed && !s.info.Draining {
+		return false
+	}
+	return s.holdsNothing() || !s.listed && len(s.attempts) == 0 && c.now.After(s.lapsed())
+}
+
+// evacuate stops the tasks of a leaving server that would lose their work with
+// it, in time for their checkpoints to be listed. Others may still end by
+// themselves.
+func (c *Core) evacuate(s *server) {
+	if !s.info.Draining || s.leavesAt.IsZero() || c.now.Before(s.leavesAt.Add(-evacuationTime)) {
+		return
+	}
+	for _, a := range s.attempts {
+		if a.state == running && a.task.step.spec.Checkpoints {
+			c.log.Log(events.TaskEvacuated, "task", a.task.id().String(), "run", a.run, "server", s.info.ID, "leavesMS", s.leavesAt.Sub(c.now).Milliseconds())
+			c.stop(a)
+		}
+	}
+}
+
 // beginDue begins the occurrences whose time has come.
 func (c *Core) beginDue() {
 	rest := c.timed[:0]
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -42,6 +42,9 @@
 	// telling is what the look under way says of noted ends, and told what the
 	// server is known to have heard.
 	telling, told uint64
+	// leavesAt is the earliest time at which a draining server may be gone; zero
+	// where it did not say.
+	leavesAt time.Time
 	// lookedAt is when the last look was answered.
 	lookedAt time.Time
 	// looking says that a look is under way or due.
--- a/partition/member.go
+++ b/partition/member.go
@@ -23,6 +23,10 @@
 	latencyDecay = 0.6
 	// joinsPerTTL is how often a member is heard within its time.
 	joinsPerTTL = 4
+	// earlyPause is the time between the first earlyJoins joins: when all members
+	// begin at once, partitions are dealt anew with each of them.
+	earlyPause = 100 * time.Millisecond
+	earlyJoins = 20
 	// lookupPause is the least time between two questions for the holders.
 	lookupPause = 80 * time.Millisecond
 )
@@ -63,9 +67,13 @@
 
 // Run keeps joining until ctx ends.
 func (m *Member) Run(ctx context.Context) error {
-	for {
+	for n := 0; ; n++ {
 		m.join(ctx)
-		if !duty.Sleep(ctx, m.least/joinsPerTTL) {
+		pause := m.least / joinsPerTTL
+		if n < earlyJoins {
+			pause = min(pause, earlyPause)
+		}
+		if !duty.Sleep(ctx, pause) {
 			return nil
 		}
 	}
