--- /dev/null
+++ b/internal/entry/capacity_test.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/roles"
+	"github.com/currantwinch/currantwinch/verdict"
+)
+
+// capacityPeers answers with each daemon's processor time.
+type capacityPeers map[string]int64
+
+func (p capacityPeers) Handle(string, roles.PeerHandler) {}
+
+func (p capacityPeers) Call(_ context.Context, daemon, _ string, _, result any) error {
+	cpu, ok := p[daemon]
+	if !ok {
+		return verdict.New(verdict.NotRun, "peer_unreachable", "gone")
+	}
+	data, err := json.Marshal(capacity{cpu})
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+func TestCapacities_SmallYieldsToEnoughLargeHolders(t *testing.T) {
+	tests := []struct {
+		name   string
+		own    int64
+		others []int64
+		want   bool
+	}{
+		{"all alike", 400, []int64{400, 400, 400, 400, 400, 400, 400, 400}, false},
+		{"enough large ones", 192, []int64{800, 800, 800, 800, 192}, true},
+		{"too few large ones", 192, []int64{800, 800, 800, 192, 192, 192}, false},
+		{"a large one", 800, []int64{800, 800, 800, 800, 192}, false},
+		{"hardly larger", 400, []int64{700, 700, 700, 700, 700}, false},
+		{"alone", 192, nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := make(capacityPeers)
+				holders := []string{"me", "gone"}
+				for i, cpu := range tt.others {
+					name := fmt.Sprintf("d%d", i)
+					peers[name] = cpu
+					holders = append(holders, name)
+				}
+				c := NewCapacities("me", tt.own, peers)
+				if c.Yields(holders) {
+					t.Error("yields to daemons of which nothing is known")
+				}
+				time.Sleep(time.Millisecond)
+				if got := c.Yields(holders); got != tt.want {
+					t.Errorf("yields %t, want %t", got, tt.want)
+				}
+				if tt.want && c.Yields(holders[:len(holders)/2]) {
+					t.Error("yields though most of the large holders are gone")
+				}
+				time.Sleep(time.Millisecond)
+			})
+		})
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -134,10 +134,11 @@
 	h.tenures.Wake()
 }
 
-func (h *Host) newMember(store *relay.Relay, s platform.Settings) *partition.Member {
+func (h *Host) newMember(store *relay.Relay, peers *peer.Peers, s platform.Settings) *partition.Member {
+	capacities := entry.NewCapacities(h.base.Self.Name, s.CPU, peers)
 	// A daemon that was killed and is back within its time in the group has its
 	// partitions at once; epochs tell its lives apart.
-	return partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() })
+	return partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() }, capacities.Yields)
 }
 
 func (h *Host) newTenures(member *partition.Member, shards *shard.Keeper, s platform.Settings) *tenure.Tenures {
--- a/partition/member.go
+++ b/partition/member.go
@@ -27,6 +27,9 @@
 	// begin at once, partitions are dealt anew with each of them.
 	earlyPause = 100 * time.Millisecond
 	earlyJoins = 20
+	// outsidePause is the time between two looks of a member that yields, which cost
+	// as much as its joins would.
+	outsidePause = 2500 * time.Millisecond
 	// lookupPause is the least time between two questions for the holders.
 	lookupPause = 80 * time.Millisecond
 )
@@ -42,6 +45,9 @@
 	health func(error)
 	// changed is called after what this member holds may have changed.
 	changed func()
+	// yields reports whether this member should leave the partitions to those that
+	// hold some now.
+	yields func(holders []string) bool
 
 	mu         sync.Mutex
 	generation uint64
@@ -58,20 +64,27 @@
 
 // NewMember returns a member that has not joined. PlatformTTL is the shortest
 // time that the platform grants.
-func NewMember(group Group, name string, platformTTL time.Duration, now func() time.Time, health func(error), changed func()) *Member {
+func NewMember(group Group, name string, platformTTL time.Duration, now func() time.Time, health func(error), changed func(), yields func(holders []string) bool) *Member {
 	return &Member{
-		group: group, name: name, least: max(minTTL, platformTTL), now: now, health: health, changed: changed,
+		yields: yields,
+		group:  group, name: name, least: max(minTTL, platformTTL), now: now, health: health, changed: changed,
 		holders: make(map[ID]string),
 	}
 }
 
-// Run keeps joining until ctx ends.
+// Run keeps joining until ctx ends, but for the times in which it yields.
 func (m *Member) Run(ctx context.Context) error {
 	for n := 0; ; n++ {
-		m.join(ctx)
 		pause := m.least / joinsPerTTL
-		if n < earlyJoins {
+		switch {
+		case m.yields(m.Members()):
+			m.stepOut(ctx)
+			pause = outsidePause
+		case n < earlyJoins:
 			pause = min(pause, earlyPause)
+			fallthrough
+		default:
+			m.join(ctx)
 		}
 		if !duty.Sleep(ctx, pause) {
 			return nil
@@ -79,6 +92,21 @@
 	}
 }
 
+// stepOut leaves the group for now, and looks who holds the partitions.
+func (m *Member) stepOut(ctx context.Context) {
+	m.mu.Lock()
+	inside := !m.joinedAt.IsZero() && !m.left
+	m.held, m.joinedAt = nil, time.Time{}
+	m.mu.Unlock()
+	if inside {
+		m.changed()
+		call, cancel := context.WithTimeout(ctx, m.least)
+		m.health(m.group.Leave(call, m.name))
+		cancel()
+	}
+	m.lookUp(ctx)
+}
+
 func (m *Member) join(ctx context.Context) {
 	m.mu.Lock()
 	generation, left, ttl := m.generation, m.left, m.ttl()
