Wait for a service's layout in a daemon that has just started

Ruled out: the readiness answer, which does wait; open connections and zones without a ready daemon still bring calls.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,7 +111,7 @@
 
 // Pending returns how many of a queue's submissions have not started.
 func (e *Entry) Pending(ctx context.Context, service, queue string) (scheduler.Reply, error) {
-	layout, ok := e.o.Layout(service)
+	layout, ok := e.awaitLayout(ctx, service)
 	if !ok {
 		return scheduler.Reply{}, noLayout(service)
 	}
@@ -144,7 +144,7 @@
 
 // pass gives a call about one submission to the owner of its shard.
 func (e *Entry) pass(ctx context.Context, method string, c call) (scheduler.Reply, error) {
-	layout, ok := e.o.Layout(c.Service)
+	layout, ok := e.awaitLayout(ctx, c.Service)
 	if !ok {
 		return scheduler.Reply{}, noLayout(c.Service)
 	}
@@ -152,6 +152,18 @@
 	return e.toOwner(ctx, method, c)
 }
 
+// awaitLayout returns a service's layout. A daemon that has just started reads it
+// beside the configuration, so that it is worth a wait.
+func (e *Entry) awaitLayout(ctx context.Context, service string) (shard.Layout, bool) {
+	began := e.o.Now()
+	for {
+		layout, ok := e.o.Layout(service)
+		if ok || e.o.Now().Sub(began) > searchTime || !duty.Sleep(ctx, searchPause) {
+			return layout, ok
+		}
+	}
+}
+
 // toOwner gives a call to the owner of its partition. All calls are idempotent, so that one without
 // an answer is repeated at the next owner.
 func (e *Entry) toOwner(ctx context.Context, method string, c call) (scheduler.Reply, error) {
