Repeat calls to the store beside those that hang, and stop later in an outage

A daemon that restarts while the store is silent reads its configuration on a connection that hangs until 1.8 s after the store is back; joins and look-ups hung for up to 5 s. An owner that was told to stop in the outage ended at once, though nobody could take its place, and for 1.8 s after the store's return nobody did.

Ruled out: the group's time to live, which expired during the outage.

A stopping daemon goes on owning while the store answers nobody that it knows, as long as the stop allows.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,6 +38,8 @@
 	// balancerLag is how long callers may still be sent here after the daemon
 	// says that it is not ready: two looks of the balancer, a second apart.
 	balancerLag = 2500 * time.Millisecond
+	// awayPause is the time between two looks whether the store is back.
+	awayPause = 50 * time.Millisecond
 	// leaveTimeout bounds the giving up of partitions at a planned stop.
 	leaveTimeout = time.Second
 	// dumpTimeout bounds the answer of a state dump.
@@ -303,9 +305,25 @@
 // Err returns why a duty failed.
 func (h *Host) Err() error { return h.duties.Err() }
 
+// awaitStore waits while the store answers nobody: no other daemon can take the
+// partitions over, which go on being served here for as long as the stop allows.
+func (h *Host) awaitStore(ctx context.Context) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	last := deadline.Add(-balancerLag - leaveTimeout)
+	for h.store.Away() && h.base.Now().Before(last) {
+		if !duty.Sleep(ctx, awayPause) {
+			return
+		}
+	}
+}
+
 // drain is the graceful part of a stop.
 func (h *Host) drain(ctx context.Context) error {
 	h.stopping.Store(true)
+	h.awaitStore(ctx)
 	h.tenures.StopAll()
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	err := h.member.Leave(leave)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -227,6 +227,12 @@
 	return !r.heard.IsZero() && r.now().Sub(r.heard) > cutAfter
 }
 
+// Away reports whether the store answers neither this daemon nor any of which
+// that is known.
+func (r *Relay) Away() bool {
+	return r.suspected() && len(r.choose(r.daemons())) == 0
+}
+
 func (r *Relay) suspected() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/partition/member.go
+++ b/partition/member.go
@@ -117,9 +117,14 @@
 	sent := m.now()
 	call, cancel := context.WithTimeout(ctx, ttl)
 	defer cancel()
-	a, err := m.group.Join(call, m.name, generation, ttl)
+	a, took, err := repeat(call, m.hang(), answered, func(ctx context.Context) (Assignment, error) {
+		return m.group.Join(ctx, m.name, generation, ttl)
+	})
 	m.health(err)
-	m.learn(m.now().Sub(sent))
+	if err != nil {
+		took = m.now().Sub(sent)
+	}
+	m.learn(took)
 	if err != nil {
 		return
 	}
@@ -139,6 +144,13 @@
 	return min(m.least+slowTimes*m.latency, max(maxTTL, m.least))
 }
 
+// hang is how long a call may be without an answer before it is sent again.
+func (m *Member) hang() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(hangTime, slowTimes*m.latency)
+}
+
 // learn takes in how long a call took, answered or not.
 func (m *Member) learn(took time.Duration) {
 	m.mu.Lock()
@@ -153,7 +165,7 @@
 	m.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, maxTTL/2)
 	defer cancel()
-	shares, err := m.group.Shares(call)
+	shares, _, err := repeat(call, m.hang(), answered, m.group.Shares)
 	m.health(err)
 	if err != nil {
 		return
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -99,8 +99,8 @@
 	Shares(ctx context.Context) ([]Share, error)
 }
 
-// pageTimeout is the longest wait for one page.
-const pageTimeout = 2 * time.Second
+// pageTimeout is the longest wait for one page, several attempts included.
+const pageTimeout = 4 * time.Second
 
 // All reads the newest record of every key. Records may be appended between
 // pages; end is where to read on so that none is missed.
@@ -126,5 +126,6 @@
 func newestPage(ctx context.Context, log Log, id ID, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	return log.Newest(ctx, id, after)
+	page, _, err := repeat(ctx, hangTime, answered, func(ctx context.Context) (Page, error) { return log.Newest(ctx, id, after) })
+	return page, err
 }
--- a/partition/watch.go
+++ b/partition/watch.go
@@ -52,9 +52,7 @@
 }
 
 func (w *Watcher) whole(ctx context.Context) (uint64, error) {
-	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	records, end, err := All(call, w.Log, w.ID)
+	records, end, err := All(ctx, w.Log, w.ID)
 	w.report(err)
 	if err != nil {
 		return 0, err
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
-	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/pkg/errors"
 )
 
@@ -17,18 +16,12 @@
 	// linger is the least time between the starts of two appends: what comes
 	// meanwhile shares one call.
 	linger = 10 * time.Millisecond
-	// minAppendTimeout and maxAppendTimeout bound the wait for one answer before
-	// the append is sent again: one that hangs on a dead connection delays all that
-	// come behind it.
-	minAppendTimeout = 700 * time.Millisecond
-	maxAppendTimeout = 3 * time.Second
-	// maxAttempts bounds the attempts under way.
-	maxAttempts = 3
+	// maxHang bounds the wait for one answer before the append is sent again.
+	maxHang = 3 * time.Second
+	// claimTimeout bounds a claim, after which it is known to be fenced or lost.
+	claimTimeout = 3 * time.Second
 	// appendTimes is the wait as a multiple of the log's recent answers.
 	appendTimes = 4
-	// minRetry and maxRetry bound the wait before an append is sent again.
-	minRetry = 30 * time.Millisecond
-	maxRetry = 300 * time.Millisecond
 	// producer is the same for all owners, so that epochs order them.
 	producer = "owner"
 )
@@ -65,9 +58,12 @@
 // Open claims the partition for epoch by appending claim at the offset end, and
 // returns its Writer. It fails with ReasonMoved if anything was appended since.
 func Open(ctx context.Context, log Log, id ID, epoch, end uint64, claim Record, now func() time.Time, written func(ticket uint64)) (*Writer, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	if err := log.Append(ctx, id, Fence{producer, epoch, 0, &end}, []Record{claim}); err != nil {
+	_, _, err := repeat(ctx, hangTime, answered, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, log.Append(ctx, id, Fence{producer, epoch, 0, &end}, []Record{claim})
+	})
+	if err != nil {
 		return nil, err
 	}
 	return &Writer{log: log, id: id, epoch: epoch, written: written, wake: make(chan struct{}, 1), now: now, next: 1}, nil
@@ -150,56 +146,21 @@
 	w.oldest = w.now()
 }
 
-// append sends one batch until its fate is known. While an attempt hangs, maybe on
-// a dead connection, it is sent again beside it: the log takes it once.
+// append sends one batch until its fate is known. The log takes it once, however
+// often it is sent.
 func (w *Writer) append(ctx context.Context, records []Record) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	fence := Fence{Producer: producer, Epoch: w.epoch, Sequence: w.next}
-	outcomes := make(chan outcome, maxAttempts)
-	hang := min(max(appendTimes*w.latency, minAppendTimeout), maxAppendTimeout)
-	again := time.NewTimer(0)
-	defer again.Stop()
-	open, retry := 0, minRetry
-	for {
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(ctx.Err(), "append")
-		case <-again.C:
-			if open < maxAttempts {
-				open++
-				go func() { outcomes <- w.attempt(ctx, maxAttempts*hang, fence, records) }()
-			}
-			again.Reset(hang)
-		case o := <-outcomes:
-			open--
-			switch verdict.ReasonOf(o.err) {
-			case ReasonFenced, ReasonSequence:
-				return ErrFenced
-			}
-			if o.err == nil {
-				w.next++
-				w.latency = max(o.took, time.Duration(latencyDecay*float64(w.latency)))
-				return nil
-			}
-			again.Reset(retry)
-			retry = min(2*retry, maxRetry)
-		}
+	hang := min(max(appendTimes*w.latency, hangTime), maxHang)
+	_, took, err := repeat(ctx, hang, answered, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, w.log.Append(ctx, w.id, fence, records)
+	})
+	if err == nil {
+		w.next++
+		w.latency = max(took, time.Duration(latencyDecay*float64(w.latency)))
+		return nil
 	}
-}
-
-// outcome is what became of one attempt.
-type outcome struct {
-	err  error
-	took time.Duration
-}
-
-// attempt sends a batch once. Attempts that hang end in time for the next, so
-// that one begins every hang.
-func (w *Writer) attempt(ctx context.Context, timeout time.Duration, fence Fence, records []Record) outcome {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	began := w.now()
-	err := w.log.Append(ctx, w.id, fence, records)
-	return outcome{err, w.now().Sub(began)}
+	if answered(err) {
+		return ErrFenced
+	}
+	return errors.Wrap(err, "append")
 }
