Let small holders yield to large VMs that hold nothing yet

Change: a daemon that asks for a capacity tells its own, and those with an open connection count beside the holders; every daemon connects to every holder.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/currantwinch/currantwinch/internal/roles"
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -16,8 +18,8 @@
 	// muchLarger is how many times its own processor time makes another VM the
 	// better owner.
 	muchLarger = 2
-	// enoughOwners is how many such owners let a daemon yield: some may be lost at
-	// once and leave one.
+	// enoughOwners is how many such VMs let a daemon yield: some may be lost at once
+	// and leave one.
 	enoughOwners = 4
 )
 
@@ -30,28 +32,42 @@
 type Capacities struct {
 	self  string
 	own   int64
-	peers roles.Peers
+	peers Daemons
 
 	mu     sync.Mutex
 	known  map[string]int64
 	asking map[string]bool
+	yields bool
+	// decided is called when this daemon begins or ceases to yield.
+	decided func(yields bool, larger, holders int)
 }
 
 // NewCapacities returns Capacities of a daemon with own thousandths of a core,
 // and registers their method with the peers.
-func NewCapacities(self string, own int64, peers roles.Peers) *Capacities {
-	c := &Capacities{self: self, own: own, peers: peers, known: make(map[string]int64), asking: make(map[string]bool)}
-	peers.Handle(methodCapacity, func(context.Context, string, json.RawMessage) (any, error) { return capacity{own}, nil })
+func NewCapacities(self string, own int64, peers Daemons, decided func(yields bool, larger, holders int)) *Capacities {
+	c := &Capacities{self: self, own: own, peers: peers, decided: decided, known: make(map[string]int64), asking: make(map[string]bool)}
+	peers.Handle(methodCapacity, func(_ context.Context, from string, params json.RawMessage) (any, error) {
+		var asker capacity
+		if err := json.Unmarshal(params, &asker); err != nil {
+			return nil, verdict.Wrap(errors.Wrap(err, "read capacity"), verdict.NotRun, "bad_call")
+		}
+		c.learn(from, asker.CPU)
+		return capacity{own}, nil
+	})
 	return c
 }
 
-// Yields reports whether this daemon should leave partitions to the holders. It
-// asks in the background those it does not know, which do not count yet.
+// Yields reports whether this daemon should leave partitions to others: to the
+// holders and to those with a connection, which every daemon has to each holder.
+// It asks in the background those it does not know, which do not count yet.
 func (c *Capacities) Yields(holders []string) bool {
+	names := append(slices.Clone(holders), c.peers.Connected()...)
+	slices.Sort(names)
+	names = slices.Compact(names)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	larger := 0
-	for _, name := range holders {
+	for _, name := range names {
 		if name == c.self {
 			continue
 		}
@@ -63,7 +79,11 @@
 			larger++
 		}
 	}
-	return larger >= enoughOwners
+	if yields := larger >= enoughOwners; yields != c.yields {
+		c.yields = yields
+		c.decided(yields, larger, len(names))
+	}
+	return c.yields
 }
 
 // ask asks a daemon in the background, unless that is under way.
@@ -76,13 +96,19 @@
 		ctx, cancel := context.WithTimeout(context.Background(), capacityTimeout)
 		defer cancel()
 		var got capacity
-		err := c.peers.Call(ctx, name, methodCapacity, nil, &got)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.asking, name)
+		err := c.peers.Call(ctx, name, methodCapacity, capacity{c.own}, &got)
 		// A daemon without an answer is asked again by the next look.
 		if err == nil {
-			c.known[name] = got.CPU
+			c.learn(name, got.CPU)
 		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.asking, name)
 	}()
 }
+
+func (c *Capacities) learn(name string, cpu int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known[name] = cpu
+}
--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -17,6 +17,8 @@
 
 func (p capacityPeers) Handle(string, roles.PeerHandler) {}
 
+func (p capacityPeers) Connected() []string { return nil }
+
 func (p capacityPeers) Call(_ context.Context, daemon, _ string, _, result any) error {
 	cpu, ok := p[daemon]
 	if !ok {
@@ -53,7 +55,7 @@
 					peers[name] = cpu
 					holders = append(holders, name)
 				}
-				c := NewCapacities("me", tt.own, peers)
+				c := NewCapacities("me", tt.own, peers, func(bool, int, int) {})
 				if c.Yields(holders) {
 					t.Error("yields to daemons of which nothing is known")
 				}
@@ -69,3 +71,40 @@
 		})
 	}
 }
+
+// connectedPeers are daemons that are connected and hold nothing.
+type connectedPeers struct {
+	capacityPeers
+	handler roles.PeerHandler
+}
+
+func (p *connectedPeers) Handle(_ string, h roles.PeerHandler) { p.handler = h }
+
+func (p *connectedPeers) Connected() []string {
+	var names []string
+	for name := range p.capacityPeers {
+		names = append(names, name)
+	}
+	return names
+}
+
+// A small holder yields to large VMs that hold nothing yet: of many VMs few hold
+// a partition, whatever their size.
+func TestCapacities_SmallHolderYieldsToLargeOnesThatAsk(t *testing.T) {
+	p := &connectedPeers{capacityPeers: make(capacityPeers)}
+	c := NewCapacities("me", 192, p, func(bool, int, int) {})
+	for i := range 5 {
+		if c.Yields([]string{"me"}) != (i >= enoughOwners) {
+			t.Errorf("with %d large daemons connected: yields %t", i, i < enoughOwners)
+		}
+		name := fmt.Sprintf("d%d", i)
+		answer, err := p.handler(t.Context(), name, json.RawMessage(`{"CPU":800}`))
+		if err != nil || answer != (capacity{192}) {
+			t.Fatalf("%v, %v", answer, err)
+		}
+		p.capacityPeers[name] = 800
+	}
+	if _, err := p.handler(t.Context(), "d9", json.RawMessage(`[`)); err == nil {
+		t.Error("an unreadable question is answered")
+	}
+}
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -182,6 +182,11 @@
 		Fields:  []string{"call", "id", "queue", "status", "reason", "took"},
 		Meaning: "A caller was answered with an error; took is in milliseconds.",
 	}
+	MemberYields = Event{
+		Number: 6044, Level: slog.LevelInfo, Name: "member_yields",
+		Fields:  []string{"yields", "larger", "holders", "cpu"},
+		Meaning: "This daemon leaves partitions to larger VMs, or takes part again; larger of the holders have at least twice its cpu, in thousandths of a core.",
+	}
 	LayoutTaken = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -206,5 +211,5 @@
 	TaskPlaced, OrderFailed, RunEnded, RunLost, RunUnknown, RunAdopted, GangBroken, AdviceTaken, AdviceFailed,
 	ServerListed, ServerUnlisted, ServerDraining, ServerSilent, ServerHeard, ServerReborn, ServerForgotten, ServerRests, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRegained,
-	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded, LayoutTaken, LayoutUnreadable,
+	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded, LayoutTaken, LayoutUnreadable, MemberYields,
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -137,7 +137,9 @@
 }
 
 func (h *Host) newMember(store *relay.Relay, peers *peer.Peers, s platform.Settings) *partition.Member {
-	capacities := entry.NewCapacities(h.base.Self.Name, s.CPU, peers)
+	capacities := entry.NewCapacities(h.base.Self.Name, s.CPU, peers, func(yields bool, larger, holders int) {
+		h.o.Events.Log(events.MemberYields, "yields", yields, "larger", larger, "holders", holders, "cpu", s.CPU)
+	})
 	// A daemon that was killed and is back within its time in the group has its
 	// partitions at once; epochs tell its lives apart.
 	return partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.report("join"), func() { h.tenures.Wake() }, capacities.Yields)
