Log when a VM is cut off, name ranks, and share set-ups of tests

A changed belief had no line: a daemon that takes itself for cut off, or no longer does, logs vm_cut_off (6045). The relay's ranks have a type.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -187,6 +187,12 @@
 		Fields:  []string{"yields", "larger", "holders", "cpu"},
 		Meaning: "This daemon leaves partitions to larger VMs, or takes part again; larger of the holders have at least twice its cpu, in thousandths of a core.",
 	}
+	VMCutOff = Event{
+		Number: 6045, Level: slog.LevelWarn, Name: "vm_cut_off",
+		Fields:  []string{"cut"},
+		Meaning: "Neither the store nor another daemon answers this one, which is not ready then; or one of them does again.",
+		Action:  "Look at the network of this VM.",
+	}
 	LayoutTaken = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -211,5 +217,5 @@
 	TaskPlaced, OrderFailed, RunEnded, RunLost, RunUnknown, RunAdopted, GangBroken, AdviceTaken, AdviceFailed,
 	ServerListed, ServerUnlisted, ServerDraining, ServerSilent, ServerHeard, ServerReborn, ServerForgotten, ServerRests, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRegained,
-	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded, LayoutTaken, LayoutUnreadable, MemberYields,
+	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded, LayoutTaken, LayoutUnreadable, MemberYields, VMCutOff,
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -164,6 +164,7 @@
 	h.store, h.member, h.tenures, h.peers, h.entry, h.advisors = store, member, tenures, peers, e, a
 	h.servers = platform.NewServers(client)
 	store.Through(a.Others)
+	store.Report(func(cut bool) { h.o.Events.Log(events.VMCutOff, "cut", cut) })
 }
 
 // lifecycle orders start and stop.
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -25,6 +25,7 @@
 // does not, and some of them may reach the store.
 func (r *Relay) WatchContact(ctx context.Context, turn duty.Turn) error {
 	var surveyed time.Time
+	cut := false
 	for r.waitSuspect(ctx) {
 		turn()
 		now := r.now()
@@ -32,6 +33,10 @@
 			surveyed = now
 			r.survey(ctx)
 		}
+		if now := r.Cut(); now != cut {
+			cut = now
+			r.cutChanged(cut)
+		}
 	}
 	return nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,8 @@
 	probedAt  time.Time
 	downUntil time.Time
 	ways      map[string]way
+	// cutChanged is told when this daemon is cut off, and when it no longer is.
+	cutChanged func(cut bool)
 	// woken tells WatchContact that the store has stopped answering.
 	woken chan struct{}
 
@@ -72,7 +74,10 @@
 // New returns a Relay, whose methods it registers with the peers. Daemons lists
 // the others.
 func New(direct Store, peers roles.Peers, now func() time.Time) *Relay {
-	r := &Relay{ways: make(map[string]way), woken: make(chan struct{}, 1), direct: direct, peers: peers, daemons: func() []string { return nil }, now: now}
+	r := &Relay{
+		direct: direct, peers: peers, now: now, daemons: func() []string { return nil }, cutChanged: func(bool) {},
+		ways: make(map[string]way), woken: make(chan struct{}, 1),
+	}
 	r.register()
 	return r
 }
@@ -80,6 +85,9 @@
 // Through sets who the other daemons are.
 func (r *Relay) Through(daemons func() []string) { r.daemons = daemons }
 
+// Report sets what is told when this daemon is cut off, and when it no longer is.
+func (r *Relay) Report(cutChanged func(cut bool)) { r.cutChanged = cutChanged }
+
 // settled reports whether an answer is the store's own.
 func settled(err error) bool {
 	if err == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -197,6 +197,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		mine, other, r, way := pair()
 		ctx, cancel := context.WithCancel(t.Context())
+		var reported atomic.Int32
+		r.Report(func(bool) { reported.Add(1) })
 		go func() { _ = r.WatchContact(ctx, func() {}) }()
 		defer synctest.Wait()
 		defer cancel()
@@ -230,6 +232,9 @@
 				t.Errorf("%s: cut off is %t, want %t", step.name, got, step.want)
 			}
 		}
+		if n := reported.Load(); n != 4 {
+			t.Errorf("%d changes were reported, want 4", n)
+		}
 	})
 }
 
--- a/internal/relay/ways.go
+++ b/internal/relay/ways.go
@@ -15,9 +15,11 @@
 	maxSurveyed = 16
 )
 
-// The ranks of daemons to ask, best first.
+// rank orders daemons to ask, the best first.
+type rank int
+
 const (
-	rankReaches = iota
+	rankReaches rank = iota
 	rankUnknown
 	rankNoStore
 	rankFailed
@@ -25,7 +27,7 @@
 
 // way is what is known of a daemon to make calls through.
 type way struct {
-	rank int
+	rank rank
 	// took is how long a sign of life took.
 	took time.Duration
 	at   time.Time
@@ -37,8 +39,8 @@
 	Store bool `json:"store"`
 }
 
-// survey asks all daemons for a sign of life, to find the nearest one that the
-// store answers.
+// survey asks daemons for a sign of life, to find the nearest that the store
+// answers: all of a small fleet, others each time of a large one.
 func (r *Relay) survey(ctx context.Context) {
 	names := r.daemons()
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
@@ -58,21 +60,20 @@
 	}
 }
 
-// signOfLife asks one daemon and reports whether it answered.
-func (r *Relay) signOfLife(ctx context.Context, name string) bool {
+// signOfLife asks one daemon and takes in its answer.
+func (r *Relay) signOfLife(ctx context.Context, name string) {
 	began := r.now()
 	var answer contactAnswer
 	if err := r.peers.Call(ctx, name, methodContact, nothing{}, &answer); err != nil {
 		r.learnWay(name, way{rank: rankFailed})
-		return false
+		return
 	}
-	rank := rankNoStore
+	found := rankNoStore
 	if answer.Store {
-		rank = rankReaches
+		found = rankReaches
 	}
 	r.hear()
-	r.learnWay(name, way{rank: rank, took: r.now().Sub(began)})
-	return true
+	r.learnWay(name, way{rank: found, took: r.now().Sub(began)})
 }
 
 func (r *Relay) learnWay(name string, w way) {
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// listAllBut has every server but one answer that it holds nothing.
+func (h *harness) listAllBut(silent string) {
+	h.t.Helper()
+	for _, s := range h.servers {
+		if s.ID != silent {
+			h.list(s.ID, Listing{})
+		}
+	}
+}
+
 // list answers the look that a server was sent last.
 func (h *harness) list(server string, list Listing) {
 	h.t.Helper()
@@ -286,11 +296,7 @@
 	start := h.takeStarts()[0]
 	h.taken(start)
 	h.takeOver()
-	for _, s := range h.servers {
-		if s.ID != start.To.ID {
-			h.list(s.ID, Listing{})
-		}
-	}
+	h.listAllBut(start.To.ID)
 	h.after(9 * time.Second)
 	if n := len(h.takeStarts()); n != 0 {
 		t.Fatalf("%d starts while a silent server may still run the task", n)
@@ -416,194 +422,3 @@
 		t.Fatalf("starts %+v, want run 2 after the server began anew", starts)
 	}
 }
-
-// The next owner waits for the leases that were sent, not for those that might
-// have been.
-func TestCore_InheritedTaskWaitsForTheLeaseOfTheLastOwner(t *testing.T) {
-	h := newHarness(t, 2)
-	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
-	claim := ClaimRecord(workload.Tenure{Epoch: 1, Daemon: "d", LeaseMS: 4000})
-	h.log[claim.Key] = claim
-	h.bounds.MaxLease = 10 * time.Second
-	h.takeOver()
-	for _, s := range h.servers {
-		if s.ID != start.To.ID {
-			h.list(s.ID, Listing{})
-		}
-	}
-	h.after(5900 * time.Millisecond)
-	if n := len(h.takeStarts()); n != 0 {
-		t.Fatalf("%d starts before this owner's own longest lease", n)
-	}
-	h.after(800 * time.Millisecond)
-	if n := len(h.takeStarts()); n != 1 {
-		t.Errorf("%d starts after the longest lease that was sent, want one", n)
-	}
-}
-
-// A server that left empty keeps nobody waiting after a take-over.
-func TestCore_ServerThatLeftEmptyIsForgottenAtOnce(t *testing.T) {
-	h := newHarness(t, 2)
-	h.listAll()
-	h.servers = h.servers[:1]
-	h.do(func(c *Core) { c.SetServers(h.servers) })
-	h.after(100 * time.Millisecond)
-	if _, kept := h.log[string(keyServer)+"s1"]; kept {
-		t.Fatal("a server that holds nothing is still recorded after it left")
-	}
-	h.submit(id1, oneTask(1000))
-	h.takeOver()
-	h.list("s0", Listing{})
-	h.after(100 * time.Millisecond)
-	if n := len(h.takeStarts()); n != 1 {
-		t.Errorf("%d starts after the take-over, want one at once", n)
-	}
-}
-
-// A task that failed on a server runs elsewhere next, though that is less full.
-func TestCore_FailedTaskRunsElsewhere(t *testing.T) {
-	h := newHarness(t, 2)
-	h.listAll()
-	h.submit(id2, oneTask(4000))
-	h.submit(id1, oneTask(1000))
-	starts := h.takeStarts()
-	first := starts[len(starts)-1]
-	if starts[0].To.ID != first.To.ID {
-		t.Fatalf("tasks on %s and %s, want both on the fullest server", starts[0].To.ID, first.To.ID)
-	}
-	for _, s := range starts {
-		h.taken(s)
-	}
-	h.list(first.To.ID, Listing{
-		Running: []Running{runOf(starts[0])},
-		Ended:   []End{{Number: 1, Task: first.Order.Task, Run: 1, Kind: workload.EndFailed}},
-	})
-	h.after(time.Second)
-	again := h.takeStarts()
-	if len(again) != 1 || again[0].To.ID == first.To.ID {
-		t.Errorf("started again as %+v, want on the other server", again)
-	}
-}
-
-// A server that fails everything rests longer and longer; failures of one
-// submission are one piece of evidence.
-func TestServer_RestsByEvidence(t *testing.T) {
-	s := newServer(ServerInfo{ID: "s0"})
-	now := time.Unix(0, 0)
-	for range 10 {
-		s.failed(id1)
-	}
-	if s.faults >= faultLimit {
-		t.Fatal("one submission is taken for a faulty server")
-	}
-	s.failed(id2)
-	s.failed("00000000000000a3")
-	if s.faults < faultLimit {
-		t.Fatalf("%d faults after three submissions failed", s.faults)
-	}
-	var rests []time.Duration
-	for i := range 5 {
-		rests = append(rests, s.rest(now))
-		s.failed(string(rune('a' + i)))
-		if s.faults < faultLimit {
-			t.Error("one more failure after a rest is not enough")
-		}
-	}
-	if rests[0] != minRest || rests[1] != 2*minRest || rests[4] != maxRest {
-		t.Errorf("rests %v", rests)
-	}
-	s.succeeded()
-	if s.faults != 0 || s.rest(now) != minRest {
-		t.Error("a success changes nothing")
-	}
-}
-
-// The policy service is asked while a submission is being stored, so that its
-// answer is there when the tasks may start; nothing starts before.
-func TestCore_AsksWhileASubmissionIsStored(t *testing.T) {
-	h := newHarness(t, 4)
-	h.config.Queues[0].Advice = &routing.Advice{Decision: 10 * time.Millisecond, PerServer: time.Millisecond, Validity: 2500 * time.Millisecond}
-	h.listAll()
-	h.holdStores = true
-	h.submit(id1, oneTask(1000))
-	if len(h.asks) != 1 {
-		t.Fatalf("%d questions while the submission is being stored, want one", len(h.asks))
-	}
-	var tickets []Ticket
-	for _, id := range h.asks[0].Servers {
-		tickets = append(tickets, Ticket{id, "t-" + id})
-	}
-	h.do(func(c *Core) { c.Advised(h.asks[0].Step, h.asks[0].Servers, tickets, 2500*time.Millisecond, nil) })
-	if n := len(h.takeStarts()); n != 0 {
-		t.Fatalf("%d starts before the submission is stored", n)
-	}
-	h.storeAll()
-	if n := len(h.takeStarts()); n != 1 {
-		t.Errorf("%d starts once it is stored, want one", n)
-	}
-}
-
-// A draining server that holds nothing is no longer recorded, and is not
-// recorded again while it is listed.
-func TestCore_DrainedServerKeepsNoOwnerWaiting(t *testing.T) {
-	h := newHarness(t, 2)
-	h.listAll()
-	h.servers[1].Draining = true
-	for range 3 {
-		h.do(func(c *Core) { c.SetServers(h.servers) })
-		h.after(100 * time.Millisecond)
-	}
-	if _, kept := h.log[string(keyServer)+"s1"]; kept {
-		t.Error("a drained server is still recorded")
-	}
-}
-
-// Work that would be lost with its server is stopped for its checkpoint and goes
-// on elsewhere; what cannot be resumed is left to end.
-func TestCore_EvacuatesALeavingServer(t *testing.T) {
-	h := newHarness(t, 2)
-	h.listAll()
-	saving, plain := oneTask(20000), oneTask(4000)
-	saving.Checkpoints = true
-	h.submit(id1, saving, plain)
-	starts := h.takeStarts()
-	if len(starts) != 2 || starts[0].To.ID != starts[1].To.ID {
-		t.Fatalf("starts %+v, want two on one server", starts)
-	}
-	var running []Running
-	for _, s := range starts {
-		h.taken(s)
-		running = append(running, runOf(s))
-	}
-	home := starts[0].To.ID
-	for i := range h.servers {
-		if h.servers[i].ID == home {
-			h.servers[i].Draining, h.servers[i].Remaining = true, 4*time.Second
-		}
-	}
-	h.do(func(c *Core) { c.SetServers(h.servers) })
-	h.after(2 * time.Second)
-	if len(h.stops) != 0 {
-		t.Fatalf("stops %+v while there is time", h.stops)
-	}
-	// The list is told again for another server; this one said nothing new.
-	h.do(func(c *Core) { c.SetServers(h.servers) })
-	h.after(time.Second)
-	if len(h.stops) != 1 || h.stops[0].Order.Task.Step != 0 {
-		t.Fatalf("stops %+v, want that of the task with checkpoints", h.stops)
-	}
-	h.do(func(c *Core) { c.Stopped(h.stops[0].To, h.stops[0].Order, nil) })
-	h.now = h.now.Add(time.Millisecond)
-	h.list(home, Listing{
-		Running: running[1:],
-		Ended:   []End{{Number: 1, Task: starts[0].Order.Task, Run: 1, Kind: workload.EndStopped, Checkpoint: "saved"}},
-	})
-	h.after(time.Second)
-	again := h.takeStarts()
-	if len(again) != 1 || again[0].To.ID == home || again[0].Order.Checkpoint != "saved" {
-		t.Errorf("started again as %+v, want on the other server from the checkpoint", again)
-	}
-}
--- a/internal/scheduler/gather_test.go
+++ b/internal/scheduler/gather_test.go
@@ -142,3 +142,28 @@
 		t.Errorf("starts %+v, want both members under run 2", again)
 	}
 }
+
+// The policy service is asked while a submission is being stored, so that its
+// answer is there when the tasks may start; nothing starts before.
+func TestCore_AsksWhileASubmissionIsStored(t *testing.T) {
+	h := newHarness(t, 4)
+	h.config.Queues[0].Advice = &routing.Advice{Decision: 10 * time.Millisecond, PerServer: time.Millisecond, Validity: 2500 * time.Millisecond}
+	h.listAll()
+	h.holdStores = true
+	h.submit(id1, oneTask(1000))
+	if len(h.asks) != 1 {
+		t.Fatalf("%d questions while the submission is being stored, want one", len(h.asks))
+	}
+	var tickets []Ticket
+	for _, id := range h.asks[0].Servers {
+		tickets = append(tickets, Ticket{id, "t-" + id})
+	}
+	h.do(func(c *Core) { c.Advised(h.asks[0].Step, h.asks[0].Servers, tickets, 2500*time.Millisecond, nil) })
+	if n := len(h.takeStarts()); n != 0 {
+		t.Fatalf("%d starts before the submission is stored", n)
+	}
+	h.storeAll()
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts once it is stored, want one", n)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/recovery_test.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// The next owner waits for the leases that were sent, not for those that might
+// have been.
+func TestCore_InheritedTaskWaitsForTheLeaseOfTheLastOwner(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	h.taken(start)
+	claim := ClaimRecord(workload.Tenure{Epoch: 1, Daemon: "d", LeaseMS: 4000})
+	h.log[claim.Key] = claim
+	h.bounds.MaxLease = 10 * time.Second
+	h.takeOver()
+	h.listAllBut(start.To.ID)
+	h.after(5900 * time.Millisecond)
+	if n := len(h.takeStarts()); n != 0 {
+		t.Fatalf("%d starts before this owner's own longest lease", n)
+	}
+	h.after(800 * time.Millisecond)
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts after the longest lease that was sent, want one", n)
+	}
+}
+
+// A server that left empty keeps nobody waiting after a take-over.
+func TestCore_ServerThatLeftEmptyIsForgottenAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	h.servers = h.servers[:1]
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.after(100 * time.Millisecond)
+	if _, kept := h.log[string(keyServer)+"s1"]; kept {
+		t.Fatal("a server that holds nothing is still recorded after it left")
+	}
+	h.submit(id1, oneTask(1000))
+	h.takeOver()
+	h.list("s0", Listing{})
+	h.after(100 * time.Millisecond)
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts after the take-over, want one at once", n)
+	}
+}
+
+// A draining server that holds nothing is no longer recorded, and is not
+// recorded again while it is listed.
+func TestCore_DrainedServerKeepsNoOwnerWaiting(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	h.servers[1].Draining = true
+	for range 3 {
+		h.do(func(c *Core) { c.SetServers(h.servers) })
+		h.after(100 * time.Millisecond)
+	}
+	if _, kept := h.log[string(keyServer)+"s1"]; kept {
+		t.Error("a drained server is still recorded")
+	}
+}
+
+// Work that would be lost with its server is stopped for its checkpoint and goes
+// on elsewhere; what cannot be resumed is left to end.
+func TestCore_EvacuatesALeavingServer(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	saving, plain := oneTask(20000), oneTask(4000)
+	saving.Checkpoints = true
+	h.submit(id1, saving, plain)
+	starts := h.takeStarts()
+	if len(starts) != 2 || starts[0].To.ID != starts[1].To.ID {
+		t.Fatalf("starts %+v, want two on one server", starts)
+	}
+	var running []Running
+	for _, s := range starts {
+		h.taken(s)
+		running = append(running, runOf(s))
+	}
+	home := starts[0].To.ID
+	for i := range h.servers {
+		if h.servers[i].ID == home {
+			h.servers[i].Draining, h.servers[i].Remaining = true, 4*time.Second
+		}
+	}
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.after(2 * time.Second)
+	if len(h.stops) != 0 {
+		t.Fatalf("stops %+v while there is time", h.stops)
+	}
+	// The list is told again for another server; this one said nothing new.
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.after(time.Second)
+	if len(h.stops) != 1 || h.stops[0].Order.Task.Step != 0 {
+		t.Fatalf("stops %+v, want that of the task with checkpoints", h.stops)
+	}
+	h.do(func(c *Core) { c.Stopped(h.stops[0].To, h.stops[0].Order, nil) })
+	h.now = h.now.Add(time.Millisecond)
+	h.list(home, Listing{
+		Running: running[1:],
+		Ended:   []End{{Number: 1, Task: starts[0].Order.Task, Run: 1, Kind: workload.EndStopped, Checkpoint: "saved"}},
+	})
+	h.after(time.Second)
+	again := h.takeStarts()
+	if len(again) != 1 || again[0].To.ID == home || again[0].Order.Checkpoint != "saved" {
+		t.Errorf("started again as %+v, want on the other server from the checkpoint", again)
+	}
+}
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -150,17 +150,32 @@
 	})
 }
 
+// runWriter claims the partition and runs its Writer, which tells the tickets of
+// what is written. Stop ends it and checks that nothing ended it before.
+func runWriter(t *testing.T, log partition.Log) (w *partition.Writer, written <-chan uint64, stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	tickets := make(chan uint64, 8)
+	w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { tickets <- ticket })
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	return w, tickets, func() {
+		t.Helper()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 func TestWriter_SendsALostAppendAgainOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &memoryLog{}
-		ctx, cancel := context.WithCancel(t.Context())
-		written := make(chan uint64, 8)
-		w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { written <- ticket })
-		if err != nil {
-			t.Fatal(err)
-		}
-		done := make(chan error, 1)
-		go func() { done <- w.Run(ctx) }()
+		w, written, stop := runWriter(t, log)
 		log.mu.Lock()
 		log.lost = 1
 		log.mu.Unlock()
@@ -168,10 +183,7 @@
 		if got := <-written; got != 1 {
 			t.Errorf("ticket %d written, want 1", got)
 		}
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
+		stop()
 		if len(log.records) != 2 {
 			t.Errorf("%d records in the log, want the claim and one write", len(log.records))
 		}
@@ -235,14 +247,7 @@
 func TestWriter_LeavesADeadConnectionSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &memoryLog{}
-		ctx, cancel := context.WithCancel(t.Context())
-		written := make(chan uint64, 8)
-		w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { written <- ticket })
-		if err != nil {
-			t.Fatal(err)
-		}
-		done := make(chan error, 1)
-		go func() { done <- w.Run(ctx) }()
+		w, written, stop := runWriter(t, log)
 		var hung atomic.Bool
 		log.mu.Lock()
 		log.fault = func(ctx context.Context, call string) error {
@@ -258,8 +263,7 @@
 		if took := time.Since(began); took > time.Second {
 			t.Errorf("written after %s, since one call hung", took)
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -267,14 +271,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var calls atomic.Int64
 		log := &memoryLog{}
-		ctx, cancel := context.WithCancel(t.Context())
-		written := make(chan uint64, 8)
-		w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { written <- ticket })
-		if err != nil {
-			t.Fatal(err)
-		}
-		done := make(chan error, 1)
-		go func() { done <- w.Run(ctx) }()
+		w, written, stop := runWriter(t, log)
 		log.mu.Lock()
 		log.fault = func(ctx context.Context, _ string) error {
 			calls.Add(1)
@@ -293,8 +290,7 @@
 		if n := calls.Load(); n > 6 {
 			t.Errorf("%d calls for 5 writes to a slow log", n)
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -304,14 +300,7 @@
 	for _, silence := range []time.Duration{time.Second, 2500 * time.Millisecond, 4200 * time.Millisecond, 9 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
 			log := &memoryLog{}
-			ctx, cancel := context.WithCancel(t.Context())
-			written := make(chan uint64, 8)
-			w, err := partition.Open(ctx, log, place, 3, 0, record("o", "me"), time.Now, func(ticket uint64) { written <- ticket })
-			if err != nil {
-				t.Fatal(err)
-			}
-			done := make(chan error, 1)
-			go func() { done <- w.Run(ctx) }()
+			w, written, stop := runWriter(t, log)
 			back := time.Now().Add(silence)
 			log.mu.Lock()
 			log.fault = func(ctx context.Context, _ string) error {
@@ -327,8 +316,7 @@
 			if late := time.Since(back); late > 800*time.Millisecond {
 				t.Errorf("silent for %s: written %s after the log was back", silence, late)
 			}
-			cancel()
-			<-done
+			stop()
 		})
 	}
 }
