Give relayed reads their time, and judge daemons only after a fair try

A read that waits 1 s for records was given half of its 1.8 s through another daemon, always timed out, and marked the nearest good daemon as failed; one of 8 s exceeded what a daemon does for another. After two such failures nobody was asked for 0.5 s.

Ruled out: the way itself (a sign of life took 1 ms) and the store.

The test failed before: reads of 1 s and 8 s through another daemon, and an append after each within 0.1 s.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -62,7 +62,8 @@
 // Read implements partition.Log.
 func (r *Relay) Read(ctx context.Context, id partition.ID, from uint64, wait time.Duration) (partition.Batch, error) {
 	direct := func(ctx context.Context) (partition.Batch, error) { return r.direct.Read(ctx, id, from, wait) }
-	return call(ctx, r, wait, direct, methodRead, readCall{id, from, wait.Milliseconds()})
+	through := readCall{id, from, min(wait, maxRelayedWait).Milliseconds()}
+	return call(ctx, r, wait, direct, methodRead, through)
 }
 
 // Join implements partition.Group.
@@ -110,8 +111,13 @@
 	})
 }
 
-// relayTimeout bounds a call that is made for another daemon.
-const relayTimeout = 2 * time.Second
+const (
+	// relayTimeout bounds a call that is made for another daemon.
+	relayTimeout = 2 * time.Second
+	// maxRelayedWait bounds what such a call may ask the store to wait: an empty
+	// answer in time tells that the way is good.
+	maxRelayedWait = time.Second
+)
 
 func handle[C any](peers roles.Peers, method string, do func(ctx context.Context, c C) (any, error)) {
 	peers.Handle(method, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,9 +28,9 @@
 	// probeInterval is the time between two questions to the store itself while
 	// calls go through other daemons.
 	probeInterval = time.Second
-	// downTime is how long nobody is asked after no daemon was answered: the
-	// store is down for all.
-	downTime = 500 * time.Millisecond
+	// fairTime is what a daemon must have had for an answer before its silence
+	// counts against it.
+	fairTime = 300 * time.Millisecond
 	// maxRelays bounds the daemons asked about one call.
 	maxRelays = 2
 	// cutAfter is how long nobody may answer before this daemon takes itself for
@@ -57,10 +57,9 @@
 	// latency is how long the store's answers take of late.
 	latency time.Duration
 	// suspect says that the store did not answer this daemon when last tried.
-	suspect   bool
-	probedAt  time.Time
-	downUntil time.Time
-	ways      map[string]way
+	suspect  bool
+	probedAt time.Time
+	ways     map[string]way
 	// cutChanged is told when this daemon is cut off, and when it no longer is.
 	cutChanged func(cut bool)
 	// woken tells WatchContact that the store has stopped answering.
@@ -110,7 +109,7 @@
 func call[T any](ctx context.Context, r *Relay, wait time.Duration, direct func(context.Context) (T, error), method string, params any) (T, error) {
 	if r.suspected() {
 		r.probe()
-		if value, err, asked := relayed[T](ctx, r, method, params); asked && settled(err) {
+		if value, err, asked := relayed[T](ctx, r, wait, method, params); asked && settled(err) {
 			return value, err
 		}
 	}
@@ -130,21 +129,21 @@
 			return got.value, got.err
 		}
 		r.suspectNow()
-		if value, err, asked := relayed[T](ctx, r, method, params); asked && settled(err) {
+		if value, err, asked := relayed[T](ctx, r, wait, method, params); asked && settled(err) {
 			return value, err
 		}
 		return got.value, got.err
 	case <-hedge.C:
 		r.suspectNow()
-		return first(ctx, r, answers, method, params)
+		return first(ctx, r, wait, answers, method, params)
 	}
 }
 
 // first returns the first settled answer of the store's and another daemon's.
-func first[T any](ctx context.Context, r *Relay, direct <-chan outcome[T], method string, params any) (T, error) {
+func first[T any](ctx context.Context, r *Relay, wait time.Duration, direct <-chan outcome[T], method string, params any) (T, error) {
 	through := make(chan outcome[T], 1)
 	go func() {
-		value, err, asked := relayed[T](ctx, r, method, params)
+		value, err, asked := relayed[T](ctx, r, wait, method, params)
 		if !asked {
 			err = verdict.New(verdict.MayHaveRun, partition.ReasonNoAnswer, "no other daemon to ask")
 		}
@@ -167,35 +166,41 @@
 }
 
 // relayed asks other daemons in turn. It reports false if it asked nobody.
-func relayed[T any](ctx context.Context, r *Relay, method string, params any) (value T, err error, asked bool) {
+func relayed[T any](ctx context.Context, r *Relay, wait time.Duration, method string, params any) (value T, err error, asked bool) {
 	names := r.daemons()
 	chosen := r.choose(names)
-	if len(chosen) == 0 || r.down() {
+	if len(chosen) == 0 {
 		return value, nil, false
 	}
 	for i, name := range chosen {
 		value = *new(T)
-		attempt, cancel := share(ctx, len(chosen)-i)
+		given := share(ctx, wait, len(chosen)-i)
+		attempt, cancel := context.WithTimeout(ctx, given)
+		began := r.now()
 		err = r.peers.Call(attempt, name, method, params, &value)
 		cancel()
 		r.note(err)
 		if settled(err) {
 			return value, err, true
 		}
-		r.learnWay(name, way{rank: rankFailed})
+		if r.now().Sub(began) < given || given >= wait+fairTime {
+			// It failed by itself, or had the time to answer.
+			r.learnWay(name, way{rank: rankFailed})
+		}
 	}
-	r.markDown()
 	return value, err, true
 }
 
-// share returns a context with an equal part of the time that is left for so many
-// attempts, so that a daemon that is silent leaves some for the next.
-func share(ctx context.Context, attempts int) (context.Context, context.CancelFunc) {
+// share returns an equal part of the time that is left for so many attempts,
+// beyond what the store is asked to wait, so that a daemon that is silent leaves
+// some for the next.
+func share(ctx context.Context, wait time.Duration, attempts int) time.Duration {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return context.WithCancel(ctx)
+		return wait + relayTimeout
 	}
-	return context.WithTimeout(ctx, time.Until(deadline)/time.Duration(attempts))
+	left := time.Until(deadline)
+	return min(wait+max(left-wait, 0)/time.Duration(attempts), left)
 }
 
 // note takes in whether a call was answered by anybody, if only with a refusal.
@@ -279,15 +284,3 @@
 		}
 	}()
 }
-
-func (r *Relay) down() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.now().Before(r.downUntil)
-}
-
-func (r *Relay) markDown() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.downUntil = r.now().Add(downTime)
-}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,6 +21,8 @@
 	// behaves holds the fault, which may change while a probe is under way.
 	behaves atomic.Pointer[func(ctx context.Context) error]
 	calls   atomic.Int32
+	// polls has reads wait for as long as they may.
+	polls   bool
 	appends atomic.Int32
 }
 
@@ -50,7 +52,14 @@
 	return partition.Page{End: 7}, s.do(ctx)
 }
 
-func (s *store) Read(ctx context.Context, _ partition.ID, from uint64, _ time.Duration) (partition.Batch, error) {
+func (s *store) Read(ctx context.Context, _ partition.ID, from uint64, wait time.Duration) (partition.Batch, error) {
+	if s.polls {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return partition.Batch{}, ctx.Err()
+		}
+	}
 	return partition.Batch{Next: from + 1}, s.do(ctx)
 }
 
@@ -238,6 +247,36 @@
 	})
 }
 
+// A read that waits for records takes its time through another daemon too, which
+// is no reason to leave that daemon.
+func TestRelay_ReadsThatWaitGoThroughOthers(t *testing.T) {
+	for _, wait := range []time.Duration{time.Second, 8 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			mine, other, r, _ := pair()
+			mine.set(silent)
+			other.polls = true
+			// The first read finds out that the store is silent.
+			ctx, cancel := context.WithTimeout(t.Context(), wait+800*time.Millisecond)
+			_, _ = r.Read(ctx, place, 0, wait)
+			cancel()
+			for range 3 {
+				ctx, cancel := context.WithTimeout(t.Context(), wait+800*time.Millisecond)
+				if _, err := r.Read(ctx, place, 0, wait); err != nil {
+					t.Errorf("a read that waits %s: %v", wait, err)
+				}
+				cancel()
+				began := time.Now()
+				ctx, cancel = context.WithTimeout(t.Context(), 3*time.Second)
+				if err := r.Append(ctx, place, partition.Fence{Epoch: 1}, nil); err != nil || time.Since(began) > 100*time.Millisecond {
+					t.Errorf("an append after it: %v after %s", err, time.Since(began))
+				}
+				cancel()
+			}
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
 func TestRelay_AsksNoOtherAboutAStoreThatIsMerelySlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mine, other, r, _ := pair()
