Join at once when a holder does not answer

Change: a look-up that a failed call causes also joins, at most every 80 ms.

Test: one join follows a refresh at once.

--- a/partition/member.go
+++ b/partition/member.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/currantwinch/currantwinch/duty"
 )
 
 const (
@@ -49,6 +47,9 @@
 	// hold some now.
 	yields func(holders []string) bool
 
+	// hurry has Run join at once.
+	hurry chan struct{}
+
 	mu         sync.Mutex
 	generation uint64
 	held       []ID
@@ -66,8 +67,8 @@
 // time that the platform grants.
 func NewMember(group Group, name string, platformTTL time.Duration, now func() time.Time, health func(error), changed func(), yields func(holders []string) bool) *Member {
 	return &Member{
-		yields: yields,
-		group:  group, name: name, least: max(minTTL, platformTTL), now: now, health: health, changed: changed,
+		yields: yields, hurry: make(chan struct{}, 1),
+		group: group, name: name, least: max(minTTL, platformTTL), now: now, health: health, changed: changed,
 		holders: make(map[ID]string),
 	}
 }
@@ -86,12 +87,26 @@
 		default:
 			m.join(ctx)
 		}
-		if !duty.Sleep(ctx, pause) {
+		if !m.wait(ctx, pause) {
 			return nil
 		}
 	}
 }
 
+// wait pauses until the next join is due, or Refresh wants one at once. It
+// reports false once ctx has ended.
+func (m *Member) wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-m.hurry:
+	}
+	return true
+}
+
 // stepOut leaves the group for now, and looks who holds the partitions.
 func (m *Member) stepOut(ctx context.Context) {
 	m.mu.Lock()
@@ -225,14 +240,20 @@
 	return names
 }
 
-// Refresh asks for the holders anew, unless that was done just now.
+// Refresh asks for the holders anew, unless that was done just now, and joins: a
+// holder that does not answer may be lost, and its partitions be this member's.
 func (m *Member) Refresh(ctx context.Context) {
 	m.mu.Lock()
 	recent := m.now().Sub(m.lookedUp) < lookupPause
 	m.mu.Unlock()
-	if !recent {
-		m.lookUp(ctx)
+	if recent {
+		return
 	}
+	select {
+	case m.hurry <- struct{}{}:
+	default:
+	}
+	m.lookUp(ctx)
 }
 
 // Leave gives up this member's partitions at once.
--- a/partition/member_test.go
+++ b/partition/member_test.go
@@ -19,6 +19,7 @@
 	until  time.Time
 	// lapses counts how often the holder was silent too long.
 	lapses int
+	joins  int
 }
 
 func (g *slowGroup) Join(ctx context.Context, member string, _ uint64, ttl time.Duration) (partition.Assignment, error) {
@@ -32,6 +33,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.joins++
 	now := time.Now()
 	if g.holder != "" && now.After(g.until) {
 		g.lapses++
@@ -100,6 +102,30 @@
 	})
 }
 
+// A member learns at once what it holds when somebody misses the holder.
+func TestMember_RefreshJoinsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &slowGroup{delay: time.Millisecond}
+		m := partition.NewMember(g, "m", 10*time.Second, time.Now, func(error) {}, func() {}, never)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		g.mu.Lock()
+		joins := g.joins
+		g.mu.Unlock()
+		m.Refresh(ctx)
+		time.Sleep(10 * time.Millisecond)
+		g.mu.Lock()
+		if g.joins != joins+1 {
+			t.Errorf("%d joins right after a refresh, want one", g.joins-joins)
+		}
+		g.mu.Unlock()
+		cancel()
+		<-done
+	})
+}
+
 // A member that yields gives its partitions up at once, holds none, and is back
 // when there is nobody left to yield to.
 func TestMember_YieldsAndReturns(t *testing.T) {
