Forget no server before the platform's list is read

Cause, found while reading the change: a new owner hears of idle servers before the platform's list is read, or before the layouts are known, takes them for gone and drops their records, to store them again a moment later.

Change: no server is forgotten before the first list, and no list is told before the layouts were read. The test failed first.

--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -60,7 +60,9 @@
 		l.takeOne(r)
 	}
 	l.read = true
-	l.tell()
+	if l.host.shards.Version() > 0 {
+		l.tell()
+	}
 }
 
 func (l *serverList) takeOne(r partition.Record) {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -43,7 +43,9 @@
 	// longest is the longest lease that this or an earlier owner may have sent.
 	longest time.Duration
 
-	servers map[string]*server
+	// listRead says that the platform's list of servers was read.
+	listRead bool
+	servers  map[string]*server
 	jobs    map[string]*job
 	finals  map[string]workload.Final
 	// expiring lists ended submissions, oldest first.
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -227,6 +227,7 @@
 
 // SetServers takes in the platform's list.
 func (c *Core) SetServers(list []ServerInfo) {
+	c.listRead = true
 	listed := make(map[string]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
@@ -321,7 +322,7 @@
 // leftEmpty reports whether a server that gets nothing more holds nothing. Its
 // record would keep the next owner waiting for it.
 func (c *Core) leftEmpty(s *server) bool {
-	if !s.stored || s.listed && !s.info.Draining {
+	if !c.listRead || !s.stored || s.listed && !s.info.Draining {
 		return false
 	}
 	return s.holdsNothing() || !s.listed && len(s.attempts) == 0 && c.now.After(s.lapsed())
--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
@@ -110,3 +113,24 @@
 		t.Errorf("started again as %+v, want on the other server from the checkpoint", again)
 	}
 }
+
+// An owner that hears of its servers before the platform's list is read forgets
+// none of them.
+func TestCore_ForgetsNoServerBeforeTheListIsRead(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	records := len(h.log)
+	h.epoch++
+	var kept []partition.Record
+	for _, r := range h.log {
+		kept = append(kept, r)
+	}
+	h.core = NewCore(h.epoch, h.bounds, kept, events.Discard(), NewMetrics(metrics.NewSet()), h.now, h.wall)
+	h.core.Configure(h.config)
+	h.do(func(c *Core) { c.LookAtAll() })
+	h.listAll()
+	h.after(500 * time.Millisecond)
+	if len(h.log) != records {
+		t.Errorf("%d records, want the %d that there were", len(h.log), records)
+	}
+}
--- a/shard/keeper.go
+++ b/shard/keeper.go
@@ -81,7 +81,7 @@
 	return l, ok
 }
 
-// Version changes whenever a layout may have.
+// Version changes whenever a layout may have. It is 0 until the layouts were read.
 func (k *Keeper) Version() uint64 { return k.version.Load() }
 
 // Run follows the layouts until ctx ends.
