--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -46,8 +46,8 @@
 	// listRead says that the platform's list of servers was read.
 	listRead bool
 	servers  map[string]*server
-	jobs    map[string]*job
-	finals  map[string]workload.Final
+	jobs     map[string]*job
+	finals   map[string]workload.Final
 	// expiring lists ended submissions, oldest first.
 	expiring []string
 	// timed are occurrences whose time has not come.
