Tell a drained server of its last ends before it is forgotten

Causes, both found while reading the change: a drained server was forgotten once its ends were stored, and if the look that tells it of them failed, nobody told it again; and a rest doubled without bound, which overflows after 31 rests.

Change: a server is forgotten once it was told; the doubling is bounded.

--- a/internal/scheduler/evidence_test.go
+++ b/internal/scheduler/evidence_test.go
@@ -59,6 +59,11 @@
 	if rests[0] != minRest || rests[1] != 2*minRest || rests[4] != maxRest {
 		t.Errorf("rests %v", rests)
 	}
+	for range 100 {
+		if d := s.rest(now); d != maxRest {
+			t.Fatalf("a rest of %s after many, want %s", d, maxRest)
+		}
+	}
 	s.succeeded()
 	if s.faults != 0 || s.rest(now) != minRest {
 		t.Error("a success changes nothing")
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -29,6 +29,8 @@
 	// the longest.
 	minRest = 2 * time.Second
 	maxRest = 16 * time.Second
+	// maxDoublings of minRest are beyond maxRest.
+	maxDoublings = 3
 )
 
 // needsLook reports whether the server holds, or may hold, something.
@@ -38,9 +40,9 @@
 
 // holdsNothing reports whether it is certain that nothing runs on the server and
 // that no order under way can begin anything: each was answered, and those in
-// doubt were stopped.
+// doubt were stopped. The server has been told of all its ends.
 func (s *server) holdsNothing() bool {
-	return s.known && len(s.attempts) == 0 && s.unknown == 0 && s.noted == s.seen
+	return s.known && len(s.attempts) == 0 && s.unknown == 0 && s.told >= s.seen
 }
 
 // look sends a look at a server unless one is under way or none is needed.
--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -67,6 +67,30 @@
 	}
 }
 
+// A drained server is told of its last ends before it is forgotten.
+func TestCore_DrainedServerHearsOfItsLastEnds(t *testing.T) {
+	h := newHarness(t, 1)
+	h.listAll()
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	h.taken(start)
+	h.servers[0].Draining = true
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.list("s0", Listing{Ended: []End{endOf(start, 1, workload.EndDone)}})
+	h.after(50 * time.Millisecond)
+	if look, ok := h.looks["s0"]; !ok || look.Look.Seen != 1 {
+		t.Fatalf("look %+v, want one that tells of the last end", look)
+	}
+	if _, kept := h.log[string(keyServer)+"s0"]; !kept {
+		t.Fatal("forgotten before it heard of its last end")
+	}
+	h.list("s0", Listing{})
+	h.after(50 * time.Millisecond)
+	if _, kept := h.log[string(keyServer)+"s0"]; kept {
+		t.Error("still recorded after it heard of all its ends")
+	}
+}
+
 // Work that would be lost with its server is stopped for its checkpoint and goes
 // on elsewhere; what cannot be resumed is left to end.
 func TestCore_EvacuatesALeavingServer(t *testing.T) {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -106,7 +106,7 @@
 // rest keeps placements off the server, longer each time until something
 // succeeds on it. One more failure after a rest is enough for the next.
 func (s *server) rest(now time.Time) time.Duration {
-	d := min(minRest<<s.rests, maxRest)
+	d := min(minRest<<min(s.rests, maxDoublings), maxRest)
 	s.rests++
 	s.faults = faultLimit - 1
 	s.avoidUntil = now.Add(d)
