--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,8 +164,8 @@
 	}
 }
 
-// toOwner gives a call to the owner of its partition. All calls are idempotent, so that one without
-// an answer is repeated at the next owner.
+// toOwner gives a call to the owner of its partition. All calls are idempotent,
+// so that one without an answer is repeated at the next owner.
 func (e *Entry) toOwner(ctx context.Context, method string, c call) (scheduler.Reply, error) {
 	if _, here := e.o.Tenures.Engine(c.partition()); !here && e.o.Cut() {
 		return scheduler.Reply{}, verdict.New(verdict.NotRun, ReasonNoOwner, "no other daemon answers").WithRetryAfter(ownerRetryAfter)
