Number an inherited task's runs above all of earlier owners

A gang ran as run 1 on three servers that crashed behind a cut and began anew; its owner was killed. Starts are not stored, so that the next owner knew of none and started it as run 1 again. What was left of the first run's gang took the second one's members; they were listed as running for good, and the next step never came.

Change: runs of inherited tasks begin above 4,096 times the number of earlier epochs.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -22,7 +22,7 @@
 // start places a task on a server and sends the order.
 func (c *Core) start(t *task, s *server, run int, ticket string) {
 	a := &attempt{task: t, run: run, server: s, sent: c.now, need: t.step.spec.Reserved(), ticket: ticket}
-	t.run, t.cur = run, a
+	t.run, t.cur = max(t.run, run), a
 	t.step.onServer[s]++
 	s.reserve(a)
 	c.sendStart(a, 0)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -273,6 +273,17 @@
 	}
 }
 
+// skipRuns has the next runs of all tasks be numbered above n.
+func (j *job) skipRuns(n int) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				s.tasks[i].run = max(s.tasks[i].run, n)
+			}
+		}
+	}
+}
+
 func (j *job) step(occurrence, index int) *step {
 	if occurrence >= len(j.occurrences) || index >= len(j.sub.Steps) {
 		return nil
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -82,10 +82,19 @@
 		}
 	}
 	for _, j := range c.jobs {
+		j.skipRuns(inheritedRuns(c.epoch))
 		c.admit(j)
 	}
 }
 
+// runsPerEpoch is more starts of one task than an owner makes.
+const runsPerEpoch = 4096
+
+// inheritedRuns is a number of runs above all that earlier owners can have given a
+// task. Starts are not stored, so that one on a server that began anew is known to
+// nobody; a run number that is used twice would join what is left of the first.
+func inheritedRuns(epoch uint64) int { return int(epoch-1) * runsPerEpoch }
+
 func (c *Core) loadJob(value []byte) error {
 	var sub workload.Submission
 	if err := workload.Decode(value, &sub); err != nil {
--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -158,3 +158,38 @@
 		t.Errorf("%d records, want the %d that there were", len(h.log), records)
 	}
 }
+
+// Nobody knows of a start on a server that began anew behind its last owner's
+// back. The next owner's runs are above it all the same.
+func TestCore_NextOwnerReusesNoRun(t *testing.T) {
+	h := newHarness(t, 2)
+	h.listAll()
+	gang := oneTask(20000)
+	gang.Count, gang.Gang = 2, true
+	h.submit(id1, gang, oneTask(1000))
+	used := 0
+	for _, s := range h.takeStarts() {
+		h.taken(s)
+		used = max(used, s.Order.Run)
+	}
+	for range 2 {
+		h.takeOver()
+		for _, s := range h.servers {
+			h.list(s.ID, Listing{Born: int64(2000 * h.epoch)})
+		}
+		h.after(time.Second)
+		starts := h.takeStarts()
+		if len(starts) != 3 {
+			t.Fatalf("%d starts by the next owner, want 3", len(starts))
+		}
+		highest := used
+		for _, s := range starts {
+			if s.Order.Run <= used {
+				t.Errorf("%s is started as run %d, which an earlier owner may have used", s.Order.Task, s.Order.Run)
+			}
+			highest = max(highest, s.Order.Run)
+			h.taken(s)
+		}
+		used = highest
+	}
+}
--- /dev/null
+++ b/shard/example_test.go
@@ -0,0 +1,28 @@
+package shard_test
+
+import (
+	"fmt"
+
+	"github.com/currantwinch/currantwinch/shard"
+)
+
+// A service of 400 servers in 20 racks is cut into three shards, which keep their
+// racks when others come.
+func Example() {
+	racks := make(map[string]int)
+	for i := range 20 {
+		racks[fmt.Sprintf("rack-%d", i)] = 20
+	}
+	layout := shard.Decide(racks, 12)
+	before, _ := layout.OfRack("rack-7")
+
+	racks["rack-20"] = 20
+	layout, changed := layout.Extend(racks)
+	after, _ := layout.OfRack("rack-7")
+
+	fmt.Println(layout.Shards, "shards, changed:", changed, "same shard:", before == after)
+	fmt.Println("a submission's shard is always", layout.OfSubmission("5c0e7a21d94b36f8"))
+	// Output:
+	// 3 shards, changed: true same shard: true
+	// a submission's shard is always 0
+}
