Do not yield as the only holder, or without knowing one's own size

Cause, found while reading: where the settings do not tell the processor time, every VM has twice as much as nothing, and all daemons would yield; a small daemon that is the only holder would leave to large ones that are connected and not in the group, for as long as they stay so.

Change and test as said; the two rows of the test failed first. Nothing changes where VMs are alike and know their size.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -59,8 +59,11 @@
 
 // Yields reports whether this daemon should leave partitions to others: to the
 // holders and to those with a connection, which every daemon has to each holder.
-// It asks in the background those it does not know, which do not count yet.
+// It asks in the background those it does not know, which do not count yet. A
+// daemon without another holder does not yield, whoever might take its place, nor
+// does one that was not told its own processor time.
 func (c *Capacities) Yields(holders []string) bool {
+	others := slices.DeleteFunc(slices.Clone(holders), func(name string) bool { return name == c.self })
 	names := append(slices.Clone(holders), c.peers.Connected()...)
 	slices.Sort(names)
 	names = slices.Compact(names)
@@ -79,7 +82,7 @@
 			larger++
 		}
 	}
-	if yields := larger >= enoughOwners; yields != c.yields {
+	if yields := larger >= enoughOwners && len(others) > 0 && c.own > 0; yields != c.yields {
 		c.yields = yields
 		c.decided(yields, larger, len(names))
 	}
--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -44,6 +44,7 @@
 		{"a large one", 800, []int64{800, 800, 800, 800, 192}, false},
 		{"hardly larger", 400, []int64{700, 700, 700, 700, 700}, false},
 		{"alone", 192, nil, false},
+		{"not told its own size", 0, []int64{0, 0, 400, 800, 800}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -94,7 +95,10 @@
 	p := &connectedPeers{capacityPeers: make(capacityPeers)}
 	c := NewCapacities("me", 192, p, func(bool, int, int) {})
 	for i := range 5 {
-		if c.Yields([]string{"me"}) != (i >= enoughOwners) {
+		if c.Yields([]string{"me"}) {
+			t.Errorf("with %d large daemons connected: yields as the only holder", i)
+		}
+		if c.Yields([]string{"me", "other"}) != (i >= enoughOwners) {
 			t.Errorf("with %d large daemons connected: yields %t", i, i < enoughOwners)
 		}
 		name := fmt.Sprintf("d%d", i)
