--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -94,6 +94,10 @@
 func TestCapacities_SmallHolderYieldsToLargeOnesThatAsk(t *testing.T) {
 	p := &connectedPeers{capacityPeers: make(capacityPeers)}
 	c := NewCapacities("me", 192, p, func(bool, int, int) {})
+	// A small holder that has asked is known, so that nothing runs in the background.
+	if _, err := p.handler(t.Context(), "other", json.RawMessage(`{"CPU":192}`)); err != nil {
+		t.Fatal(err)
+	}
 	for i := range 5 {
 		if c.Yields([]string{"me"}) {
 			t.Errorf("with %d large daemons connected: yields as the only holder", i)
