Count a call that is handled under the lock that stopping takes

A request read while its daemon stops added itself after the wait may have ended, so that Stop could return with a call still being handled.

Change: such a call is counted under the lock under which Stop begins, and refused as not run after that.

The test is the one that found it; its check is unchanged.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -245,7 +245,11 @@
 		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonBusy, "%d calls are being handled", maxHandled))
 		return
 	}
-	l.peers.wg.Add(1)
+	if !l.peers.begin() {
+		<-l.handled
+		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonUnreachable, "this daemon stops"))
+		return
+	}
 	go func() {
 		defer l.peers.wg.Done()
 		defer func() { <-l.handled }()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// begin counts a call that is handled, which Stop waits for. It reports false once
+// Stop has begun to wait.
+func (p *Peers) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return false
+	}
+	p.wg.Add(1)
+	return true
+}
+
 func (p *Peers) closeAll() {
 	p.mu.Lock()
 	p.stopped = true
