Tell a log's own answer from a missing one in one place

Found on the last read: the relay and partition's repeated calls each listed the four reasons that are the log's own answer, and repeat took as a parameter a function that was always the same.

Change: partition.Answered serves both; repeat has no such parameter. Behaviour is unchanged and no test was touched.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,16 +88,7 @@
 func (r *Relay) Report(cutChanged func(cut bool)) { r.cutChanged = cutChanged }
 
 // settled reports whether an answer is the store's own.
-func settled(err error) bool {
-	if err == nil {
-		return true
-	}
-	switch verdict.ReasonOf(err) {
-	case partition.ReasonFenced, partition.ReasonSequence, partition.ReasonMoved, partition.ReasonTruncated:
-		return true
-	}
-	return false
-}
+func settled(err error) bool { return err == nil || partition.Answered(err) }
 
 type outcome[T any] struct {
 	value T
--- a/partition/member.go
+++ b/partition/member.go
@@ -132,7 +132,7 @@
 	sent := m.now()
 	call, cancel := context.WithTimeout(ctx, ttl)
 	defer cancel()
-	a, took, err := repeat(call, m.hang(), answered, func(ctx context.Context) (Assignment, error) {
+	a, took, err := repeat(call, m.hang(), func(ctx context.Context) (Assignment, error) {
 		return m.group.Join(ctx, m.name, generation, ttl)
 	})
 	m.health(err)
@@ -180,7 +180,7 @@
 	m.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, maxTTL/2)
 	defer cancel()
-	shares, _, err := repeat(call, m.hang(), answered, m.group.Shares)
+	shares, _, err := repeat(call, m.hang(), m.group.Shares)
 	m.health(err)
 	if err != nil {
 		return
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -126,6 +126,6 @@
 func newestPage(ctx context.Context, log Log, id ID, after string) (Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	page, _, err := repeat(ctx, hangTime, answered, func(ctx context.Context) (Page, error) { return log.Newest(ctx, id, after) })
+	page, _, err := repeat(ctx, hangTime, func(ctx context.Context) (Page, error) { return log.Newest(ctx, id, after) })
 	return page, err
 }
--- a/partition/repeat.go
+++ b/partition/repeat.go
@@ -26,11 +26,11 @@
 	err   error
 }
 
-// repeat makes a call until it succeeds, settled says that its error is the
-// log's own, or ctx ends. An attempt that hangs, maybe on a dead connection, is
+// repeat makes a call until it succeeds, its error is the log's own answer, or ctx
+// ends. An attempt that hangs, maybe on a dead connection, is
 // left under way and another sent beside it, so that the call must be one that
 // may be repeated. It returns how long the attempt took that ended it.
-func repeat[T any](ctx context.Context, hang time.Duration, settled func(error) bool, call func(context.Context) (T, error)) (T, time.Duration, error) {
+func repeat[T any](ctx context.Context, hang time.Duration, call func(context.Context) (T, error)) (T, time.Duration, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	outcomes := make(chan outcome[T], maxAttempts)
@@ -50,7 +50,7 @@
 			again.Reset(hang)
 		case last = <-outcomes:
 			open--
-			if last.err == nil || settled(last.err) {
+			if last.err == nil || Answered(last.err) {
 				return last.value, last.took, last.err
 			}
 			again.Reset(retry)
@@ -78,9 +78,9 @@
 	return outcome[T]{value, time.Since(began), err}
 }
 
-// answered reports whether an error is the log's own answer, which another
-// attempt would not change.
-func answered(err error) bool {
+// Answered reports whether an error is the log's own answer, which another attempt
+// would not change.
+func Answered(err error) bool {
 	switch verdict.ReasonOf(err) {
 	case ReasonFenced, ReasonSequence, ReasonMoved, ReasonTruncated:
 		return true
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -60,7 +60,7 @@
 func Open(ctx context.Context, log Log, id ID, epoch, end uint64, claim Record, now func() time.Time, written func(ticket uint64)) (*Writer, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	_, _, err := repeat(ctx, hangTime, answered, func(ctx context.Context) (struct{}, error) {
+	_, _, err := repeat(ctx, hangTime, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, log.Append(ctx, id, Fence{producer, epoch, 0, &end}, []Record{claim})
 	})
 	if err != nil {
@@ -151,7 +151,7 @@
 func (w *Writer) append(ctx context.Context, records []Record) error {
 	fence := Fence{Producer: producer, Epoch: w.epoch, Sequence: w.next}
 	hang := min(max(appendTimes*w.latency, hangTime), maxHang)
-	_, took, err := repeat(ctx, hang, answered, func(ctx context.Context) (struct{}, error) {
+	_, took, err := repeat(ctx, hang, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, w.log.Append(ctx, w.id, fence, records)
 	})
 	if err == nil {
@@ -159,7 +159,7 @@
 		w.latency = max(took, time.Duration(latencyDecay*float64(w.latency)))
 		return nil
 	}
-	if answered(err) {
+	if Answered(err) {
 		return ErrFenced
 	}
 	return errors.Wrap(err, "append")
