Tell a server of its noted ends only while its life is sure

A look carries the number of the last stored end, and a server drops everything up to it. A server that ended and began anew under its ID between two looks counts its ends from 1, so that a look with the old number drops ends of the new life unread: the task would be taken for lost and run again. Ruled out: naming the life in the call. The header holds the ID, which is the same in both lives. Sending 0 after a failed look alone: the connection may be closed and opened anew between two looks without a failed call. Change: the number is sent within half of reuse_after_s of the last answer, and 0 else; the answer to that look shows the life, and the next look tells the number. The bound comes from the settings. Before: TestCore_NoEndsToldAcrossASilence fails (told of end 1 after 3 s). After: it passes, with a second test that ends are still told at once.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -189,7 +189,7 @@
 	return scheduler.NewEngine(scheduler.EngineOptions{
 		Log: h.store, Partition: id, Daemon: h.base.Self.Name,
 		Bounds: scheduler.Bounds{
-			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept,
+			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusKept: b.StatusKept, ReuseAfter: b.ReuseAfter,
 		},
 		Servers: h.servers, Advisors: h.advisors.Lane(func() (int, int) { return h.tenures.Place(id) }), Config: h.config.Load, Sure: h.member.Sure,
 		Watch: func(ctx context.Context, whole func([]scheduler.ServerInfo)) error {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -24,6 +24,9 @@
 	GangTimeout time.Duration
 	// StatusKept is how long the state of an ended submission can be read.
 	StatusKept time.Duration
+	// ReuseAfter is the shortest time from the end of a server's life to the
+	// start of the next one under its ID.
+	ReuseAfter time.Duration
 }
 
 // Core holds one partition's submissions and the book of its servers. Every
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -53,8 +53,11 @@
 		return
 	}
 	s.looking = true
-	s.telling = s.noted
-	l := Look{Epoch: c.epoch, Seen: s.noted}
+	l := Look{Epoch: c.epoch}
+	if s.known && c.sameLife(s) {
+		l.Seen = s.noted
+	}
+	s.telling = max(l.Seen, s.told)
 	if s.known {
 		l.Deadline = c.lease(s)
 		if s.noted == s.seen && (len(s.attempts) > 0 || s.unknown > 0) {
@@ -64,6 +67,13 @@
 	c.act(LookAt{To: s.life(), Look: l, DelayMS: delayMS})
 }
 
+// sameLife reports whether the server can only be in the life that answered
+// last. The numbers of its ends mean others in its next life, which would drop
+// them unread.
+func (c *Core) sameLife(s *server) bool {
+	return c.now.Sub(s.lookedAt) <= c.bounds.ReuseAfter/2
+}
+
 // Looked reports the outcome of a look that was sent at the given time.
 func (c *Core) Looked(to Life, sent time.Time, list Listing, err error) {
 	s := c.servers[to.ID]
--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -193,3 +193,44 @@
 		used = highest
 	}
 }
+
+// A server that may have begun anew is not told of ends: in its next life the
+// same numbers belong to others.
+func TestCore_NoEndsToldAcrossASilence(t *testing.T) {
+	h := newHarness(t, 1)
+	h.bounds.ReuseAfter = 2 * time.Second
+	h.takeOver()
+	h.listAll()
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	h.taken(start)
+	h.list("s0", Listing{Ended: []End{endOf(start, 1, workload.EndDone)}})
+	h.list("s0", Listing{})
+	h.after(3 * time.Second)
+
+	h.submit(id2, oneTask(1000))
+	again := h.takeStarts()[0]
+	h.taken(again)
+	if seen := h.looks["s0"].Look.Seen; seen != 0 {
+		t.Fatalf("told of end %d on a server not heard for 3 s", seen)
+	}
+	h.list("s0", Listing{Born: 5000, Ended: []End{endOf(again, 1, workload.EndDone)}})
+	if got := h.status(id2); got != workload.StatusCompleted {
+		t.Errorf("status %q after the end in the server's next life", got)
+	}
+}
+
+// Within the time that no ID is used again, ends are told at once.
+func TestCore_EndsToldWhileTheLifeIsSure(t *testing.T) {
+	h := newHarness(t, 1)
+	h.bounds.ReuseAfter = 2 * time.Second
+	h.takeOver()
+	h.listAll()
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	h.taken(start)
+	h.list("s0", Listing{Ended: []End{endOf(start, 1, workload.EndDone)}})
+	if seen := h.looks["s0"].Look.Seen; seen != 1 {
+		t.Errorf("told of ends up to %d right after an answer, want 1", seen)
+	}
+}
