Refuse a second hello on a connection between daemons

Cause: FuzzAccept once lost three calls of one daemon in a row and the input was not kept. Reading for how a stranger could end a daemon's connection more than once: every hello on a connection bound it anew, to any name, so that one connection could take over the place of another daemon's any number of times, and change its own peer. The dialing end took hellos as well. Ruled out: reap of a replaced connection (it compares the connection, not the name). Change: a connection takes one hello; one that was dialed takes none. Before: TestAccept_SecondHelloChangesNothing fails (the daemon's place taken over, the stranger's own name gone). After: it passes, package tests pass. Conclusion: with TLS the name was checked each time, so this opened no door to strangers there.

--- a/internal/peer/fuzz_test.go
+++ b/internal/peer/fuzz_test.go
@@ -21,6 +21,8 @@
 	nil,
 	frame(`{"jsonrpc":"2.0","id":0,"method":"peer.hello","params":{"name":"c","incarnation":"c1","region":"r"}}`),
 	append(frame(`{"id":0,"method":"peer.hello","params":{"name":"c"}}`), frame(`{"id":1,"method":"echo","params":[]}`)...),
+	// Several hellos under the name of a daemon that is connected.
+	bytes.Repeat(frame(`{"id":0,"method":"peer.hello","params":{"name":"a"}}`), 8),
 	frame(`{"jsonrpc":"2.0","id":1,"result":"x"}`),
 	frame(`{"jsonrpc":"2.0","id":1,"error":{"code":1,"message":"m","data":{"verdict":"ran"}}}`),
 	frame(`{"id":1,"method":"echo"}`),
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -32,6 +32,9 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	remote  atomic.Pointer[identity]
+	// greeted is set once this end has sent a hello or taken one. A connection
+	// keeps the daemon that it began with.
+	greeted atomic.Bool
 	// verify checks a daemon's name against its certificate.
 	verify func(name string) error
 }
@@ -47,7 +50,8 @@
 	ReadBytes   uint64 `json:"readBytes"`
 }
 
-func (p *Peers) newLink(c net.Conn) (*link, error) {
+// newLink starts a connection. A dialed one takes no hello from the other end.
+func (p *Peers) newLink(c net.Conn, dialed bool) (*link, error) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	l := &link{
 		peers: p, ctx: ctx, cancel: cancel,
@@ -55,6 +59,7 @@
 		handled: make(chan struct{}, maxHandled),
 		verify:  verifierOf(c),
 	}
+	l.greeted.Store(dialed)
 	l.stream = newStream(c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,7 +144,7 @@
 	if c, err = p.secureClient(ctx, c, daemon); err != nil {
 		return nil, verdict.Wrap(errors.Wrapf(err, "secure connection to %s", daemon), verdict.NotRun, ReasonUnreachable)
 	}
-	l, err := p.newLink(c)
+	l, err := p.newLink(c, true)
 	if err != nil {
 		return nil, err
 	}
@@ -277,6 +282,10 @@
 		_ = c.Close()
 		return
 	}
+	if !l.greeted.CompareAndSwap(false, true) {
+		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonBadAnswer, "second hello"))
+		return
+	}
 	l.bind(remote)
 	l.reply(c, r, l.peers.identity(), nil)
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -271,3 +271,36 @@
 		}
 	})
 }
+
+// A connection stays that of the daemon that it began with: each further hello
+// under another's name would end that daemon's connection once more.
+func TestAccept_SecondHelloChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		defer network.Close()
+		a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
+		defer a.stop(t)
+		defer b.stop(t)
+		if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
+			t.Fatal(err)
+		}
+		c, err := network.Host("stranger", "r").Dial(t.Context(), "tcp", "b")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		for _, name := range []string{"c", "a"} {
+			if _, err := c.Write(frame(`{"id":0,"method":"peer.hello","params":{"name":"` + name + `","incarnation":"x"}}`)); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+		}
+		names := make(map[string]string)
+		for _, s := range b.Dump().([]peer.LinkStatus) {
+			names[s.Peer] = s.Incarnation
+		}
+		if names["a"] != "a1" || names["c"] != "x" {
+			t.Errorf("connections by daemon %v, want those of a1 and of c", names)
+		}
+	})
+}
--- a/internal/peer/secure.go
+++ b/internal/peer/secure.go
@@ -26,7 +26,7 @@
 // serve takes an accepted connection. It does not wait for the handshake.
 func (p *Peers) serve(c net.Conn) {
 	if p.o.Security == nil {
-		_, _ = p.newLink(c)
+		_, _ = p.newLink(c, false)
 		return
 	}
 	select {
@@ -64,7 +64,7 @@
 		_ = c.Close()
 		return
 	}
-	_, _ = p.newLink(secured)
+	_, _ = p.newLink(secured, false)
 }
 
 // secureClient returns the connection secured, if it is to be.
