Say how to choose other ports when those of dev are taken

Cause: `currantwinchd dev` ended with the bare error of the system call where a port of its range was taken; it names the port and not the way out. Other errors are unchanged.

--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 	"os/exec"
 	"strconv"
@@ -41,12 +42,22 @@
 			"platform":     startPlatform,
 			"answers":      answers,
 			"exits":        exits,
+			"takeport":     takePort,
 			"stopdaemon":   stopDaemon,
 			"waitreview":   waitReview,
 		},
 	})
 }
 
+// takePort listens on a free port, whose number it puts into $PORT, until the
+// script ends.
+func takePort(ts *testscript.TestScript, _ bool, _ []string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	ts.Defer(func() { _ = l.Close() })
+	ts.Setenv("PORT", strconv.Itoa(l.Addr().(*net.TCPAddr).Port))
+}
+
 // startCell starts three daemons with stand-ins and points the command line's
 // environment at them.
 func startCell(ts *testscript.TestScript, _ bool, _ []string) { startCellWith(ts, nil) }
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/currantwinch/currantwinch/internal/dev"
+	"github.com/pkg/errors"
 )
 
 type devCommand struct {
@@ -27,5 +28,14 @@
 	if c.Verbose {
 		o.EventsOut = e.err
 	}
-	return dev.Run(ctx, o)
+	return portsTaken(dev.Run(ctx, o))
+}
+
+// portsTaken adds to an error of a taken port how to choose others. The error
+// itself names the port.
+func portsTaken(err error) error {
+	if !errors.Is(err, syscall.EADDRINUSE) {
+		return err
+	}
+	return errors.Wrap(err, "choose other ports with --first-port N, or any free ones with --first-port 0")
 }
