Count calls to the store by way and outcome, and log when it is suspected

Cause: whether calls went through other daemons was visible in a state dump alone. A store that answers others and not this daemon showed as an event only once a call had failed in the end, and the metrics counted failures alone. Change: the relay counts its calls by way and outcome, keeps a histogram of answers, and logs store_suspected and store_trusted with the age of the last sign of life. It logs vm_cut_off itself, so that the callback for it is gone. Before and after: TestRelay_ShowsHowTheStoreIsReached is new and does not build on the old relay; the test of cut daemons counts the logged changes, four as before.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -63,6 +63,11 @@
 		Fields:  []string{"step", "missing", "members"},
 		Meaning: "Not all members of a gang got a place in time; the others are stopped.",
 	}
+	GangReserved = Event{
+		Number: 6014, Level: slog.LevelInfo, Name: "gang_reserved",
+		Fields:  []string{"step", "members", "servers", "cpu", "waited"},
+		Meaning: "All members of a gang have free room, kept for it while the policy service is asked for their tickets; cpu is in thousandths of a core, waited in milliseconds since the step could run.",
+	}
 	AdviceTaken = Event{
 		Number: 6012, Level: slog.LevelInfo, Name: "advice_taken",
 		Fields:  []string{"step", "asked", "allowed", "validMS"},
@@ -193,6 +198,16 @@
 		Meaning: "Neither the store nor another daemon answers this one, which is not ready then; or one of them does again.",
 		Action:  "Look at the network of this VM.",
 	}
+	StoreSuspected = Event{
+		Number: 6046, Level: slog.LevelInfo, Name: "store_suspected",
+		Fields:  []string{"heardAge", "latency"},
+		Meaning: "The store was silent for longer than its recent answers, latency, explain; calls go through other daemons. The last sign of life from anybody is heardAge old; both in milliseconds.",
+	}
+	StoreTrusted = Event{
+		Number: 6047, Level: slog.LevelInfo, Name: "store_trusted",
+		Fields:  []string{"suspected"},
+		Meaning: "The store answered this daemon itself again, suspected milliseconds after calls began to go through others.",
+	}
 	LayoutTaken = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -214,8 +229,9 @@
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded,
-	TaskPlaced, OrderFailed, RunEnded, RunLost, RunUnknown, RunAdopted, GangBroken, AdviceTaken, AdviceFailed,
+	TaskPlaced, OrderFailed, RunEnded, RunLost, RunUnknown, RunAdopted, GangBroken, AdviceTaken, AdviceFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerSilent, ServerHeard, ServerReborn, ServerForgotten, ServerRests, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRegained,
 	ConfigurationTaken, ConfigurationUnreadable, EntryUnreadable, CallFailed, SettingsReloaded, LayoutTaken, LayoutUnreadable, MemberYields, VMCutOff,
+	StoreSuspected, StoreTrusted,
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -107,7 +107,10 @@
 
 func (h *Host) newStore(client *http.Client, s platform.Settings, peers *peer.Peers) *relay.Relay {
 	h.health = &storeHealth{now: time.Now, events: h.o.Events, set: h.base.Metrics}
-	return relay.New(platform.NewStore(client, s.Store, group, tenure.Topic), peers, time.Now)
+	return relay.New(relay.Options{
+		Direct: platform.NewStore(client, s.Store, group, tenure.Topic), Peers: peers, Now: time.Now,
+		Metrics: h.base.Metrics, Events: h.o.Events,
+	})
 }
 
 func (h *Host) newPeers() (*peer.Peers, error) {
@@ -164,7 +167,6 @@
 	h.store, h.member, h.tenures, h.peers, h.entry, h.advisors = store, member, tenures, peers, e, a
 	h.servers = platform.NewServers(client)
 	store.Through(a.Others)
-	store.Report(func(cut bool) { h.o.Events.Log(events.VMCutOff, "cut", cut) })
 }
 
 // lifecycle orders start and stop.
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/events"
 )
 
 const (
@@ -35,7 +36,7 @@
 		}
 		if now := r.Cut(); now != cut {
 			cut = now
-			r.cutChanged(cut)
+			r.log.Log(events.VMCutOff, "cut", cut)
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Ways of a call to the store.
+const (
+	wayDirect  = "direct"
+	wayRelayed = "relayed"
+)
+
+// meter counts the calls to the store by way and outcome.
+type meter struct {
+	answered, unanswered map[string]*metrics.Counter
+	// seconds are the times of answers that the store was not asked to hold back.
+	seconds map[string]*metrics.Histogram
+}
+
+func newMeter(set *metrics.Set, suspected func() bool) *meter {
+	m := &meter{
+		answered: make(map[string]*metrics.Counter), unanswered: make(map[string]*metrics.Counter),
+		seconds: make(map[string]*metrics.Histogram),
+	}
+	for _, way := range []string{wayDirect, wayRelayed} {
+		m.answered[way] = set.NewCounter(fmt.Sprintf(`currantwinch_store_calls_total{way=%q,outcome="answered"}`, way))
+		m.unanswered[way] = set.NewCounter(fmt.Sprintf(`currantwinch_store_calls_total{way=%q,outcome="unanswered"}`, way))
+		m.seconds[way] = set.NewHistogram(fmt.Sprintf(`currantwinch_store_call_seconds{way=%q}`, way))
+	}
+	set.NewGauge("currantwinch_store_suspected", func() float64 {
+		if suspected() {
+			return 1
+		}
+		return 0
+	})
+	return m
+}
+
+// called takes in the outcome of one call. An answer is one of the store's own; a
+// refusal for load counts as none.
+func (m *meter) called(way string, err error, took, wait time.Duration) {
+	if !settled(err) {
+		m.unanswered[way].Inc()
+		return
+	}
+	m.answered[way].Inc()
+	if wait == 0 {
+		m.seconds[way].Update(took.Seconds())
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/verdict"
@@ -44,12 +46,25 @@
 	partition.Group
 }
 
+// Options is what a Relay is built from.
+type Options struct {
+	// Direct is the daemon's own path to the store.
+	Direct Store
+	Peers  roles.Peers
+	Now    func() time.Time
+	// Metrics is the set that the relay's metrics are registered with.
+	Metrics *metrics.Set
+	Events  *events.Logger
+}
+
 // Relay is a Store that asks other daemons when its own path fails.
 type Relay struct {
 	direct  Store
 	peers   roles.Peers
 	daemons func() []string
 	now     func() time.Time
+	meter   *meter
+	log     *events.Logger
 
 	mu sync.Mutex
 	// heard is when the store or another daemon last answered anything.
@@ -57,11 +72,11 @@
 	// latency is how long the store's answers take of late.
 	latency time.Duration
 	// suspect says that the store did not answer this daemon when last tried.
-	suspect  bool
-	probedAt time.Time
-	ways     map[string]way
-	// cutChanged is told when this daemon is cut off, and when it no longer is.
-	cutChanged func(cut bool)
+	suspect bool
+	// suspectedAt is when the present or last suspicion began.
+	suspectedAt time.Time
+	probedAt    time.Time
+	ways        map[string]way
 	// woken tells WatchContact that the store has stopped answering.
 	woken chan struct{}
 
@@ -70,13 +85,13 @@
 	asked int
 }
 
-// New returns a Relay, whose methods it registers with the peers. Daemons lists
-// the others.
-func New(direct Store, peers roles.Peers, now func() time.Time) *Relay {
+// New returns a Relay, whose methods it registers with the peers.
+func New(o Options) *Relay {
 	r := &Relay{
-		direct: direct, peers: peers, now: now, daemons: func() []string { return nil }, cutChanged: func(bool) {},
+		direct: o.Direct, peers: o.Peers, now: o.Now, log: o.Events, daemons: func() []string { return nil },
 		ways: make(map[string]way), woken: make(chan struct{}, 1),
 	}
+	r.meter = newMeter(o.Metrics, r.suspected)
 	r.register()
 	return r
 }
@@ -84,9 +99,6 @@
 // Through sets who the other daemons are.
 func (r *Relay) Through(daemons func() []string) { r.daemons = daemons }
 
-// Report sets what is told when this daemon is cut off, and when it no longer is.
-func (r *Relay) Report(cutChanged func(cut bool)) { r.cutChanged = cutChanged }
-
 // settled reports whether an answer is the store's own.
 func settled(err error) bool { return err == nil || partition.Answered(err) }
 
@@ -108,8 +120,10 @@
 	go func() {
 		began := r.now()
 		value, err := direct(ctx)
+		took := r.now().Sub(began)
 		r.note(err)
-		r.learn(err, r.now().Sub(began), wait)
+		r.learn(err, took, wait)
+		r.meter.called(wayDirect, err, took, wait)
 		answers <- outcome[T]{value, err}
 	}()
 	hedge := time.NewTimer(wait + r.hedge())
@@ -171,6 +185,7 @@
 		err = r.peers.Call(attempt, name, method, params, &value)
 		cancel()
 		r.note(err)
+		r.meter.called(wayRelayed, err, r.now().Sub(began), wait)
 		if settled(err) {
 			return value, err, true
 		}
@@ -208,9 +223,9 @@
 	if !settled(err) {
 		return
 	}
+	r.trust()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.suspect = false
 	if wait == 0 {
 		r.latency = max(took, time.Duration(latencyDecay*float64(r.latency)))
 	}
@@ -243,17 +258,33 @@
 	return r.suspect
 }
 
+// suspectNow has further calls go through other daemons, until the store answers
+// this one.
 func (r *Relay) suspectNow() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.probedAt = now
+	if r.suspect {
+		return
+	}
+	r.suspect, r.suspectedAt = true, now
+	select {
+	case r.woken <- struct{}{}:
+	default:
+	}
+	r.log.Log(events.StoreSuspected, "heardAge", now.Sub(r.heard).Milliseconds(), "latency", r.latency.Milliseconds())
+}
+
+// trust ends the suspicion.
+func (r *Relay) trust() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.suspect {
-		select {
-		case r.woken <- struct{}{}:
-		default:
-		}
+		return
 	}
-	r.suspect = true
-	r.probedAt = r.now()
+	r.suspect = false
+	r.log.Log(events.StoreTrusted, "suspected", r.now().Sub(r.suspectedAt).Milliseconds())
 }
 
 // probe asks the store itself now and then, beside the calls that go through
@@ -269,9 +300,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		if _, err := r.direct.Shares(ctx); settled(err) {
-			r.mu.Lock()
-			r.suspect = false
-			r.mu.Unlock()
+			r.trust()
 		}
 	}()
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,13 +1,18 @@
 package relay_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"log/slog"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/relay"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/partition"
@@ -102,14 +107,34 @@
 	return json.Unmarshal(data, result)
 }
 
+// observed is what a relay logs and counts.
+type observed struct {
+	lines bytes.Buffer
+	set   *metrics.Set
+}
+
+func newRelay(direct *store, others *peers) (*relay.Relay, *observed) {
+	o := &observed{set: metrics.NewSet()}
+	return relay.New(relay.Options{
+		Direct: direct, Peers: others, Now: time.Now, Metrics: o.set, Events: events.NewLogger(slog.New(slog.NewTextHandler(&o.lines, nil))),
+	}), o
+}
+
+// metrics returns what a scrape of the set shows.
+func (o *observed) metrics() string {
+	var out bytes.Buffer
+	o.set.WritePrometheus(&out)
+	return out.String()
+}
+
 // pair returns the stores as two daemons see them, the relay of the first, and
 // its way to the second.
 func pair() (mine, other *store, r *relay.Relay, way *peers) {
 	mine, other = &store{}, &store{}
 	a, b := &peers{handlers: make(map[string]roles.PeerHandler)}, &peers{handlers: make(map[string]roles.PeerHandler)}
 	a.other, b.other = b, a
-	r = relay.New(mine, a, time.Now)
-	relay.New(other, b, time.Now)
+	r, _ = newRelay(mine, a)
+	_, _ = newRelay(other, b)
 	r.Through(func() []string { return []string{"b"} })
 	return mine, other, r, a
 }
@@ -204,13 +229,11 @@
 
 func TestRelay_CutOnlyWhenNobodyAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		mine, other, r, way := pair()
+		mine, other, _, way := pair()
+		r, seen := newRelay(mine, way)
+		r.Through(func() []string { return []string{"b"} })
 		ctx, cancel := context.WithCancel(t.Context())
-		var reported atomic.Int32
-		r.Report(func(bool) { reported.Add(1) })
 		go func() { _ = r.WatchContact(ctx, func() {}) }()
-		defer synctest.Wait()
-		defer cancel()
 		try := func(times int) {
 			for range times {
 				call, cancel := context.WithTimeout(ctx, time.Second)
@@ -241,8 +264,47 @@
 				t.Errorf("%s: cut off is %t, want %t", step.name, got, step.want)
 			}
 		}
-		if n := reported.Load(); n != 4 {
-			t.Errorf("%d changes were reported, want 4", n)
+		cancel()
+		synctest.Wait()
+		if n := strings.Count(seen.lines.String(), events.VMCutOff.Name); n != 4 {
+			t.Errorf("%d changes were logged, want 4", n)
+		}
+	})
+}
+
+// What a daemon believes of the store is logged when it changes, and its calls
+// are counted by way and outcome.
+func TestRelay_ShowsHowTheStoreIsReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, _, _, way := pair()
+		r, seen := newRelay(mine, way)
+		r.Through(func() []string { return []string{"b"} })
+		call := func() {
+			if _, err := r.Newest(t.Context(), place, ""); err != nil {
+				t.Error(err)
+			}
+		}
+		call()
+		mine.set(refused)
+		call()
+		mine.set(nil)
+		time.Sleep(1100 * time.Millisecond)
+		call()
+		synctest.Wait()
+		for _, want := range []string{
+			`currantwinch_store_calls_total{way="direct",outcome="answered"} 1`,
+			`currantwinch_store_calls_total{way="direct",outcome="unanswered"} 1`,
+			`currantwinch_store_calls_total{way="relayed",outcome="answered"} 2`,
+			`currantwinch_store_suspected 0`,
+		} {
+			if !strings.Contains(seen.metrics(), want) {
+				t.Errorf("no line %s in\n%s", want, seen.metrics())
+			}
+		}
+		for _, e := range []events.Event{events.StoreSuspected, events.StoreTrusted} {
+			if n := strings.Count(seen.lines.String(), e.Name); n != 1 {
+				t.Errorf("%d lines of %s, want 1", n, e.Name)
+			}
 		}
 	})
 }
