--- a/internal/scheduler/gather.go
+++ b/internal/scheduler/gather.go
@@ -29,28 +29,34 @@
 // gather is for a gang that cannot start now. It learns which servers the gang
 // may use, holds room on the most promising of them against less pressing
 // steps, and asks for tickets once the room is there.
-func (p *pass) gather(st *step, need int, open []*server) {
+func (p *pass) gather(st *step, need int) {
 	if st.reserved != nil {
-		p.hide(st, st.reserved.members)
-		p.reservedCPU += st.cpuOf(st.reserved.members)
+		p.applyReservation(st)
 		return
 	}
 	prospects := p.prospects(st)
 	held, ready := p.hold(st, need, prospects)
-	if st.job().queue.Advice == nil || !p.core.mayAsk(st) {
-		return
+	switch {
+	case st.job().queue.Advice == nil:
+	case ready >= need:
+		p.askTickets(st, held)
+	default:
+		p.askUnknown(st, need, prospects)
 	}
-	if ready >= need {
-		// The room is held; only its tickets are missing.
-		if st.asksAbout(held) {
-			return
-		}
-		cost := p.core.askAbout(st, ids(held))
-		p.reserve(st, held, cost)
+}
+
+// askTickets asks for the tickets of a gang that lacks nothing else.
+func (p *pass) askTickets(st *step, held map[*server]int) {
+	if !p.core.mayAsk(st) || st.asksAbout(held) {
 		return
 	}
-	// What is held may stay full for long, while others that may be allowed
-	// have room.
+	cost := p.core.askAbout(st, ids(held))
+	p.reserve(st, held, cost)
+}
+
+// askUnknown asks where else the gang may run: what is held may stay full for
+// long, while other servers that may be allowed have room.
+func (p *pass) askUnknown(st *step, need int, prospects []prospect) {
 	for p.core.mayAsk(st) {
 		chosen := p.unknown(st, need, prospects)
 		if len(chosen) == 0 {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -204,11 +204,11 @@
 	if st.job().queue.Advice == nil || st.job().stored {
 		return
 	}
-	open, _, _ := p.room(st)
 	if st.spec.Gang {
-		p.gather(st, len(st.tasks), open)
+		p.gather(st, len(st.tasks))
 		return
 	}
+	open, _, _ := p.room(st)
 	p.ask(st, len(st.tasks), open)
 }
 
@@ -334,11 +334,11 @@
 // gangServers chooses a server for each of need members, or none. Then it asks
 // for the tickets that are missing, and holds room for the gang.
 func (p *pass) gangServers(st *step, need int) []*server {
-	open, ticketed, slots := p.room(st)
+	_, ticketed, slots := p.room(st)
 	if slots >= need {
 		return p.fill(st, ticketed, need)
 	}
-	p.gather(st, need, open)
+	p.gather(st, need)
 	return nil
 }
 
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -38,12 +38,16 @@
 			st.reserved = nil
 		}
 		if st.reserved != nil {
-			p.hide(st, st.reserved.members)
-			p.reservedCPU += st.cpuOf(st.reserved.members)
+			p.applyReservation(st)
 		}
 	}
 }
 
+func (p *pass) applyReservation(st *step) {
+	p.hide(st, st.reserved.members)
+	p.reservedCPU += st.cpuOf(st.reserved.members)
+}
+
 // release gives a gang the room that it has reserved, at its turn. The
 // reservation ends with the question.
 func (p *pass) release(st *step) {
