Reserve a gang's room from the round that asks for its tickets

Cause: found on reading. When as much room was held as may be, a gang with room for all members was reserved its room but not hidden from the steps behind it in the same round, which took it; its tickets then came for nothing. Change: keep reports whether it took the room off, and the reservation does so where it did not. Before: TestReserve_HoldsFromTheRoundThatAsks fails (4 small tasks start, 2 fit beside the reserved room). After: it passes.

--- a/internal/scheduler/gather.go
+++ b/internal/scheduler/gather.go
@@ -36,22 +36,26 @@
 	}
 	prospects := p.prospects(st)
 	held, ready := p.hold(st, need, prospects)
+	kept := p.keep(st, held)
 	switch {
 	case st.job().queue.Advice == nil:
 	case ready >= need:
-		p.askTickets(st, held)
+		p.askTickets(st, held, kept)
 	default:
 		p.askUnknown(st, need, prospects)
 	}
 }
 
-// askTickets asks for the tickets of a gang that lacks nothing else.
-func (p *pass) askTickets(st *step, held map[*server]int) {
+// askTickets asks for the tickets of a gang that lacks nothing else. Its room is
+// reserved from now on, whether or not it was kept.
+func (p *pass) askTickets(st *step, held map[*server]int, kept bool) {
 	if !p.core.mayAsk(st) || st.asksAbout(held) {
 		return
 	}
 	cost := p.core.askAbout(st, ids(held))
-	p.reserve(st, held, cost)
+	if p.reserve(st, held, cost) && !kept {
+		p.hide(st, held)
+	}
 }
 
 // askUnknown asks where else the gang may run: what is held may stay full for
@@ -139,7 +143,7 @@
 }
 
 // hold keeps room for the gang on allowed servers: room that is free now first,
-// then room that is likely to be free soon. It returns the members held by
+// then room that is likely to be free soon. It returns the members by
 // server, and how many of them fit free room now; nil if too few servers are known
 // to be allowed.
 func (p *pass) hold(st *step, need int, prospects []prospect) (counts map[*server]int, ready int) {
@@ -165,7 +169,6 @@
 	if need > 0 {
 		return nil, 0
 	}
-	p.keep(st, total, counts)
 	return counts, ready
 }
 
@@ -173,15 +176,16 @@
 	return st.job().queue.Advice == nil || st.advice.allowed[s.lifeKey()]
 }
 
-// keep takes the room of a gang off what less pressing steps see, unless too
-// much is kept already.
-func (p *pass) keep(st *step, members int, counts map[*server]int) {
-	cpu := int64(members) * st.spec.Reserved().CPU
+// keep takes the room of a gang off what less pressing steps see, and reports
+// whether it did: not if too much is kept already.
+func (p *pass) keep(st *step, members map[*server]int) bool {
+	cpu := st.cpuOf(members)
 	if p.heldCPU+cpu > p.maxHeld(st) {
-		return
+		return false
 	}
 	p.heldCPU += cpu
-	p.hide(st, counts)
+	p.hide(st, members)
+	return true
 }
 
 // maxHeld returns the most CPU that may be held on the servers of the step's
--- a/internal/scheduler/reserve.go
+++ b/internal/scheduler/reserve.go
@@ -19,16 +19,17 @@
 }
 
 // reserve keeps the counted room for the gang while a question of the given cost
-// is under way, unless too much is reserved already.
-func (p *pass) reserve(st *step, members map[*server]int, cost time.Duration) {
+// is under way, and reports whether it does: not if too much is reserved already.
+func (p *pass) reserve(st *step, members map[*server]int, cost time.Duration) bool {
 	cpu := st.cpuOf(members)
 	if p.reservedCPU+cpu > p.maxHeld(st) {
-		return
+		return false
 	}
 	st.reserved = &reservation{members: members, until: p.core.now.Add(reserveSlack * cost)}
 	p.reservedCPU += cpu
 	p.core.log.Log(events.GangReserved, "step", st.id().StepName(), "members", st.waiting(), "servers", len(members), "cpu", cpu,
 		"waited", p.core.now.Sub(st.readyAt).Milliseconds())
+	return true
 }
 
 // applyReservations takes all reserved room off what the steps of this pass see.
--- a/internal/scheduler/reserve_test.go
+++ b/internal/scheduler/reserve_test.go
@@ -110,3 +110,47 @@
 		t.Errorf("asked about %d servers, want all 150", n)
 	}
 }
+
+// A gang that comes when as much is held as may be still reserves its room at
+// once: a less pressing step of the same round would take it.
+func TestReserve_HoldsFromTheRoundThatAsks(t *testing.T) {
+	h := newHarness(t, 16)
+	h.withAdvice()
+	h.listAll()
+	full := make(map[string]*attempt)
+	for _, info := range h.servers {
+		s := h.core.servers[info.ID]
+		nearlyOver := newJobTask(h, "00000000000000a9")
+		nearlyOver.step.spec.Estimate = 10 * time.Second
+		full[info.ID] = &attempt{task: nearlyOver, run: 1, server: s, state: running, sent: h.now.Add(-10 * time.Second), need: oneTask(31000).Need}
+		s.reserve(full[info.ID])
+	}
+	gather := func(id string, members int, cpu int64, allowed ...string) {
+		gang := oneTask(cpu)
+		gang.Count, gang.Gang = members, true
+		h.submit(id, gang)
+		for range 8 {
+			h.advised(allowed...)
+			h.after(20 * time.Millisecond)
+		}
+	}
+	gather(id1, 9, 31000, "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9", "s10")
+	gather(id2, 2, 20000, "s0", "s1")
+	small := subOf("00000000000000a3")
+	small.sub.Queue = "plain"
+	small.sub.Steps[0].Count = 4
+	small.sub.Steps[0].Need = workload.Resources{CPU: 12000, MemoryMB: 1000}
+	h.config.Queues[1].Priority = 3
+	h.do(func(c *Core) { c.Configure(h.config); c.Submit(&small.sub, 0, func(Reply) {}) })
+	h.asks, h.starts = nil, nil
+	for _, id := range []string{"s0", "s1"} {
+		h.core.servers[id].release(full[id])
+	}
+	h.after(3 * time.Second)
+	if len(h.asks) == 0 {
+		t.Fatal("no question for the tickets once there is room")
+	}
+	if starts := h.takeStarts(); len(starts) != 2 {
+		t.Errorf("%d small tasks started, want the 2 that fit beside the reserved room", len(starts))
+	}
+}
