--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -61,7 +61,7 @@
 	GangBroken = Event{
 		Number: 6011, Level: slog.LevelInfo, Name: "gang_broken",
 		Fields:  []string{"step", "missing", "members"},
-		Meaning: "Not all members of a gang got a place in time; the others are stopped.",
+		Meaning: "A run of a gang is not complete, since missing of its members got no place in time or their runs ended; the others are stopped.",
 	}
 	GangReserved = Event{
 		Number: 6014, Level: slog.LevelInfo, Name: "gang_reserved",
