Log no age for a store that was never heard

Cause: on the read of the diff, store_suspected before the first answer logged the age of a time that is not set. The comment on questionsPerGang did not say what it bounds. Change: 0 until anything has answered; the comment names maxAsked. No decision changes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -273,7 +273,11 @@
 	case r.woken <- struct{}{}:
 	default:
 	}
-	r.log.Log(events.StoreSuspected, "heardAge", now.Sub(r.heard).Milliseconds(), "latency", r.latency.Milliseconds())
+	heard := r.heard
+	if heard.IsZero() {
+		heard = now
+	}
+	r.log.Log(events.StoreSuspected, "heardAge", now.Sub(heard).Milliseconds(), "latency", r.latency.Milliseconds())
 }
 
 // trust ends the suspicion.
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -21,8 +21,8 @@
 	maxAsked = 100
 	// askRetry is the pause after a question without an answer.
 	askRetry = 100 * time.Millisecond
-	// questionsPerGang lets a wide gang ask about two full lists of servers at
-	// once, each about as long as the decision itself.
+	// questionsPerGang lets a gang that needs more than maxAsked servers ask about
+	// two lists at once rather than in turn.
 	questionsPerGang = 2
 	// callsPerAsker bounds the questions that wait at one daemon.
 	callsPerAsker = 2
