Share the set-ups that stood several times in tests

A run taken up by one submitted task stood in ten tests of the scheduler, a server filled by another submission's run in six, a member's start and end in four, and a call with a time limit in two. Change: runOne, occupy, runMember and echo. Assertions, bounds and figures stay as they were. Conclusion: no behaviour is touched.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// echo calls a peer, and waits a second at most.
+func (n *node) echo(t testing.TB, daemon string) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	return n.Call(ctx, daemon, "echo", 1, nil)
+}
+
 // start runs daemon name on a host of the same name and region.
 func start(t *testing.T, network *memnet.Network, name, incarnation string) *node {
 	t.Helper()
@@ -165,11 +173,7 @@
 		defer network.Close()
 		a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
 		defer a.stop(t)
-		call := func() error {
-			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			defer cancel()
-			return a.Call(ctx, "b", "echo", 1, nil)
-		}
+		call := func() error { return a.echo(t, "b") }
 		if err := call(); err != nil {
 			t.Fatal(err)
 		}
@@ -204,11 +208,7 @@
 			defer network.Close()
 			a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
 			defer a.stop(t)
-			call := func() error {
-				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-				defer cancel()
-				return a.Call(ctx, "b", "echo", 1, nil)
-			}
+			call := func() error { return a.echo(t, "b") }
 			if err := call(); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/scheduler/advice_test.go
+++ b/internal/scheduler/advice_test.go
@@ -38,8 +38,7 @@
 		if s.ID == "s0" || s.ID == "s1" {
 			continue
 		}
-		srv := h.core.servers[s.ID]
-		srv.reserve(&attempt{task: newJobTask(h, id2), run: 1, server: srv, state: running, sent: h.now, need: oneTask(31000).Need})
+		h.occupy(s.ID, 31000, 0)
 	}
 	wide := oneTask(20000)
 	wide.Count = 30
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -210,6 +210,26 @@
 	return out
 }
 
+// runOne submits one task, has its start taken, and returns the start.
+func (h *harness) runOne(id string, cpu int64) StartTask {
+	h.t.Helper()
+	h.submit(id, oneTask(cpu))
+	start := h.takeStarts()[0]
+	h.taken(start)
+	return start
+}
+
+// occupy books a run of another submission on a server, declared to take a second
+// and begun some time ago.
+func (h *harness) occupy(server string, cpu int64, age time.Duration) *attempt {
+	h.t.Helper()
+	s := h.core.servers[server]
+	t := &newJob(&subOf("00000000000000ee").sub, h.now).occurrences[0].steps[0].tasks[0]
+	a := &attempt{task: t, run: 1, server: s, state: running, sent: h.now.Add(-age), need: oneTask(cpu).Need}
+	s.reserve(a)
+	return a
+}
+
 func oneTask(cpu int64) workload.Step {
 	return workload.Step{Count: 1, Need: workload.Resources{CPU: cpu, MemoryMB: 1000}, Estimate: time.Second}
 }
@@ -252,9 +272,7 @@
 func TestCore_EndIsForgottenOnlyOnceStored(t *testing.T) {
 	h := newHarness(t, 1)
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	h.holdStores = true
 	h.list("s0", Listing{Ended: []End{endOf(start, 1, workload.EndDone)}})
 	if look, ok := h.looks["s0"]; ok && look.Look.Seen > 0 {
@@ -272,9 +290,7 @@
 func TestCore_FailureThatWasStoredAndNotNotedCountsOnce(t *testing.T) {
 	h := newHarness(t, 1)
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	end := endOf(start, 1, workload.EndFailed)
 	h.list("s0", Listing{Ended: []End{end}})
 	h.takeOver()
@@ -292,9 +308,7 @@
 func TestCore_InheritedTaskWaitsForASilentServer(t *testing.T) {
 	h := newHarness(t, 2)
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	h.takeOver()
 	h.listAllBut(start.To.ID)
 	h.after(9 * time.Second)
@@ -310,9 +324,7 @@
 func TestCore_SilentServerKeepsItsRoomUntilLeasesLapse(t *testing.T) {
 	h := newHarness(t, 1)
 	h.listAll()
-	h.submit(id1, oneTask(20000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	h.runOne(id1, 20000)
 	silent := verdict.New(verdict.MayHaveRun, ReasonSilent, "no answer")
 	fail := func() {
 		if look, ok := h.looks["s0"]; ok {
@@ -412,9 +424,7 @@
 func TestCore_ServerBornAnewHoldsNothing(t *testing.T) {
 	h := newHarness(t, 1)
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	h.list("s0", Listing{Running: []Running{runOf(start)}})
 	h.list("s0", Listing{Born: 2000})
 	starts := h.takeStarts()
--- a/internal/scheduler/gather_test.go
+++ b/internal/scheduler/gather_test.go
@@ -43,9 +43,7 @@
 	first := h.asks[0].Servers
 	allowed := []string{first[0], first[1]}
 	// A task that runs on far beyond its declared time takes an allowed server.
-	h.core.servers[first[0]].reserve(&attempt{
-		task: newJobTask(h, id2), run: 1, server: h.core.servers[first[0]], state: running, sent: h.now.Add(-2 * time.Second), need: oneTask(31000).Need,
-	})
+	h.occupy(first[0], 31000, 2*time.Second)
 	h.advised(allowed...)
 	h.after(3 * time.Second)
 	if len(h.asks) != 1 {
@@ -66,13 +64,6 @@
 	}
 }
 
-// newJobTask returns a task of a submission beside those of the test.
-func newJobTask(h *harness, id string) *task {
-	h.t.Helper()
-	j := newJob(&subOf(id).sub, h.now)
-	return &j.occurrences[0].steps[0].tasks[0]
-}
-
 func TestGather_HoldsRoomAgainstLessPressingSteps(t *testing.T) {
 	h := newHarness(t, 8)
 	h.config.Queues = append(h.config.Queues, routing.Queue{Name: "later", Service: testService, Priority: 3, Stretch: 9, TargetLatency: time.Minute})
@@ -174,8 +165,7 @@
 	h := newHarness(t, 2)
 	h.listAll()
 	for id, age := range map[string]time.Duration{"s0": 900 * time.Millisecond, "s1": 5 * time.Second} {
-		s := h.core.servers[id]
-		s.reserve(&attempt{task: newJobTask(h, id2), run: 1, server: s, state: running, sent: h.now.Add(-age), need: oneTask(20000).Need})
+		h.occupy(id, 20000, age)
 	}
 	if soon := h.core.servers["s0"].soonFree(h.now).CPU; soon != 30000 {
 		t.Errorf("%d soon free of a run that is nearly over, want 30000", soon)
--- a/internal/scheduler/place_test.go
+++ b/internal/scheduler/place_test.go
@@ -14,16 +14,14 @@
 	h.config.Queues = append(h.config.Queues, routing.Queue{Name: "batch", Service: testService, Priority: 2, Stretch: 9, TargetLatency: time.Minute})
 	h.do(func(c *Core) { c.Configure(h.config) })
 	h.listAll()
-	s := h.core.servers["s0"]
-	full := &attempt{task: newJobTask(h, "00000000000000a9"), run: 1, server: s, state: running, sent: h.now, need: oneTask(31000).Need}
-	s.reserve(full)
+	full := h.occupy("s0", 31000, 0)
 	h.submit(id1, oneTask(20000))
 	h.after(20 * time.Second)
 	batch := subOf(id2)
 	batch.sub.Queue = "batch"
 	batch.sub.Steps[0].Need.CPU = 20000
 	h.do(func(c *Core) { c.Submit(&batch.sub, 0, func(Reply) {}) })
-	s.release(full)
+	full.server.release(full)
 	h.list("s0", Listing{})
 	h.after(50 * time.Millisecond)
 	starts := h.takeStarts()
--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -15,9 +15,7 @@
 func TestCore_InheritedTaskWaitsForTheLeaseOfTheLastOwner(t *testing.T) {
 	h := newHarness(t, 2)
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	claim := ClaimRecord(workload.Tenure{Epoch: 1, Daemon: "d", LeaseMS: 4000})
 	h.log[claim.Key] = claim
 	h.bounds.MaxLease = 10 * time.Second
@@ -71,9 +69,7 @@
 func TestCore_DrainedServerHearsOfItsLastEnds(t *testing.T) {
 	h := newHarness(t, 1)
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	h.servers[0].Draining = true
 	h.do(func(c *Core) { c.SetServers(h.servers) })
 	h.list("s0", Listing{Ended: []End{endOf(start, 1, workload.EndDone)}})
@@ -201,16 +197,12 @@
 	h.bounds.ReuseAfter = 2 * time.Second
 	h.takeOver()
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	h.list("s0", Listing{Ended: []End{endOf(start, 1, workload.EndDone)}})
 	h.list("s0", Listing{})
 	h.after(3 * time.Second)
 
-	h.submit(id2, oneTask(1000))
-	again := h.takeStarts()[0]
-	h.taken(again)
+	again := h.runOne(id2, 1000)
 	if seen := h.looks["s0"].Look.Seen; seen != 0 {
 		t.Fatalf("told of end %d on a server not heard for 3 s", seen)
 	}
@@ -226,9 +218,7 @@
 	h.bounds.ReuseAfter = 2 * time.Second
 	h.takeOver()
 	h.listAll()
-	h.submit(id1, oneTask(1000))
-	start := h.takeStarts()[0]
-	h.taken(start)
+	start := h.runOne(id1, 1000)
 	h.list("s0", Listing{Ended: []End{endOf(start, 1, workload.EndDone)}})
 	if seen := h.looks["s0"].Look.Seen; seen != 1 {
 		t.Errorf("told of ends up to %d right after an answer, want 1", seen)
--- a/internal/scheduler/reserve_test.go
+++ b/internal/scheduler/reserve_test.go
@@ -20,9 +20,7 @@
 	h.listAll()
 	full := make(map[string]*attempt)
 	for _, id := range []string{"s0", "s1"} {
-		s := h.core.servers[id]
-		full[id] = &attempt{task: newJobTask(h, id2), run: 1, server: s, state: running, sent: h.now, need: oneTask(31000).Need}
-		s.reserve(full[id])
+		full[id] = h.occupy(id, 31000, 0)
 	}
 	gang := oneTask(20000)
 	gang.Count, gang.Gang = 2, true
@@ -119,11 +117,8 @@
 	h.listAll()
 	full := make(map[string]*attempt)
 	for _, info := range h.servers {
-		s := h.core.servers[info.ID]
-		nearlyOver := newJobTask(h, "00000000000000a9")
-		nearlyOver.step.spec.Estimate = 10 * time.Second
-		full[info.ID] = &attempt{task: nearlyOver, run: 1, server: s, state: running, sent: h.now.Add(-10 * time.Second), need: oneTask(31000).Need}
-		s.reserve(full[info.ID])
+		full[info.ID] = h.occupy(info.ID, 31000, 10*time.Second)
+		full[info.ID].task.step.spec.Estimate = 10 * time.Second
 	}
 	gather := func(id string, members int, cpu int64, allowed ...string) {
 		gang := oneTask(cpu)
--- a/partition/member_test.go
+++ b/partition/member_test.go
@@ -49,6 +49,19 @@
 	return nil
 }
 
+// runMember runs a member of the group until stop is called.
+func runMember(t *testing.T, group partition.Group, ttl time.Duration, yields func(holders []string) bool) (m *partition.Member, stop func()) {
+	t.Helper()
+	m = partition.NewMember(group, "m", ttl, time.Now, func(error) {}, func() {}, yields)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	return m, func() {
+		cancel()
+		<-done
+	}
+}
+
 // never yields to nobody.
 func never([]string) bool { return false }
 
@@ -57,10 +70,7 @@
 func TestMember_OutlastsASlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &slowGroup{delay: 5 * time.Millisecond}
-		m := partition.NewMember(g, "m", time.Second, time.Now, func(error) {}, func() {}, never)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- m.Run(ctx) }()
+		m, stop := runMember(t, g, time.Second, never)
 		time.Sleep(3 * time.Second)
 		for _, delay := range []time.Duration{400, 700, 900} {
 			g.mu.Lock()
@@ -71,8 +81,7 @@
 				t.Errorf("not sure of its partition with answers after %s", g.delay)
 			}
 		}
-		cancel()
-		<-done
+		stop()
 		if g.lapses > 0 {
 			t.Errorf("taken for dead %d times", g.lapses)
 		}
@@ -82,10 +91,7 @@
 func TestMember_IsNotSureOnceItsTimeIsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &slowGroup{delay: 5 * time.Millisecond}
-		m := partition.NewMember(g, "m", time.Second, time.Now, func(error) {}, func() {}, never)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- m.Run(ctx) }()
+		m, stop := runMember(t, g, time.Second, never)
 		time.Sleep(2 * time.Second)
 		if holder, ok := m.Holder(place); !ok || holder != "m" {
 			t.Errorf("holder %q, %t while it is sure", holder, ok)
@@ -97,8 +103,7 @@
 		if _, ok := m.Holder(place); ok || m.Sure() {
 			t.Error("still sure 2 s after the last answer")
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -106,23 +111,19 @@
 func TestMember_RefreshJoinsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := &slowGroup{delay: time.Millisecond}
-		m := partition.NewMember(g, "m", 10*time.Second, time.Now, func(error) {}, func() {}, never)
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- m.Run(ctx) }()
+		m, stop := runMember(t, g, 10*time.Second, never)
 		time.Sleep(10 * time.Second)
 		g.mu.Lock()
 		joins := g.joins
 		g.mu.Unlock()
-		m.Refresh(ctx)
+		m.Refresh(t.Context())
 		time.Sleep(10 * time.Millisecond)
 		g.mu.Lock()
 		if g.joins != joins+1 {
 			t.Errorf("%d joins right after a refresh, want one", g.joins-joins)
 		}
 		g.mu.Unlock()
-		cancel()
-		<-done
+		stop()
 	})
 }
 
@@ -132,10 +133,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := &slowGroup{delay: 5 * time.Millisecond}
 		var yields atomic.Bool
-		m := partition.NewMember(g, "m", time.Second, time.Now, func(error) {}, func() {}, func([]string) bool { return yields.Load() })
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- m.Run(ctx) }()
+		m, stop := runMember(t, g, time.Second, func([]string) bool { return yields.Load() })
 		time.Sleep(3 * time.Second)
 		if len(m.Held()) != 1 || !m.Sure() {
 			t.Fatal("holds nothing before it yields")
@@ -153,7 +151,6 @@
 		if len(m.Held()) != 1 || !m.Sure() {
 			t.Error("holds nothing after nobody is left to yield to")
 		}
-		cancel()
-		<-done
+		stop()
 	})
 }
