Use one piece of code for waits, typed calls, names and latencies

Cause: the read of the whole change, with the list of doubled places. It had written again, or twice: - a wait for a time or a wake-up, in partition and relay, which owner had, and a plain wait in statelog: now duty.SleepOr and duty.Sleep; - reading a call's parameters and refusing others, four times beside five older ones in placer, owner, statelog and operator: now roles.Typed, which is given the reason that each had; - the union of known daemons in internal/entry: Lane.daemons sorted a list that was sorted, at each tick of a scheduler and for each question, after taking its own name out and putting it in again; - the fading latency in Member and Writer; - the text of an error that may be nil, in command and tenure: events.ErrorText; - needsLook, the negation of holdsNothing line by line; the counting of a failed call in two branches; whether room of a server was held, in two sorts. Ruled out: the catalogue's entries and the stand-ins' switches on a path look alike and hold no logic in common; memnet's sleep has a time without end of its own, logstandin's returns an error. Change: the above. The message of a call that cannot be read begins with "read call" everywhere; its verdict and reason stay. Conclusion: no decision changes.

--- a/duty/sleep.go
+++ b/duty/sleep.go
@@ -6,7 +6,11 @@
 )
 
 // Sleep waits for d and reports whether ctx still runs.
-func Sleep(ctx context.Context, d time.Duration) bool {
+func Sleep(ctx context.Context, d time.Duration) bool { return SleepOr(ctx, d, nil) }
+
+// SleepOr waits for d or for wake, whichever comes first, and reports whether ctx
+// still runs.
+func SleepOr(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
@@ -16,6 +20,7 @@
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
-		return true
+	case <-wake:
 	}
+	return ctx.Err() == nil
 }
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -68,12 +68,12 @@
 		case got := <-signals:
 			if got == syscall.SIGHUP {
 				_, err := platform.ReadSettings(c.File)
-				log.Log(events.SettingsReloaded, "file", c.File, "error", errorText(err))
+				log.Log(events.SettingsReloaded, "file", c.File, "error", events.ErrorText(err))
 				continue
 			}
 			return c.stop(h, s, log)
 		case <-h.Failed():
-			log.Log(events.DutyFailed, "error", errorText(h.Err()))
+			log.Log(events.DutyFailed, "error", events.ErrorText(h.Err()))
 			return errors.Wrap(h.Err(), "a duty failed")
 		}
 	}
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -67,7 +67,7 @@
 	select {
 	case <-signals:
 	case <-d.Failed():
-		log.Log(events.DutyFailed, "error", errorText(d.Err()))
+		log.Log(events.DutyFailed, "error", events.ErrorText(d.Err()))
 		d.Kill()
 		return errors.Wrap(d.Err(), "a duty failed")
 	}
@@ -88,13 +88,6 @@
 	return err
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 func newLogger(l settings.Log, out io.Writer) *events.Logger {
 	var level slog.Level
 	// The settings allow only words that UnmarshalText takes.
--- a/internal/entry/advice.go
+++ b/internal/entry/advice.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -10,8 +9,6 @@
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/partition"
-	"github.com/currantwinch/currantwinch/verdict"
-	"github.com/pkg/errors"
 )
 
 const methodAdvise = "submission.advise"
@@ -77,7 +74,7 @@
 		self: self, direct: direct, member: member, peers: peers, now: now,
 		open: make(map[string]time.Duration), resting: make(map[string]rest),
 	}
-	peers.Handle(methodAdvise, a.handle)
+	peers.Handle(methodAdvise, roles.Typed(reasonBadCall, a.handle))
 	return a
 }
 
@@ -85,12 +82,17 @@
 // and those with a connection to this one.
 func (a *Advisors) Others() []string {
 	// Members of the group are named as daemons are.
-	names := append(a.member.Members(), a.peers.Connected()...)
-	slices.Sort(names)
-	names = slices.Compact(names)
+	names := union(a.member.Members(), a.peers.Connected())
 	return slices.DeleteFunc(names, func(name string) bool { return name == a.self })
 }
 
+// union returns the names of all lists, each once and in order.
+func union(lists ...[]string) []string {
+	names := slices.Concat(lists...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Lane returns the part of the daemons that one of several schedulers asks
 // through. Place gives the scheduler's place among them and their number.
 // Schedulers on different daemons know nothing of each other's questions, so
@@ -105,10 +107,9 @@
 }
 
 func (l *Lane) daemons() []string {
-	names := append(l.all.Others(), l.all.self)
-	slices.Sort(names)
+	a := l.all
 	place, of := l.place()
-	return laneOf(names, place, of)
+	return laneOf(union(a.member.Members(), a.peers.Connected(), []string{a.self}), place, of)
 }
 
 // laneOf returns each of-th name from place on, and all names if there are too
@@ -179,11 +180,7 @@
 	a.resting[name] = rest{now.Add(last), last}
 }
 
-func (a *Advisors) handle(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-	var q question
-	if err := json.Unmarshal(params, &q); err != nil {
-		return nil, verdict.Wrap(errors.Wrap(err, "read question"), verdict.NotRun, "bad_call")
-	}
+func (a *Advisors) handle(ctx context.Context, _ string, q question) (any, error) {
 	tickets, validity, err := a.direct.Advise(ctx, q.Step, q.Servers)
 	return permission{tickets, validity.Milliseconds()}, err
 }
--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/currantwinch/currantwinch/verdict"
-	"github.com/pkg/errors"
+	"github.com/currantwinch/currantwinch/internal/roles"
 )
 
 const (
@@ -46,14 +44,10 @@
 // and registers their method with the peers.
 func NewCapacities(self string, own int64, peers Daemons, decided func(yields bool, larger, holders int)) *Capacities {
 	c := &Capacities{self: self, own: own, peers: peers, decided: decided, known: make(map[string]int64), asking: make(map[string]bool)}
-	peers.Handle(methodCapacity, func(_ context.Context, from string, params json.RawMessage) (any, error) {
-		var asker capacity
-		if err := json.Unmarshal(params, &asker); err != nil {
-			return nil, verdict.Wrap(errors.Wrap(err, "read capacity"), verdict.NotRun, "bad_call")
-		}
+	peers.Handle(methodCapacity, roles.Typed(reasonBadCall, func(_ context.Context, from string, asker capacity) (any, error) {
 		c.learn(from, asker.CPU)
 		return capacity{own}, nil
-	})
+	}))
 	return c
 }
 
@@ -63,10 +57,8 @@
 // daemon without another holder does not yield, whoever might take its place, nor
 // does one that was not told its own processor time.
 func (c *Capacities) Yields(holders []string) bool {
-	others := slices.DeleteFunc(slices.Clone(holders), func(name string) bool { return name == c.self })
-	names := append(slices.Clone(holders), c.peers.Connected()...)
-	slices.Sort(names)
-	names = slices.Compact(names)
+	others := slices.ContainsFunc(holders, func(name string) bool { return name != c.self })
+	names := union(holders, c.peers.Connected())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	larger := 0
@@ -82,7 +74,7 @@
 			larger++
 		}
 	}
-	if yields := larger >= enoughOwners && len(others) > 0 && c.own > 0; yields != c.yields {
+	if yields := larger >= enoughOwners && others && c.own > 0; yields != c.yields {
 		c.yields = yields
 		c.decided(yields, larger, len(names))
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
@@ -15,7 +14,6 @@
 	"github.com/currantwinch/currantwinch/shard"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
-	"github.com/pkg/errors"
 )
 
 const (
@@ -49,6 +47,8 @@
 	// ReasonNoLayout means that this daemon does not know yet how the service is
 	// cut into shards.
 	ReasonNoLayout verdict.Reason = "no_layout"
+	// reasonBadCall means that another daemon's call could not be read.
+	reasonBadCall verdict.Reason = "bad_call"
 )
 
 // call is a call between daemons.
@@ -234,16 +234,12 @@
 
 // handle answers another daemon's call.
 func (e *Entry) handle(method string) roles.PeerHandler {
-	return func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-		var c call
-		if err := json.Unmarshal(params, &c); err != nil {
-			return nil, verdict.Wrap(errors.Wrap(err, "read call"), verdict.NotRun, "bad_call")
-		}
+	return roles.Typed(reasonBadCall, func(ctx context.Context, _ string, c call) (any, error) {
 		if method == methodSubmit && c.Submission == nil {
-			return nil, verdict.New(verdict.NotRun, "bad_call", "no submission")
+			return nil, verdict.New(verdict.NotRun, reasonBadCall, "no submission")
 		}
 		ctx, cancel := context.WithTimeout(ctx, handleTimeout)
 		defer cancel()
 		return e.local(ctx, c.partition(), method, c)
-	}
+	})
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -68,6 +68,14 @@
 	_ = l.log.Handler().Handle(context.Background(), r)
 }
 
+// ErrorText is what an event says of an error that may be nil: nothing then.
+func ErrorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // All returns the whole catalogue in the order of numbers. Each file of this
 // package holds one area and its range of numbers.
 func All() []Event {
--- a/internal/host/watch.go
+++ b/internal/host/watch.go
@@ -70,14 +70,14 @@
 			s.lost = make(map[string]time.Time)
 		}
 		since, down := s.lost[call]
+		if err != nil {
+			s.failures(call).Inc()
+		}
 		switch {
 		case err != nil && !down:
-			s.failures(call).Inc()
 			s.lost[call] = s.now()
 			s.events.Log(events.StoreLost, "call", call, "error", err.Error())
-		case err != nil:
-			s.failures(call).Inc()
-		case down:
+		case err == nil && down:
 			delete(s.lost, call)
 			s.events.Log(events.StoreRegained, "call", call, "lost", s.now().Sub(since).Milliseconds())
 		}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -28,11 +28,7 @@
 	JobID string `json:"jobId"`
 }
 
-func (p *Operator) handleWhy(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	var q whyParams
-	if err := json.Unmarshal(params, &q); err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, reasonBadRequest)
-	}
+func (p *Operator) handleWhy(_ context.Context, _ string, q whyParams) (any, error) {
 	return p.o.Placement.Why(q.JobID), nil
 }
 
--- a/internal/owner/claims.go
+++ b/internal/owner/claims.go
@@ -94,7 +94,7 @@
 			w.awaitView(ctx, r)
 			continue
 		}
-		sleep(ctx, wait.NextBackOff(), nil)
+		duty.Sleep(ctx, wait.NextBackOff())
 	}
 }
 
@@ -107,7 +107,7 @@
 			w.poke()
 			return
 		}
-		sleep(ctx, appendTimeout, changed)
+		duty.SleepOr(ctx, appendTimeout, changed)
 	}
 }
 
@@ -144,7 +144,7 @@
 		w.renew(view, joined)
 		w.offerDue(view, joined)
 		w.reportStuck()
-		if !sleep(ctx, keeperInterval, nil) {
+		if !duty.Sleep(ctx, keeperInterval) {
 			return nil
 		}
 	}
@@ -198,9 +198,9 @@
 	}
 	w.spawn(func(ctx context.Context) {
 		if err := w.append(ctx, r); err != nil {
-			sleep(ctx, retryWait, nil)
+			duty.Sleep(ctx, retryWait)
 		} else {
-			sleep(ctx, keeperInterval, nil)
+			duty.Sleep(ctx, keeperInterval)
 		}
 		w.mu.Lock()
 		delete(w.asking, ask)
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/cluster"
+	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/logclient"
@@ -123,7 +124,7 @@
 		}
 		moves := ownership.Plan(placements, candidates)
 		w.offerTo(joined, w.toLeave(moves))
-		if !sleep(ctx, stopTurn, nil) {
+		if !duty.Sleep(ctx, stopTurn) {
 			return
 		}
 	}
@@ -185,7 +186,7 @@
 	r := record.Release{Name: w.o.Self.Name, Incarnation: w.o.Self.Incarnation}
 	for {
 		ready, waiting := w.releasable()
-		if waiting == 0 || !sleep(ctx, stopTurn, nil) {
+		if waiting == 0 || !duty.Sleep(ctx, stopTurn) {
 			r.Shares = ready
 			return r
 		}
--- a/internal/owner/members.go
+++ b/internal/owner/members.go
@@ -17,7 +17,7 @@
 const maxBeating = 8
 
 func (w *Owner) listDuty(ctx context.Context, turn duty.Turn) error {
-	for sleep(ctx, listInterval, nil) {
+	for duty.Sleep(ctx, listInterval) {
 		turn()
 		listCtx, cancel := context.WithTimeout(ctx, listInterval)
 		w.readList(listCtx)
@@ -107,7 +107,7 @@
 // The one with the lower name begins; the other only does if that stays away.
 func (w *Owner) heartbeatDuty(ctx context.Context, turn duty.Turn) error {
 	alive := make(map[string]bool)
-	for sleep(ctx, w.timing.Interval, nil) {
+	for duty.Sleep(ctx, w.timing.Interval) {
 		turn()
 		targets := w.heartbeatTargets()
 		for _, name := range targets {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -192,19 +192,6 @@
 	}()
 }
 
-// sleep waits for d or for wake, and reports false once ctx has ended.
-func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-wake:
-	case <-ctx.Done():
-		return false
-	}
-	return ctx.Err() == nil
-}
-
 // entry returns a share's newest claim in the view.
 func entry(view roles.View, share cluster.Share) ownership.Entry {
 	e, ok := view.Share(share)
--- a/internal/owner/protocol.go
+++ b/internal/owner/protocol.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/currantwinch/currantwinch/cluster"
+	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/ownership"
 	"github.com/currantwinch/currantwinch/verdict"
 )
@@ -64,17 +64,13 @@
 }
 
 func (w *Owner) handle() {
-	w.o.Peers.Handle(methodHeartbeat, func(_ context.Context, from string, params json.RawMessage) (any, error) {
-		var h heartbeat
-		if err := json.Unmarshal(params, &h); err != nil {
-			return nil, verdict.Wrap(err, verdict.NotRun, "bad_params")
-		}
+	w.o.Peers.Handle(methodHeartbeat, roles.Typed("bad_params", func(_ context.Context, from string, h heartbeat) (any, error) {
 		w.mu.Lock()
 		w.hearLocked(from, h)
 		w.mu.Unlock()
 		answer := w.ownHeartbeat(h.Missing)
 		return answer, nil
-	})
+	}))
 	w.handleShares(methodRead, w.answerRead)
 	w.handleShares(methodVouch, w.answerVouch)
 	w.handleShares(methodConsent, w.answerConsent)
@@ -83,16 +79,12 @@
 }
 
 func (w *Owner) handleShares(method string, answer func(ctx context.Context, r sharesRequest) (any, error)) {
-	w.o.Peers.Handle(method, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-		var r sharesRequest
-		if err := json.Unmarshal(params, &r); err != nil {
-			return nil, verdict.Wrap(err, verdict.NotRun, "bad_params")
-		}
+	w.o.Peers.Handle(method, roles.Typed("bad_params", func(ctx context.Context, _ string, r sharesRequest) (any, error) {
 		if r.To != "" && r.To != w.o.Self.Incarnation {
 			return nil, verdict.New(verdict.NotRun, reasonEnded, "incarnation %s is not this one", r.To)
 		}
 		return answer(ctx, r)
-	})
+	}))
 }
 
 // answerRead reads the log after having been asked and says which shares the
--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -36,7 +36,7 @@
 // sharesDuty follows the view: it sees claims granted and superseded, claims
 // what this daemon should own, and asks for what a claim waits for.
 func (w *Owner) sharesDuty(ctx context.Context, turn duty.Turn) error {
-	for sleep(ctx, sharesInterval, w.wake) {
+	for duty.SleepOr(ctx, sharesInterval, w.wake) {
 		turn()
 		w.observeAll(0)
 		view := w.o.State.View()
@@ -232,7 +232,7 @@
 		if err == nil {
 			w.poke()
 		}
-		sleep(ctx, pauseAfter(err), nil)
+		duty.Sleep(ctx, pauseAfter(err))
 		w.mu.Lock()
 		delete(w.asking, key)
 		w.mu.Unlock()
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/logclient"
 	"github.com/currantwinch/currantwinch/placement/pipeline"
-	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/pkg/errors"
 )
 
@@ -134,11 +132,5 @@
 }
 
 func handler[Q, R any](f func(context.Context, Q) (R, error)) roles.PeerHandler {
-	return func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-		var q Q
-		if err := json.Unmarshal(params, &q); err != nil {
-			return nil, verdict.Wrap(err, verdict.NotRun, "bad_request")
-		}
-		return f(ctx, q)
-	}
+	return roles.Typed("bad_request", func(ctx context.Context, _ string, q Q) (any, error) { return f(ctx, q) })
 }
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/partition"
-	"github.com/currantwinch/currantwinch/verdict"
-	"github.com/pkg/errors"
 )
 
 // The methods between daemons.
@@ -120,13 +117,9 @@
 )
 
 func handle[C any](peers roles.Peers, method string, do func(ctx context.Context, c C) (any, error)) {
-	peers.Handle(method, func(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-		var c C
-		if err := json.Unmarshal(params, &c); err != nil {
-			return nil, verdict.Wrap(errors.Wrap(err, "read call"), verdict.NotRun, "bad_call")
-		}
+	peers.Handle(method, roles.Typed("bad_call", func(ctx context.Context, _ string, c C) (any, error) {
 		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 		defer cancel()
 		return do(ctx, c)
-	})
+	}))
 }
--- a/internal/relay/contact.go
+++ b/internal/relay/contact.go
@@ -27,7 +27,7 @@
 func (r *Relay) WatchContact(ctx context.Context, turn duty.Turn) error {
 	var surveyed time.Time
 	cut := false
-	for r.waitSuspect(ctx) {
+	for duty.SleepOr(ctx, contactInterval, r.woken) {
 		turn()
 		now := r.now()
 		if r.suspected() && now.Sub(surveyed) >= surveyInterval || r.quiet() {
@@ -42,20 +42,6 @@
 	return nil
 }
 
-// waitSuspect waits for an interval, or until the store stops answering. It
-// reports false once ctx has ended.
-func (r *Relay) waitSuspect(ctx context.Context) bool {
-	timer := time.NewTimer(contactInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-r.woken:
-	}
-	return true
-}
-
 // quiet reports whether nobody has answered for an interval.
 func (r *Relay) quiet() bool {
 	r.mu.Lock()
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -15,6 +15,8 @@
 	"github.com/currantwinch/currantwinch/logclient"
 	"github.com/currantwinch/currantwinch/record"
 	"github.com/currantwinch/currantwinch/state"
+	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/pkg/errors"
 )
 
 // Base is what every role of a daemon is built from.
@@ -165,6 +167,18 @@
 // verdict reaches the other side.
 type PeerHandler func(ctx context.Context, from string, params json.RawMessage) (any, error)
 
+// Typed returns a handler of calls whose parameters are a C. Others are refused
+// with the given reason and certainly not handled.
+func Typed[C any](reason verdict.Reason, f func(ctx context.Context, from string, c C) (any, error)) PeerHandler {
+	return func(ctx context.Context, from string, params json.RawMessage) (any, error) {
+		var c C
+		if err := json.Unmarshal(params, &c); err != nil {
+			return nil, verdict.Wrap(errors.Wrap(err, "read call"), verdict.NotRun, reason)
+		}
+		return f(ctx, from, c)
+	}
+}
+
 // Peers carries calls between daemons.
 type Peers interface {
 	// Call sends a request to the named daemon and decodes its result. The
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -171,8 +171,7 @@
 	pick := func(servers []*server, chance float64) {
 		byRoom := slices.Clone(servers)
 		slices.SortFunc(byRoom, func(x, y *server) int {
-			held := compareBool(p.before[x].CPU > 0, p.before[y].CPU > 0)
-			return cmp.Or(held, cmp.Compare(y.free.CPU, x.free.CPU))
+			return cmp.Or(compareBool(p.wasHeld(x), p.wasHeld(y)), cmp.Compare(y.free.CPU, x.free.CPU))
 		})
 		for _, s := range byRoom {
 			if len(ids) >= maxAsked || want <= 0 && len(ids) >= minAsked {
--- a/internal/scheduler/looks.go
+++ b/internal/scheduler/looks.go
@@ -33,11 +33,6 @@
 	maxDoublings = 3
 )
 
-// needsLook reports whether the server holds, or may hold, something.
-func (s *server) needsLook() bool {
-	return !s.known || len(s.attempts) > 0 || s.unknown > 0 || s.told < s.seen
-}
-
 // holdsNothing reports whether it is certain that nothing runs on the server and
 // that no order under way can begin anything: each was answered, and those in
 // doubt were stopped. The server has been told of all its ends.
@@ -49,7 +44,7 @@
 func (c *Core) look(s *server) { c.lookAfter(s, 0) }
 
 func (c *Core) lookAfter(s *server, delayMS int) {
-	if s.looking || !s.needsLook() || !s.stored {
+	if s.looking || s.holdsNothing() || !s.stored {
 		return
 	}
 	s.looking = true
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -283,12 +283,15 @@
 			return an
 		}
 	}
-	if an, bn := p.before[a].CPU > 0, p.before[b].CPU > 0; an != bn {
+	if an, bn := p.wasHeld(a), p.wasHeld(b); an != bn {
 		return bn
 	}
 	return a.free.CPU < b.free.CPU
 }
 
+// wasHeld reports whether the last pass held room on s for a gang.
+func (p *pass) wasHeld(s *server) bool { return p.before[s].CPU > 0 }
+
 // placeGang places all waiting members of a gang at once, or none. A member
 // whose start was refused is placed again under the run of the others.
 func (p *pass) placeGang(st *step) {
--- a/internal/statelog/peers.go
+++ b/internal/statelog/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/logclient"
 	"github.com/currantwinch/currantwinch/record"
 	"github.com/currantwinch/currantwinch/state"
@@ -72,11 +73,7 @@
 		source := s.Source()
 		return OffsetAnswer{Recovered: source.Recovered, Offset: s.view.Load().Offset()}, nil
 	})
-	s.options.Peers.Handle(MethodRecords, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
-		var request RecordsRequest
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, verdict.Wrap(err, verdict.NotRun, "bad_params")
-		}
+	s.options.Peers.Handle(MethodRecords, roles.Typed("bad_params", func(_ context.Context, _ string, request RecordsRequest) (any, error) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !s.recent.agrees(request.From, request.Sum) {
@@ -84,14 +81,10 @@
 		}
 		records, found := s.recent.from(request.From, recordsPerAnswer, bytesPerAnswer)
 		return RecordsAnswer{Found: found, Records: records}, nil
-	})
-	s.options.Peers.Handle(MethodSnapshot, func(_ context.Context, _ string, params json.RawMessage) (any, error) {
-		var request SnapshotRequest
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, verdict.Wrap(err, verdict.NotRun, "bad_params")
-		}
+	}))
+	s.options.Peers.Handle(MethodSnapshot, roles.Typed("bad_params", func(_ context.Context, _ string, request SnapshotRequest) (any, error) {
 		return s.exportPart(request)
-	})
+	}))
 }
 
 func (s *Store) exportPart(request SnapshotRequest) (record.SnapshotPart, error) {
@@ -134,7 +127,7 @@
 func (s *Store) peersDuty(ctx context.Context, turn duty.Turn) error {
 	for ctx.Err() == nil {
 		turn()
-		pause(ctx, peersTurn)
+		duty.Sleep(ctx, peersTurn)
 		s.expireExport()
 		if ctx.Err() == nil && s.needsPeers() {
 			s.recoverFromPeers(ctx)
--- a/internal/statelog/recover.go
+++ b/internal/statelog/recover.go
@@ -23,7 +23,7 @@
 		if s.recoverFromPeers(ctx) {
 			return
 		}
-		pause(ctx, readBackoff.Wait(attempt, random))
+		duty.Sleep(ctx, readBackoff.Wait(attempt, random))
 	}
 }
 
--- a/internal/statelog/snapshots.go
+++ b/internal/statelog/snapshots.go
@@ -94,7 +94,7 @@
 	tried := started
 	for ctx.Err() == nil {
 		turn()
-		pause(ctx, snapshotTurn)
+		duty.Sleep(ctx, snapshotTurn)
 		if ctx.Err() != nil || s.options.SnapshotHere == nil || !s.options.SnapshotHere() {
 			continue
 		}
--- a/internal/statelog/tail.go
+++ b/internal/statelog/tail.go
@@ -32,20 +32,11 @@
 		}
 		failures++
 		s.handleReadError(ctx, turn, err, failures)
-		pause(ctx, readBackoff.Wait(failures, random))
+		duty.Sleep(ctx, readBackoff.Wait(failures, random))
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *Store) reportHealth(before logclient.Health) logclient.Health {
 	now := s.Health()
 	if now != before {
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -165,18 +165,11 @@
 		defer close(running.done)
 		defer cancel()
 		err := running.engine.Run(ctx, func() {})
-		t.o.Events.Log(events.OwnerEnded, "partition", id.Part, "epoch", running.engine.Epoch(), "why", errorText(err))
+		t.o.Events.Log(events.OwnerEnded, "partition", id.Part, "epoch", running.engine.Epoch(), "why", events.ErrorText(err))
 	}()
 	return running
 }
 
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // StopAll ends all schedulers and waits for them.
 func (t *Tenures) StopAll() {
 	t.mu.Lock()
--- a/partition/member.go
+++ b/partition/member.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/currantwinch/currantwinch/duty"
 )
 
 const (
@@ -17,8 +19,6 @@
 	// time in which a member may be silent, so that a slow store does not take
 	// every member for dead.
 	slowTimes = 4
-	// latencyDecay is what one answer leaves of an earlier, longer one.
-	latencyDecay = 0.6
 	// joinsPerTTL is how often a member is heard within its time.
 	joinsPerTTL = 4
 	// earlyPause is the time between the first earlyJoins joins: when all members
@@ -87,26 +87,13 @@
 		default:
 			m.join(ctx)
 		}
-		if !m.wait(ctx, pause) {
+		// Refresh may want the next join at once.
+		if !duty.SleepOr(ctx, pause, m.hurry) {
 			return nil
 		}
 	}
 }
 
-// wait pauses until the next join is due, or Refresh wants one at once. It
-// reports false once ctx has ended.
-func (m *Member) wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-m.hurry:
-	}
-	return true
-}
-
 // stepOut leaves the group for now, and looks who holds the partitions.
 func (m *Member) stepOut(ctx context.Context) {
 	m.mu.Lock()
@@ -170,7 +157,7 @@
 func (m *Member) learn(took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.latency = max(took, time.Duration(latencyDecay*float64(m.latency)))
+	m.latency = recentLatency(m.latency, took)
 }
 
 // lookUp asks for the holders of all partitions.
--- a/partition/repeat.go
+++ b/partition/repeat.go
@@ -14,11 +14,19 @@
 	hangTime = 600 * time.Millisecond
 	// maxAttempts bounds the attempts of one call that are under way.
 	maxAttempts = 3
+	// latencyDecay is what one answer leaves of an earlier, longer one.
+	latencyDecay = 0.6
 	// minRetry and maxRetry bound the pause after an attempt that failed.
 	minRetry = 30 * time.Millisecond
 	maxRetry = 300 * time.Millisecond
 )
 
+// recentLatency is a log's latency of late, given what it was and how long the
+// newest answer took: the longest, which fades.
+func recentLatency(before, took time.Duration) time.Duration {
+	return max(took, time.Duration(latencyDecay*float64(before)))
+}
+
 // outcome is what became of one attempt.
 type outcome[T any] struct {
 	value T
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -156,7 +156,7 @@
 	})
 	if err == nil {
 		w.next++
-		w.latency = max(took, time.Duration(latencyDecay*float64(w.latency)))
+		w.latency = recentLatency(w.latency, took)
 		return nil
 	}
 	if Answered(err) {
