Send orders through a window that follows the link's delay

Cause: orders and polls to backend servers were sent at once, with a fixed time-out of 400 ms, and sent again 50 ms after it on a new connection. From 14 s on answers came after the time-out, 14,172 starts ended as may have run, and 21,301 connections were opened, which kept the link full until the end. Ruled out: processor, descriptors, the queue of polls (1,015 time-outs of 9,000 polls).

A start that expires, or is stopped before its turn, is not sent. The Core places no more than can be sent soon.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -208,6 +208,17 @@
 		Fields:  []string{"suspected"},
 		Meaning: "The store responds to this daemon directly again. The field suspected is how long calls were relayed, in milliseconds.",
 	}
+	OrdersCongested = Event{
+		Number: 6048, Level: slog.LevelWarn, Name: "orders_congested",
+		Fields:  []string{"partition", "congested", "window", "inFlight", "waiting", "delay", "timeout"},
+		Meaning: "Orders of this daemon to backend servers wait for its link or processor, so that fewer are sent at once. Or, if congested is false, they no longer wait. The field window is the number of orders in flight that is allowed; delay, the queueing delay, and timeout are in milliseconds.",
+		Action:  "If it lasts, the VM is too small for the backend servers that it owns: use larger VMs or split the service.",
+	}
+	StartNotSent = Event{
+		Number: 6049, Level: slog.LevelInfo, Name: "start_not_sent",
+		Fields:  []string{"task", "run", "server", "copies"},
+		Meaning: "A start waited to be sent until it was useless, or was stopped first. If copies is 0, the run has not begun, and the task is placed again if it still has to run.",
+	}
 	LayoutApplied = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -233,5 +244,5 @@
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
-	StoreSuspected, StoreSuspicionCleared,
+	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent,
 }
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -15,24 +15,31 @@
 type StartTask struct {
 	To    Instance
 	Order Order
-	// DelayMS is the delay before it is sent, in milliseconds.
-	DelayMS int
+	// Attempt is the number of copies of the order sent before.
+	Attempt int
+	// Delay is the least time before it is sent.
+	Delay time.Duration
+	// Expires is when the order becomes useless. StartNotSent is called for one
+	// that was not sent by then.
+	Expires time.Time
 }
 
 // StopTask sends a stop order to a server.
 type StopTask struct {
 	To    Instance
 	Order Order
-	// DelayMS is the delay before it is sent, in milliseconds.
-	DelayMS int
+	// Attempt is the number of copies of the order sent before.
+	Attempt int
+	// Delay is the least time before it is sent.
+	Delay time.Duration
 }
 
 // PollServer polls a server.
 type PollServer struct {
 	To      Instance
 	Request PollRequest
-	// DelayMS is the delay before it is sent, in milliseconds.
-	DelayMS int
+	// Delay is the least time before it is sent.
+	Delay time.Duration
 }
 
 // RequestAuthorization asks the policy service which servers may run a step.
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// resendDelayMS is the delay before an unanswered order is sent again.
-	resendDelayMS = 50
+	// minResendDelay is the delay before an unanswered order is sent again. Each
+	// further copy waits twice as long, up to maxResendDelay.
+	minResendDelay = 50 * time.Millisecond
+	maxResendDelay = 800 * time.Millisecond
+	// maxStartWait is how long a start that needs no ticket may wait to be sent.
+	// Its lease and what is known of the server are out of date after it.
+	maxStartWait = 2 * time.Second
 	// rejectionBackoff excludes a server from placement, and delays the task's
 	// next placement, after a refused start.
 	rejectionBackoff = 300 * time.Millisecond
@@ -25,7 +30,8 @@
 	t.run, t.attempt = max(t.run, run), a
 	t.step.attemptsPerServer[s]++
 	s.reserve(a)
-	c.sendStart(a, 0)
+	c.sendStart(a)
+	c.startRoom--
 	c.metric.startsSent.Inc()
 	c.log.Log(events.TaskPlaced, "task", a.task.id().String(), "run", run, "server", s.info.ID,
 		"waited", c.now.Sub(t.step.readyAt).Milliseconds(), "free", s.free.CPU, "clockAge", c.now.Sub(s.clockAt).Milliseconds())
@@ -55,13 +61,39 @@
 	return Order{Task: a.task.id(), Run: a.run, Epoch: c.epoch}
 }
 
-func (c *Core) sendStart(a *attempt, delayMS int) {
+// resendDelay returns the delay before the next copy of an order, given the
+// number of copies sent before.
+func resendDelay(copies int) time.Duration {
+	if copies == 0 {
+		return 0
+	}
+	return min(minResendDelay<<min(copies-1, 10), maxResendDelay)
+}
+
+func (c *Core) sendStart(a *attempt) {
 	o := c.order(a)
 	o.LeaseDeadlineMS = c.extendLease(a.server)
 	o.Spec = a.task.step.job().sub.Spec
 	o.Checkpoint = a.task.checkpoint
 	o.Ticket = a.ticket
-	c.emit(StartTask{To: a.server.instance(), Order: o, DelayMS: delayMS})
+	c.emit(StartTask{
+		To: a.server.instance(), Order: o, Attempt: a.startResults, Delay: resendDelay(a.startResults), Expires: c.startExpiry(a),
+	})
+}
+
+// startExpiry returns when a start of the attempt becomes useless: when its
+// ticket is no longer valid, or when the members of a gang that have started
+// stop waiting for the others.
+func (c *Core) startExpiry(a *attempt) time.Time {
+	expires := c.now.Add(maxStartWait)
+	st := a.task.step
+	if grant, ok := st.authorization.tickets[a.server.info.ID]; ok && a.ticket != "" && grant.expires.Before(expires) {
+		expires = grant.expires.Add(-ticketMargin)
+	}
+	if st.spec.Gang && st.formationDeadline.Before(expires) {
+		expires = st.formationDeadline
+	}
+	return expires
 }
 
 // stop sends a stop order for an attempt. Its capacity stays reserved until the
@@ -128,11 +160,28 @@
 	if a.server.info.Draining || !a.server.listed || !c.mayStart(a.task.step) {
 		c.stop(a)
 	} else {
-		c.sendStart(a, resendDelayMS)
+		c.sendStart(a)
 	}
 	c.poll(a.server)
 }
 
+// StartNotSent handles a start order that was not sent, because it expired
+// first or because the attempt was stopped.
+func (c *Core) StartNotSent(to Instance, o Order) {
+	a := c.findAttempt(to, o)
+	if a == nil {
+		return
+	}
+	c.log.Log(events.StartNotSent, "task", o.Task.String(), "run", o.Run, "server", to.ID, "copies", a.startResults)
+	if a.startResults > 0 {
+		// An earlier copy may still start the run until a stop is confirmed.
+		c.stop(a)
+		c.poll(a.server)
+		return
+	}
+	c.release(a)
+}
+
 // startRejected handles a start order that had no effect. An earlier,
 // unanswered copy of it may have started the run or may still do so.
 func (c *Core) startRejected(a *attempt, reason verdict.Reason) {
@@ -193,7 +242,8 @@
 	case ReasonWrongInstance:
 		c.instanceEnded(a.server)
 	default:
-		c.emit(StopTask{To: to, Order: o, DelayMS: resendDelayMS})
+		a.stopResults++
+		c.emit(StopTask{To: to, Order: o, Attempt: a.stopResults, Delay: resendDelay(a.stopResults)})
 		c.poll(a.server)
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
@@ -85,6 +86,10 @@
 	runTimes        map[string]*runTimes
 	fenced          bool
 	placementNeeded bool
+	// startRoom is how many more starts the Engine can send soon; startsHeld is
+	// set if the last placement pass ended for want of it.
+	startRoom  int
+	startsHeld bool
 }
 
 type storedCallback struct {
@@ -99,6 +104,7 @@
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		pendingAcks: make(map[*server]uint64), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
+		startRoom: math.MaxInt,
 	}
 	c.maxLeaseSent = max(bounds.lease(), previousLease(records, bounds))
 	c.load(records)
@@ -123,6 +129,15 @@
 // PlacementPending reports whether the next Finish has tasks to try to place.
 func (c *Core) PlacementPending() bool { return c.placementNeeded }
 
+// SetStartRoom sets how many more starts should be ordered now. Placement of
+// what exceeds it waits, so that it is decided with newer information.
+func (c *Core) SetStartRoom(n int) {
+	c.startRoom = n
+	if n > 0 && c.startsHeld {
+		c.placementNeeded = true
+	}
+}
+
 // Finish ends the handling of an event: it runs a placement pass if one is
 // pending and mayPlace is set, stores changed progress, and returns the actions
 // to carry out.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -15,12 +15,6 @@
 )
 
 const (
-	// orderTimeout limits the wait for the answer to an order. Orders are
-	// idempotent and are resent after it.
-	orderTimeout = 400 * time.Millisecond
-	// pollSlack is the wait for a poll's answer beyond the wait that it
-	// requests.
-	pollSlack = 500 * time.Millisecond
 	// authorizationTimeout limits the wait for the policy service, including
 	// the time in its queue. An answer that takes longer than
 	// authorizationTimeFactor times the expected time plus authorizationSlack,
@@ -89,6 +83,7 @@
 	core   *Core
 	writer *partition.Writer
 	events *ring.Ring[event]
+	orders *orderSender
 	// claimed is closed once the claim is in the log.
 	claimed chan struct{}
 	done    chan struct{}
@@ -100,7 +95,9 @@
 
 // NewEngine returns an Engine. It owns nothing before Run.
 func NewEngine(o EngineOptions) *Engine {
-	return &Engine{o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{})}
+	e := &Engine{o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{})}
+	e.orders = newOrderSender(e)
+	return e
 }
 
 // Run claims the partition and serves it until ctx ends. It returns
@@ -179,6 +176,7 @@
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
 			e.core.Tick()
 		}
+		e.core.SetStartRoom(e.orders.room())
 		waits := e.core.PlacementPending()
 		mayPlace := pacer.mayPlace()
 		actions := e.core.Finish(mayPlace)
@@ -216,53 +214,13 @@
 			a.Reply(a.Answer)
 		case Store:
 			e.writer.Enqueue(a.WriteID, a.Records)
-		case StartTask:
-			go e.start(a)
-		case StopTask:
-			go e.stop(a)
-		case PollServer:
-			go e.poll(a)
+		case StartTask, StopTask, PollServer:
+			e.orders.add(a)
 		case RequestAuthorization:
 			go e.authorize(a)
 		}
 	}
-}
-
-// delay waits for a number of milliseconds and reports whether the Engine is
-// still running.
-func (e *Engine) delay(ms int) bool {
-	return duty.Sleep(e.ctx, msDuration(int64(ms)))
-}
-
-func (e *Engine) start(a StartTask) {
-	if !e.delay(a.DelayMS) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
-	defer cancel()
-	clock, err := e.o.Servers.Start(ctx, a.To, a.Order)
-	e.push(startedEvent{a, clock, err})
-}
-
-func (e *Engine) stop(a StopTask) {
-	if !e.delay(a.DelayMS) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(e.ctx, orderTimeout)
-	defer cancel()
-	err := e.o.Servers.Stop(ctx, a.To, a.Order)
-	e.push(stoppedEvent{a, err})
-}
-
-func (e *Engine) poll(a PollServer) {
-	if !e.delay(a.DelayMS) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(e.ctx, a.Request.Wait+pollSlack)
-	defer cancel()
-	sent := e.o.Now()
-	list, err := e.o.Servers.Poll(ctx, a.To, a.Request)
-	e.push(polledEvent{a.To, sent, list, err})
+	e.orders.pump()
 }
 
 func (e *Engine) authorize(a RequestAuthorization) {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -14,6 +14,7 @@
 	set               *metrics.Set
 	accepted          *metrics.Counter
 	startsSent        *metrics.Counter
+	startsWithdrawn   *metrics.Counter
 	runsLost          *metrics.Counter
 	storeTime         *metrics.Histogram
 	firstStartTime    *metrics.Histogram
@@ -27,6 +28,7 @@
 		set:               set,
 		accepted:          set.NewCounter("currantwinch_submissions_accepted_total"),
 		startsSent:        set.NewCounter("currantwinch_starts_sent_total"),
+		startsWithdrawn:   set.NewCounter("currantwinch_starts_withdrawn_total"),
 		runsLost:          set.NewCounter("currantwinch_runs_lost_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -28,7 +28,12 @@
 		holdable: make(map[string]int64), maxFree: make(map[string]workload.Resources), forecasts: make(map[string][]forecast),
 	}
 	p.applyReservations(c.queued)
+	c.startsHeld = false
 	for _, st := range c.queued {
+		if c.startRoom <= 0 {
+			c.startsHeld = true
+			break
+		}
 		switch {
 		case !c.queueRouted(st) || !p.worthTrying(st):
 		case c.mayStart(st):
@@ -250,6 +255,9 @@
 		if !t.needsPlacement() || c.now.Before(t.retryAt) {
 			continue
 		}
+		if c.startRoom <= 0 {
+			return
+		}
 		s := p.best(t, ticketed)
 		if s == nil {
 			break
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -15,8 +15,9 @@
 	// pollSlack. Polls renew leases, so that pollWait must be well below the
 	// lease.
 	pollWait = time.Second
-	// pollRetryDelayMS is the delay before an unanswered poll is sent again.
-	pollRetryDelayMS = 50
+	// maxPollRetryDelay bounds the delay before an unanswered poll is sent again.
+	// It must be short compared to the lease of the runs on the server.
+	maxPollRetryDelay = 400 * time.Millisecond
 	// evacuationLead is the time before a draining server's departure at which
 	// its checkpointing tasks are stopped. It covers the stop, its grace period
 	// and the poll that lists the checkpoint, each repeated once.
@@ -46,7 +47,7 @@
 // poll polls a server unless a poll is in flight or none is needed.
 func (c *Core) poll(s *server) { c.pollAfter(s, 0) }
 
-func (c *Core) pollAfter(s *server, delayMS int) {
+func (c *Core) pollAfter(s *server, delay time.Duration) {
 	if s.polling || s.isEmpty() || !s.stored {
 		return
 	}
@@ -62,7 +63,7 @@
 			request.Wait = pollWait
 		}
 	}
-	c.emit(PollServer{To: s.instance(), Request: request, DelayMS: delayMS})
+	c.emit(PollServer{To: s.instance(), Request: request, Delay: delay})
 }
 
 // instanceUnchanged reports whether the server must still be the instance that
@@ -93,7 +94,7 @@
 		c.poll(s)
 		return
 	}
-	s.ackedEnd = s.ackInFlight
+	s.ackedEnd, s.failedPolls = s.ackInFlight, 0
 	c.detectRestart(s, list)
 	s.updateClock(list.ClockMS, c.now)
 	c.processEnds(s, list.Ended)
@@ -126,7 +127,8 @@
 		c.removeServer(s)
 		return
 	}
-	c.pollAfter(s, pollRetryDelayMS)
+	s.failedPolls++
+	c.pollAfter(s, min(resendDelay(s.failedPolls), maxPollRetryDelay))
 }
 
 // detectRestart handles a server that restarted under the same ID. Attempts on
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -49,6 +49,8 @@
 	departsAt time.Time
 	// polledAt is when the last poll was answered.
 	polledAt time.Time
+	// failedPolls counts the polls since the last one that was answered.
+	failedPolls int
 	// polling is set while a poll is in flight or scheduled.
 	polling bool
 	// unresponsiveSince is when the server stopped answering polls; zero while
@@ -159,6 +161,8 @@
 	// startResults counts the start orders whose outcome was reported,
 	// including those without an answer.
 	startResults int
+	// stopResults counts the stop orders that were not confirmed.
+	stopResults int
 }
 
 func (a *attempt) key() runKey { return runKey{a.task.id(), a.run} }
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -34,9 +34,12 @@
 
 // TrySpend takes the token of one extra attempt. It returns false if there is none.
 func (b *Budget) TrySpend() bool {
-	if b.tokens < 1 {
+	if !b.Available() {
 		return false
 	}
 	b.tokens--
 	return true
 }
+
+// Available reports whether TrySpend would return true.
+func (b *Budget) Available() bool { return b.tokens >= 1 }
