Renew leases while most servers seem unresponsive

One silent server and silence of all were not told apart.

Change: while at least half of the servers with runs, and four, are unresponsive, polls renew leases for the length of one lease more, and the log says so (servers_unreachable). A single one is still left to expire.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -219,6 +219,12 @@
 		Fields:  []string{"task", "run", "server", "copies"},
 		Meaning: "A start waited to be sent until it was useless, or was stopped first. If copies is 0, the run has not begun, and the task is placed again if it still has to run.",
 	}
+	ServersUnreachable = Event{
+		Number: 6050, Level: slog.LevelWarn, Name: "servers_unreachable",
+		Fields:  []string{"unreachable", "silent", "withRuns"},
+		Meaning: "Most backend servers that have runs of this daemon stopped responding to it, which is more likely to be a fault of this VM or its network. The leases of their runs are still renewed for the length of one lease. Or, if unreachable is false, that is over.",
+		Action:  "Check the load and the network of this VM; see orders_congested.",
+	}
 	LayoutApplied = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -244,5 +250,5 @@
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
-	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent,
+	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable,
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -38,10 +38,9 @@
 }
 
 // extendLease returns a lease deadline for an order, in milliseconds of the
-// server's clock. An unresponsive server gets no extension, so that the leases
-// of its runs expire.
+// server's clock. It extends the leases only if they are renewable.
 func (c *Core) extendLease(s *server) int64 {
-	if !s.unresponsiveSince.IsZero() {
+	if !c.renewable(s) {
 		return s.leaseDeadlineMS
 	}
 	until := s.minClockMS(c.now) + c.bounds.lease().Milliseconds()
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -86,6 +86,8 @@
 	runTimes        map[string]*runTimes
 	fenced          bool
 	placementNeeded bool
+	// mostUnreachable is set while most servers with runs are unresponsive.
+	mostUnreachable bool
 	// startRoom is how many more starts the Engine can send soon; startsHeld is
 	// set if the last placement pass ended for want of it.
 	startRoom  int
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -305,6 +305,7 @@
 // Tick handles what depends on time alone: expired leases, due occurrences,
 // incomplete gangs and expired final states.
 func (c *Core) Tick() {
+	c.checkReachability()
 	for _, s := range c.servers {
 		c.checkServer(s)
 	}
