--- a/flow/window.go
+++ b/flow/window.go
@@ -14,10 +14,11 @@
 	minRound = 100 * time.Millisecond
 	// minSamples is the least number of answers for an adjustment.
 	minSamples = 8
-	// targetDelay is the standing queueing delay that the window allows. A
-	// processor that is given its share in slices of 100 ms adds delays of that
-	// size to some answers, but not to all of a round.
-	targetDelay = 40 * time.Millisecond
+	// targetDelay is the standing queueing delay that the window allows. The
+	// messages of one piece of work follow each other, and each waits that long.
+	// A processor that is given its share in slices of 100 ms adds longer delays
+	// to some answers, but not to all of a round.
+	targetDelay = 15 * time.Millisecond
 	// maxDecrease is the least factor by which one adjustment lowers the
 	// window; growthFactor and growthStep raise it.
 	maxDecrease  = 0.5
