Refuse submissions that cannot begin in time

Cause: a submission was accepted whenever the store answered, however much work stood before it; its caller learned nothing and could not go elsewhere.

Change: the work that is placed before a new submission, over the cores that work it off and over the measured rate of starts where sending is the bottleneck, gives its wait (admission.Decide). One that could not begin before it is useless, at three times its target, is refused as not run, with a Retry-After from that wait, spread by ID. Work of lower priority does not count; a repeat of an accepted ID is never refused; what is cancelled no longer counts. Entry VMs do not refuse on an owner's behalf: only the owner knows whether an ID was accepted before, and a refusal says that it never runs. Callers are not told apart, since the platform's submissions name none; queues are.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -1,14 +1,104 @@
 package scheduler
 
 import (
+	"hash/fnv"
 	"time"
 
+	"github.com/currantwinch/currantwinch/admission"
+	"github.com/currantwinch/currantwinch/estimate"
+	"github.com/currantwinch/currantwinch/fairqueue"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// checkAdmission decides whether a submission is refused. A refused submission
-// never runs, and its caller is told when to retry.
-func (c *Core) checkAdmission(sub *workload.Submission, storeDelay time.Duration) (Reply, bool) {
+const (
+	// uselessFactor: a submission that is completed later than this many times
+	// its target counts for nothing, so that accepting it would only delay
+	// others.
+	uselessFactor = 3
+	// minDrainFraction is the least share of the service's CPU that is assumed
+	// to be in use when the drain of the queue is estimated. Right after a
+	// takeover nothing runs yet.
+	minDrainFraction = 0.5
+	// minQueueRetryAfter and maxQueueRetryAfter bound the retry delay that
+	// callers get while the queue is too long.
+	minQueueRetryAfter = time.Second
+	maxQueueRetryAfter = 10 * time.Second
+	// retrySpread is the largest part by which a retry delay is lengthened, so
+	// that callers that were refused together do not return together.
+	retrySpread = 0.5
+)
+
+// backlog is the work that is placed before a new submission.
+type backlog struct {
+	// tasks counts the tasks without an attempt, and cpuTime is their expected
+	// time on one core.
+	tasks   int
+	cpuTime time.Duration
+}
+
+// backlogBefore returns the work of the same service that is placed before a
+// job.
+func (c *Core) backlogBefore(j *job) backlog {
+	var b backlog
+	order := c.orderOf(j)
+	for _, st := range c.queued {
+		if st.job().ending != "" || st.job().sub.Service != j.sub.Service || c.placementOrderOf(st).compare(order) > 0 {
+			continue
+		}
+		n := st.unplacedTasks()
+		b.tasks += n
+		b.cpuTime += time.Duration(float64(n) * cores(st.spec.Reserved().CPU) * float64(st.expectedRunTime()))
+	}
+	return b
+}
+
+// cores converts thousandths of a core.
+func cores(cpu int64) float64 { return float64(cpu) / 1000 }
+
+// drainingCores returns how many cores of a service work off its queue: those in
+// use, since capacity that no task of the queue fits on does not help.
+func (c *Core) drainingCores(service string) (used, usable float64) {
+	for _, s := range c.servers {
+		if s.info.Service != service || !s.usable(c.now) {
+			continue
+		}
+		usable += cores(s.info.Capacity.CPU)
+		used += cores(s.info.Capacity.CPU - s.free.CPU)
+	}
+	return max(used, minDrainFraction*usable), usable
+}
+
+// admissionDecision decides whether a submission can begin early enough to be of
+// use behind the work that is placed before it. It is held back by the service's
+// cores and, while the sender is the bottleneck, by the rate of starts.
+func (c *Core) admissionDecision(j *job) admission.Decision {
+	b := c.backlogBefore(j)
+	draining, usable := c.drainingCores(j.sub.Service)
+	if b.tasks == 0 || usable == 0 {
+		return admission.Decision{Admit: true}
+	}
+	request := admission.Request{
+		Prediction: estimate.Prediction{P50: j.expectedCriticalPath(), Class: estimate.Long},
+		Deadline:   j.accepted.Add(uselessFactor * j.targetTime().Sub(j.accepted)),
+	}
+	options := admission.Options{
+		MaxWaitFraction: 1, MaxStartFraction: 1, MaxWait: time.Hour,
+		MinRetryAfter: minQueueRetryAfter, MaxRetryAfter: maxQueueRetryAfter,
+	}
+	byCores := admission.State{Load: fairqueue.Load{Queued: b.tasks, Backlog: b.cpuTime, Share: 1}, Slots: draining}
+	d := admission.Decide(request, byCores, options, c.now)
+	if !d.Admit || !c.startsHeld || c.startRate.perSecond <= 0 {
+		return d
+	}
+	perStart := time.Duration(float64(time.Second) / c.startRate.perSecond)
+	byStarts := admission.State{Load: fairqueue.Load{Queued: b.tasks, Backlog: time.Duration(b.tasks) * perStart, Share: 1}, Slots: 1}
+	return admission.Decide(request, byStarts, options, c.now)
+}
+
+// checkAcceptable decides whether a submission is refused for a reason that has
+// nothing to do with its size. A refused submission never runs, and its caller is
+// told when to retry.
+func (c *Core) checkAcceptable(sub *workload.Submission, storeDelay time.Duration) (Reply, bool) {
 	if c.config == nil {
 		return Reply{Outcome: OutcomeRefused, Reason: "no_configuration", RetryAfterMS: 1000}, true
 	}
@@ -21,3 +111,49 @@
 	}
 	return Reply{}, false
 }
+
+// checkBacklog decides whether a submission is refused because it could not begin
+// early enough to be of use.
+func (c *Core) checkBacklog(j *job) (Reply, bool) {
+	if j.sub.Timed() || j.longRunning() {
+		return Reply{}, false
+	}
+	d := c.admissionDecision(j)
+	if d.Admit {
+		return Reply{}, false
+	}
+	after := spread(d.RetryAfter, j.sub.ID)
+	return Reply{Outcome: OutcomeRefused, Reason: string(d.Reason), RetryAfterMS: after.Milliseconds()}, true
+}
+
+// spread lengthens a delay by a part that depends on the ID.
+func spread(d time.Duration, id string) time.Duration {
+	h := fnv.New32a()
+	// Writing to a hash cannot fail.
+	_, _ = h.Write([]byte(id))
+	const parts = 1000
+	return d + time.Duration(retrySpread*float64(h.Sum32()%parts)/parts*float64(d))
+}
+
+// startRate is the measured rate of confirmed starts.
+type startRate struct {
+	count     int
+	since     time.Time
+	perSecond float64
+}
+
+// startRateInterval is the time over which the rate of starts is measured.
+const startRateInterval = time.Second
+
+// measure updates the rate once an interval is over.
+func (r *startRate) measure(now time.Time) {
+	if r.since.IsZero() {
+		r.since = now
+	}
+	elapsed := now.Sub(r.since)
+	if elapsed < startRateInterval {
+		return
+	}
+	r.perSecond = float64(r.count) / elapsed.Seconds()
+	r.count, r.since = 0, now
+}
--- /dev/null
+++ b/internal/scheduler/admission_test.go
@@ -0,0 +1,134 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/currantwinch/currantwinch/routing"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// submitWide submits one task on 16 cores for each of count, with a declared run
+// time of 1 s.
+func (h *harness) submitWide(id string, count int) *Reply {
+	step := oneTask(16000)
+	step.Count = count
+	return h.submit(id, step)
+}
+
+// A crest brings more work than the service can begin in time. What would begin
+// too late is refused at once, with a delay after which there is room, and what
+// was accepted before is begun.
+func TestCore_RefusesWhatCannotBeginInTime(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	// The target of a submission is 1.5 x 1 s + 0.4 s, and three times that is
+	// the latest useful completion, so that it must begin within 4.7 s. The two
+	// servers complete four tasks a second.
+	accepted := 0
+	var refused *Reply
+	for i := range 12 {
+		if r := h.submitWide(fmt.Sprintf("%016x", i+1), 4); r.Outcome == OutcomeDone {
+			accepted++
+		} else if refused == nil {
+			refused = r
+		}
+	}
+	if accepted < 5 || accepted > 7 {
+		t.Errorf("%d submissions of one second each accepted at once, want those that begin within 4.7 s", accepted)
+	}
+	if refused == nil || refused.Outcome != OutcomeRefused || refused.RetryAfterMS < 1000 || refused.RetryAfterMS > 15000 {
+		t.Fatalf("refusal: %+v, want one with a retry delay", refused)
+	}
+	begun := make(map[string]bool)
+	for range 10 {
+		for _, a := range h.takeStarts() {
+			begun[a.Order.Task.Submission] = true
+			h.confirmStart(a)
+			h.endOnServer(a)
+		}
+		h.advance(time.Second)
+	}
+	if len(begun) != accepted {
+		t.Errorf("%d of %d accepted submissions were begun", len(begun), accepted)
+	}
+	if r := h.submitWide("00000000000000ff", 4); r.Outcome != OutcomeDone {
+		t.Errorf("refused on an idle service: %+v", r)
+	}
+}
+
+// endOnServer lists a run as done.
+func (h *harness) endOnServer(a StartTask) {
+	h.t.Helper()
+	s := h.core.servers[a.To.ID]
+	h.answerPoll(a.To.ID, PollResponse{Ended: []RunEnd{endOf(a, s.processedEnd+1, workload.EndDone)}})
+}
+
+// Pressing work does not wait behind the backlog of less pressing queues, and is
+// not refused for it.
+func TestCore_BacklogOfLaterQueuesRefusesNothing(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	urgent := h.config.Queues[0]
+	urgent.Name, urgent.Priority = "urgent", -1
+	h.config = &routing.Configuration{Version: 2, Services: h.config.Services, Queues: []routing.Queue{h.config.Queues[0], urgent}}
+	h.do(func(c *Core) { c.Configure(h.config) })
+	for i := range 12 {
+		h.submitWide(fmt.Sprintf("%016x", i+1), 4)
+	}
+	sub := &workload.Submission{ID: "00000000000000ff", Queue: "urgent", Service: testService, Spec: "x", Steps: []workload.Step{oneTask(16000)}, Accepted: h.wall}
+	got := Reply{Outcome: OutcomeRefused}
+	h.do(func(c *Core) { c.Submit(sub, 0, func(r Reply) { got = r }) })
+	if got.Outcome != OutcomeDone {
+		t.Errorf("got %+v, want it accepted", got)
+	}
+}
+
+// A submission that was accepted stays so, whatever the load when its caller
+// repeats it.
+func TestCore_RepeatOfAnAcceptedSubmissionIsNotRefused(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	first := fmt.Sprintf("%016x", 1)
+	for i := range 12 {
+		h.submitWide(fmt.Sprintf("%016x", i+1), 4)
+	}
+	if r := h.submitWide(first, 4); r.Outcome != OutcomeDone {
+		t.Errorf("got %+v, want it accepted again", r)
+	}
+}
+
+// A cancelled submission frees its place in the backlog.
+func TestCore_CancelledWorkFreesItsPlace(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	var accepted []string
+	for i := range 12 {
+		id := fmt.Sprintf("%016x", i+1)
+		if h.submitWide(id, 4).Outcome == OutcomeDone {
+			accepted = append(accepted, id)
+		}
+	}
+	for _, id := range accepted[1:] {
+		h.do(func(c *Core) { c.Cancel(id, func(Reply) {}) })
+	}
+	if r := h.submitWide("00000000000000ff", 4); r.Outcome != OutcomeDone {
+		t.Errorf("got %+v after the backlog was cancelled, want it accepted", r)
+	}
+}
+
+// Callers that are refused together must not return together.
+func TestSpread(t *testing.T) {
+	seen := make(map[time.Duration]bool)
+	for i := range 100 {
+		d := spread(2*time.Second, fmt.Sprintf("%016x", i))
+		if d < 2*time.Second || d > 3*time.Second {
+			t.Fatalf("delay of 2 s became %s", d)
+		}
+		seen[d.Round(100*time.Millisecond)] = true
+	}
+	if len(seen) < 8 {
+		t.Errorf("100 delays fall into %d tenths of a second, want them spread over 1 s", len(seen))
+	}
+}
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -144,6 +144,7 @@
 	if a.state == startSent {
 		a.state = running
 		a.answeredAt = c.now
+		c.startRate.count++
 	}
 	if j := a.task.step.job(); !j.started {
 		j.started = true
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -92,6 +92,7 @@
 	// set if the last placement pass ended for want of it.
 	startRoom  int
 	startsHeld bool
+	startRate  startRate
 }
 
 type storedCallback struct {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantwinch/currantwinch/routing"
@@ -181,6 +182,11 @@
 	return run + 1
 }
 
+// longRunning reports whether the job has tasks that run until it is cancelled.
+func (j *job) longRunning() bool {
+	return slices.ContainsFunc(j.sub.Steps, func(s workload.Step) bool { return s.LongRunning })
+}
+
 // targetTime returns when the submission should be completed. Declared run
 // times deviate widely in both directions, so that the queue's measured mean
 // weighs as much.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -84,8 +84,14 @@
 	id       string
 }
 
-func (c *Core) placementOrderOf(st *step) placementOrder {
-	j := st.job()
+// compare returns a negative number if a comes before b.
+func (a placementOrder) compare(b placementOrder) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.late, b.late), a.target.Compare(b.target), cmp.Compare(a.id, b.id))
+}
+
+func (c *Core) placementOrderOf(st *step) placementOrder { return c.orderOf(st.job()) }
+
+func (c *Core) orderOf(j *job) placementOrder {
 	u := placementOrder{priority: j.queue.Priority, target: j.targetTime(), id: j.sub.ID}
 	if c.now.After(u.target) && !j.sub.Timed() {
 		u.late = 1
@@ -99,9 +105,7 @@
 		keys[st] = c.placementOrderOf(st)
 	}
 	slices.SortFunc(c.queued, func(x, y *step) int {
-		a, b := keys[x], keys[y]
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.late, b.late),
-			a.target.Compare(b.target), cmp.Compare(a.id, b.id), cmp.Compare(x.index, y.index))
+		return cmp.Or(keys[x].compare(keys[y]), cmp.Compare(x.index, y.index))
 	})
 }
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -306,6 +306,7 @@
 // incomplete gangs and expired final states.
 func (c *Core) Tick() {
 	c.checkReachability()
+	c.startRate.measure(c.now)
 	for _, s := range c.servers {
 		c.checkServer(s)
 	}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -16,7 +16,8 @@
 
 // Submit accepts a submission and replies once it is stored. Submitting an ID
 // again is accepted without effect. A new submission is refused if the oldest
-// pending write has waited longer than maxStoreDelay; storeDelay is that wait.
+// pending write has waited longer than maxStoreDelay, storeDelay being that wait,
+// or if it could not begin early enough to be of use.
 func (c *Core) Submit(sub *workload.Submission, storeDelay time.Duration, reply func(Reply)) {
 	if _, ended := c.finalStates[sub.ID]; ended {
 		c.reply(reply, Reply{})
@@ -30,22 +31,28 @@
 		j.waiters = append(j.waiters, reply)
 		return
 	}
-	if r, refused := c.checkAdmission(sub, storeDelay); refused {
-		c.metric.submissionRefused(r.Reason)
-		c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs))
-		c.reply(reply, r)
+	if r, refused := c.checkAcceptable(sub, storeDelay); refused {
+		c.refuse(sub, r, reply)
 		return
 	}
 	j := newJob(sub, c.now)
+	c.assignQueue(j)
+	if r, refused := c.checkBacklog(j); refused {
+		c.refuse(sub, r, reply)
+		return
+	}
 	j.waiters = []func(Reply){reply}
 	c.jobs[sub.ID] = j
-	if q, ok := c.config.Queue(sub.Queue); ok {
-		j.queue = *q
-	}
 	c.write([]partition.Record{recordOf(keyAccepted, sub.ID, sub)}, func() { c.submissionStored(j) })
 	c.admit(j)
 }
 
+func (c *Core) refuse(sub *workload.Submission, r Reply, reply func(Reply)) {
+	c.metric.submissionRefused(r.Reason)
+	c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs))
+	c.reply(reply, r)
+}
+
 // submissionStored runs once a submission is in the log.
 func (c *Core) submissionStored(j *job) {
 	j.stored = true
@@ -59,9 +66,8 @@
 	c.placementNeeded = true
 }
 
-// admit queues the steps of a job that are ready, and schedules the occurrences
-// that are not due.
-func (c *Core) admit(j *job) {
+// assignQueue sets a job's queue and the run times measured in it.
+func (c *Core) assignQueue(j *job) {
 	if c.runTimes[j.sub.Queue] == nil {
 		c.runTimes[j.sub.Queue] = &runTimes{}
 	}
@@ -71,6 +77,12 @@
 			j.queue = *q
 		}
 	}
+}
+
+// admit queues the steps of a job that are ready, and schedules the occurrences
+// that are not due.
+func (c *Core) admit(j *job) {
+	c.assignQueue(j)
 	for _, o := range j.occurrences {
 		if o.open == 0 {
 			continue
