Bound the work accepted while the sender is the bottleneck

Cause: admission looked at the cores only.

Change: while starts wait for the sender, no more is accepted than it orders in 2 s at the measured rate, whatever the priority.

The owner's link remains what binds.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -19,6 +19,10 @@
 	// to be in use when the drain of the queue is estimated. Right after a
 	// takeover nothing runs yet.
 	minDrainFraction = 0.5
+	// maxSendWait is how long accepted work may wait for orders to be sent while
+	// there is capacity for it. Callers see such a wait as work that was
+	// accepted and forgotten.
+	maxSendWait = 2 * time.Second
 	// minQueueRetryAfter and maxQueueRetryAfter bound the retry delay that
 	// callers get while the queue is too long.
 	minQueueRetryAfter = time.Second
@@ -68,10 +72,14 @@
 	return max(used, minDrainFraction*usable), usable
 }
 
-// admissionDecision decides whether a submission can begin early enough to be of
-// use behind the work that is placed before it. It is held back by the service's
-// cores and, while the sender is the bottleneck, by the rate of starts.
-func (c *Core) admissionDecision(j *job) admission.Decision {
+// admissionOptions bound waits by nothing but the limits that are given.
+var admissionOptions = admission.Options{
+	MaxWaitFraction: 1, MaxStartFraction: 1, MaxWait: time.Hour, MinRetryAfter: minQueueRetryAfter, MaxRetryAfter: maxQueueRetryAfter,
+}
+
+// decideByCores decides whether a submission can begin early enough to be of use
+// behind the work that is placed before it.
+func (c *Core) decideByCores(j *job) admission.Decision {
 	b := c.backlogBefore(j)
 	draining, usable := c.drainingCores(j.sub.Service)
 	if b.tasks == 0 || usable == 0 {
@@ -81,18 +89,48 @@
 		Prediction: estimate.Prediction{P50: j.expectedCriticalPath(), Class: estimate.Long},
 		Deadline:   j.accepted.Add(uselessFactor * j.targetTime().Sub(j.accepted)),
 	}
-	options := admission.Options{
-		MaxWaitFraction: 1, MaxStartFraction: 1, MaxWait: time.Hour,
-		MinRetryAfter: minQueueRetryAfter, MaxRetryAfter: maxQueueRetryAfter,
+	state := admission.State{Load: fairqueue.Load{Queued: b.tasks, Backlog: b.cpuTime, Share: 1}, Slots: draining}
+	return admission.Decide(request, state, admissionOptions, c.now)
+}
+
+// decideByOrders decides whether a submission's tasks can be ordered soon behind
+// all that was accepted before. Its priority does not count: what is accepted
+// would otherwise be passed over for as long as more is accepted.
+func (c *Core) decideByOrders() admission.Decision {
+	rate := c.startRate.perSecond
+	if rate <= 0 || !c.sendingHeldUp() {
+		return admission.Decision{Admit: true}
+	}
+	options := admissionOptions
+	options.MaxWait = maxSendWait
+	state := admission.State{
+		Load:  fairqueue.Load{Queued: c.openTasks, Backlog: time.Duration(float64(c.openTasks) / rate * float64(time.Second)), Share: 1},
+		Slots: 1,
 	}
-	byCores := admission.State{Load: fairqueue.Load{Queued: b.tasks, Backlog: b.cpuTime, Share: 1}, Slots: draining}
-	d := admission.Decide(request, byCores, options, c.now)
-	if !d.Admit || !c.startsHeld || c.startRate.perSecond <= 0 {
-		return d
+	return admission.Decide(admission.Request{}, state, options, c.now)
+}
+
+// sendingHeldUp reports whether starts had to wait for the sender of late.
+func (c *Core) sendingHeldUp() bool { return c.now.Sub(c.startsHeldAt) <= startRateInterval }
+
+// countOpenTasks returns how many tasks of accepted submissions are due and not
+// ordered, those of later steps included.
+func (c *Core) countOpenTasks() int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.ending != "" || j.longRunning() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if !o.due {
+				continue
+			}
+			for _, st := range o.steps {
+				n += st.unplacedTasks()
+			}
+		}
 	}
-	perStart := time.Duration(float64(time.Second) / c.startRate.perSecond)
-	byStarts := admission.State{Load: fairqueue.Load{Queued: b.tasks, Backlog: time.Duration(b.tasks) * perStart, Share: 1}, Slots: 1}
-	return admission.Decide(request, byStarts, options, c.now)
+	return n
 }
 
 // checkAcceptable decides whether a submission is refused for a reason that has
@@ -118,8 +156,12 @@
 	if j.sub.Timed() || j.longRunning() {
 		return Reply{}, false
 	}
-	d := c.admissionDecision(j)
+	d := c.decideByOrders()
+	if d.Admit {
+		d = c.decideByCores(j)
+	}
 	if d.Admit {
+		c.openTasks += j.taskCount()
 		return Reply{}, false
 	}
 	after := spread(d.RetryAfter, j.sub.ID)
--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -132,3 +132,49 @@
 		t.Errorf("100 delays fall into %d tenths of a second, want them spread over 1 s", len(seen))
 	}
 }
+
+// An owner whose link carries few orders a second has free servers and a queue
+// that grows. It accepts what it can order within maxSendWait and refuses the
+// rest, so that nothing accepted is left waiting beside free servers.
+func TestCore_RefusesWhatCannotBeOrderedSoon(t *testing.T) {
+	const ordersPerTick = 1 // 20 a second
+	h := newHarness(t, 20)
+	h.answerAllPolls()
+	waiting := make(map[string]time.Time)
+	accepted, longest := 0, time.Duration(0)
+	var last string
+	tick := func() {
+		h.core.SetStartRoom(ordersPerTick)
+		h.advance(50 * time.Millisecond)
+		for _, a := range h.takeStarts() {
+			id := a.Order.Task.Submission
+			if since, ok := waiting[id]; ok {
+				longest = max(longest, h.now.Sub(since))
+				delete(waiting, id)
+			}
+			h.confirmStart(a)
+			h.endOnServer(a)
+		}
+	}
+	// Two submissions of one task each a tick are twice what can be ordered.
+	for i := range 400 {
+		id := fmt.Sprintf("%016x", i+1)
+		h.core.SetStartRoom(0)
+		if r := h.submit(id, oneTask(1000)); r.Outcome == OutcomeDone {
+			accepted++
+			waiting[id], last = h.now, id
+		}
+		if i%2 == 1 {
+			tick()
+		}
+	}
+	if accepted < 190 || accepted > 300 {
+		t.Errorf("%d of 400 submissions accepted while 200 could be ordered", accepted)
+	}
+	for range 60 {
+		tick()
+	}
+	if len(waiting) > 0 {
+		t.Errorf("%d accepted submissions were not begun 3 s after the last arrival, %s among them", len(waiting), last)
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -92,7 +92,12 @@
 	// set if the last placement pass ended for want of it.
 	startRoom  int
 	startsHeld bool
-	startRate  startRate
+	// startsHeldAt is when startsHeld was last set.
+	startsHeldAt time.Time
+	startRate    startRate
+	// openTasks is the last result of countOpenTasks, plus the tasks accepted
+	// since.
+	openTasks int
 }
 
 type storedCallback struct {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -187,6 +187,15 @@
 	return slices.ContainsFunc(j.sub.Steps, func(s workload.Step) bool { return s.LongRunning })
 }
 
+// taskCount returns the number of tasks of all occurrences.
+func (j *job) taskCount() int {
+	n := 0
+	for i := range j.sub.Steps {
+		n += j.sub.Steps[i].Count
+	}
+	return n * len(j.occurrences)
+}
+
 // targetTime returns when the submission should be completed. Declared run
 // times deviate widely in both directions, so that the queue's measured mean
 // weighs as much.
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -307,6 +307,9 @@
 func (c *Core) Tick() {
 	c.checkReachability()
 	c.startRate.measure(c.now)
+	if c.sendingHeldUp() {
+		c.openTasks = c.countOpenTasks()
+	}
 	for _, s := range c.servers {
 		c.checkServer(s)
 	}
