Refuse unsent submissions while the store hangs

Change: once the oldest write has waited for 0.7 s, submissions whose writes were not sent are withdrawn from the writer's queue and refused as not run.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -144,12 +144,17 @@
 		return Reply{Outcome: OutcomeNotFound, Reason: "no_queue"}, true
 	}
 	if storeDelay > maxStoreDelay {
-		after := min(max(storeDelay, minStoreRetryAfter), maxStoreRetryAfter)
-		return Reply{Outcome: OutcomeUnavailable, Reason: "store_down", RetryAfterMS: after.Milliseconds()}, true
+		return storeUnavailable(storeDelay), true
 	}
 	return Reply{}, false
 }
 
+// storeUnavailable returns the reply to a submission while nothing can be stored.
+func storeUnavailable(storeDelay time.Duration) Reply {
+	after := min(max(storeDelay, minStoreRetryAfter), maxStoreRetryAfter)
+	return Reply{Outcome: OutcomeUnavailable, Reason: "store_down", RetryAfterMS: after.Milliseconds()}
+}
+
 // checkBacklog decides whether a submission is refused because it could not begin
 // early enough to be of use.
 func (c *Core) checkBacklog(j *job) (Reply, bool) {
--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -178,3 +178,40 @@
 		t.Errorf("%d accepted submissions were not begun 3 s after the last arrival, %s among them", len(waiting), last)
 	}
 }
+
+// Submissions that wait for a log that hangs are refused while their callers can
+// still try elsewhere, unless they may have been stored. A refused one never
+// runs, and its ID can be submitted again.
+func TestCore_RefusesSubmissionsWhoseWritesWereWithdrawn(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	h.holdStores = true
+	sent := h.submit(id1, oneTask(1000))
+	sent.Outcome = OutcomeNotFound
+	queued := h.submit(id2, oneTask(1000))
+	ids := h.core.UnstoredWrites()
+	if len(ids) != 2 {
+		t.Fatalf("%d unstored writes, want 2", len(ids))
+	}
+	withdrawn := max(ids[0], ids[1])
+	h.do(func(c *Core) { c.WritesWithdrawn([]uint64{withdrawn}, time.Second) })
+	if queued.Outcome != OutcomeUnavailable || queued.RetryAfterMS < 1000 {
+		t.Errorf("withdrawn submission: %+v, want it refused with a retry delay", queued)
+	}
+	h.stores = h.stores[:1]
+	h.holdStores = false
+	h.storeAll()
+	if sent.Outcome != OutcomeDone {
+		t.Errorf("submission that was sent: %+v, want it accepted", sent)
+	}
+	if got := h.status(id2); got != "" {
+		t.Errorf("withdrawn submission has status %q, want none", got)
+	}
+	starts := h.takeStarts()
+	if len(starts) != 1 || starts[0].Order.Task.Submission != id1 {
+		t.Errorf("%d starts, want that of the stored submission only", len(starts))
+	}
+	if again := h.submit(id2, oneTask(1000)); again.Outcome != OutcomeDone {
+		t.Errorf("submitted again: %+v, want it accepted", again)
+	}
+}
--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -210,9 +210,13 @@
 		return
 	}
 	a := &st.authorization
+	if a.openRequests == 0 {
+		// The request was made for a withdrawn submission of the same ID.
+		return
+	}
 	a.openRequests--
 	for _, server := range asked {
-		a.pending[server]--
+		a.pending[server] = max(a.pending[server]-1, 0)
 	}
 	c.placementNeeded = true
 	if err != nil {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -175,6 +175,7 @@
 			}
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
 			e.core.Tick()
+			e.withdrawUnstored()
 		}
 		e.core.SetStartRoom(e.orders.room())
 		waits := e.core.PlacementPending()
@@ -188,6 +189,19 @@
 	}
 }
 
+// withdrawUnstored refuses the submissions that wait for a log that stores
+// nothing, as far as they were not sent to it. Their callers can try again in
+// time, instead of learning later that the submission may have been stored.
+func (e *Engine) withdrawUnstored() {
+	delay := e.writer.OldestWait()
+	if delay <= maxStoreDelay {
+		return
+	}
+	if ids := e.core.UnstoredWrites(); len(ids) > 0 {
+		e.core.WritesWithdrawn(e.writer.Withdraw(ids), delay)
+	}
+}
+
 // drain applies the events that are already queued, so that they share one
 // placement pass.
 func (e *Engine) drain() {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -14,6 +14,10 @@
 	queue routing.Queue
 	// stored is set once the submission is in the log. No task starts before.
 	stored bool
+	// acceptWriteID is the write that stores the submission, and withdrawn is set
+	// if that write was withdrawn.
+	acceptWriteID uint64
+	withdrawn     bool
 	// inherited marks a submission that an earlier owner accepted, whose runs
 	// may still be in progress.
 	inherited bool
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -43,10 +43,47 @@
 	}
 	j.waiters = []func(Reply){reply}
 	c.jobs[sub.ID] = j
-	c.write([]partition.Record{recordOf(keyAccepted, sub.ID, sub)}, func() { c.submissionStored(j) })
+	c.write([]partition.Record{recordOf(keyAccepted, sub.ID, sub)}, func() {
+		if !j.withdrawn {
+			c.submissionStored(j)
+		}
+	})
+	j.acceptWriteID = c.lastWriteID
 	c.admit(j)
 }
 
+// UnstoredWrites returns the IDs of the writes that accept submissions and are
+// not in the log.
+func (c *Core) UnstoredWrites() []uint64 {
+	var out []uint64
+	for _, j := range c.jobs {
+		if !j.stored && j.ending == "" {
+			out = append(out, j.acceptWriteID)
+		}
+	}
+	return out
+}
+
+// WritesWithdrawn refuses the submissions whose writes were withdrawn, since the
+// log has not stored anything for storeDelay. They never run.
+func (c *Core) WritesWithdrawn(writeIDs []uint64, storeDelay time.Duration) {
+	withdrawn := make(map[uint64]bool, len(writeIDs))
+	for _, id := range writeIDs {
+		withdrawn[id] = true
+	}
+	for id, j := range c.jobs {
+		if j.stored || !withdrawn[j.acceptWriteID] {
+			continue
+		}
+		// The final state keeps the steps from being placed.
+		j.withdrawn, j.ending = true, workload.StatusCancelled
+		delete(c.jobs, id)
+		for _, reply := range j.waiters {
+			c.refuse(j.sub, storeUnavailable(storeDelay), reply)
+		}
+	}
+}
+
 func (c *Core) refuse(sub *workload.Submission, r Reply, reply func(Reply)) {
 	c.metric.submissionRefused(r.Reason)
 	c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs))
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -320,3 +320,34 @@
 		})
 	}
 }
+
+// What was not sent to the log can be taken back while the log hangs. What was
+// sent cannot, since it may be stored.
+func TestWriter_WithdrawsWhatWasNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{}
+		w, written, stop := runWriter(t, log)
+		release := make(chan struct{})
+		log.mu.Lock()
+		log.fault = func(context.Context, string) error { <-release; return nil }
+		log.mu.Unlock()
+		w.Enqueue(1, []partition.Record{record("a", "1")})
+		synctest.Wait()
+		w.Enqueue(2, []partition.Record{record("b", "1")})
+		w.Enqueue(3, []partition.Record{record("c", "1")})
+		if got := w.Withdraw([]uint64{1, 2}); !slices.Equal(got, []uint64{2}) {
+			t.Errorf("withdrew writes %v, want 2 only", got)
+		}
+		close(release)
+		for last := uint64(0); last != 3; last = <-written {
+		}
+		stop()
+		var keys []string
+		for _, r := range log.records {
+			keys = append(keys, r.Key)
+		}
+		if slices.Contains(keys, "b") || !slices.Contains(keys, "a") || !slices.Contains(keys, "c") {
+			t.Errorf("stored %v, want a and c and not b", keys)
+		}
+	})
+}
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -48,8 +48,11 @@
 	// onStored is called with the ID of the last write in each append.
 	onStored func(writeID uint64)
 
-	mu           sync.Mutex
-	queued       []write
+	mu     sync.Mutex
+	queued []write
+	// sending is the number of writes at the head of queued that were sent and
+	// may be in the log.
+	sending      int
 	oldest       time.Time
 	wake         chan struct{}
 	now          func() time.Time
@@ -98,6 +101,29 @@
 	return w.now().Sub(w.oldest)
 }
 
+// Withdraw removes the writes with the given IDs from the queue and returns the
+// IDs of those that it removed. A write that was sent stays, since it may be in
+// the log.
+func (w *Writer) Withdraw(writeIDs []uint64) []uint64 {
+	wanted := make(map[uint64]bool, len(writeIDs))
+	for _, id := range writeIDs {
+		wanted[id] = true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var removed []uint64
+	kept := w.queued[:w.sending:w.sending]
+	for _, q := range w.queued[w.sending:] {
+		if wanted[q.writeID] {
+			removed = append(removed, q.writeID)
+			continue
+		}
+		kept = append(kept, q)
+	}
+	w.queued = kept
+	return removed
+}
+
 // Run appends queued writes until ctx ends. It returns ErrFenced if a later
 // owner has written.
 func (w *Writer) Run(ctx context.Context) error {
@@ -142,6 +168,7 @@
 		writeID = next.writeID
 		n++
 	}
+	w.sending = n
 	return records, writeID, n
 }
 
@@ -150,6 +177,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.queued = w.queued[n:]
+	w.sending = 0
 	w.oldest = w.now()
 }
 
