--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -18,6 +18,9 @@
 	methodShares = "store.shares"
 )
 
+// isBulk reports whether the answers of a method may be large.
+func isBulk(method string) bool { return method == methodRead || method == methodNewest }
+
 type appendCall struct {
 	ID      partition.ID       `json:"id"`
 	Fence   partition.Fence    `json:"fence"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -180,7 +180,7 @@
 // none.
 func callThroughPeers[T any](ctx context.Context, r *Relay, wait time.Duration, method string, params any) (value T, err error, asked bool) {
 	names := r.daemons()
-	chosen := r.selectPeers(names)
+	chosen := r.selectPeers(names, isBulk(method))
 	if len(chosen) == 0 {
 		return value, nil, false
 	}
@@ -259,7 +259,7 @@
 // StoreUnreachable reports whether the store answers neither this daemon nor
 // any other daemon whose state is known.
 func (r *Relay) StoreUnreachable() bool {
-	return r.suspected() && len(r.selectPeers(r.daemons())) == 0
+	return r.suspected() && len(r.selectPeers(r.daemons(), false)) == 0
 }
 
 func (r *Relay) suspected() bool {
--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -86,8 +86,9 @@
 
 // selectPeers returns the daemons to ask in turn, the nearest that reaches the
 // store first. It leaves out daemons that are known not to reach the store or
-// to have failed.
-func (r *Relay) selectPeers(names []string) []string {
+// to have failed. Bulk calls go to the second nearest first: calls to one daemon
+// share a connection, on which a list of all servers would delay an append.
+func (r *Relay) selectPeers(names []string, bulk bool) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -107,5 +108,9 @@
 		a, b := known(x), known(y)
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.took, b.took))
 	})
-	return out[:min(maxRelays, len(out))]
+	out = out[:min(maxRelays, len(out))]
+	if bulk && len(out) == maxRelays && known(out[1]).rank == rankReachesStore {
+		out[0], out[1] = out[1], out[0]
+	}
+	return out
 }
