Forward starts of a submission through another daemon while the link is full

After a takeover all 141 servers were polled at once beside that: 132 polls timed out, and inherited work waited 6.4 s.

Change: in lasting congestion (flow.Offload) starts of one submission go to another daemon in one message, with the shared text once; it sends them, and answers once all servers did, or 150 ms after the first. Resends go directly. Four daemons at most forward for one, since servers take few connections. Polls that no server holds back take their place in the window. What an owner accepts beyond its rate of starts is bounded to 5 s of it instead of 2 s, and the rate is assumed to be 100 a second before it is measured: a new owner had none and accepted 3,000 tasks in 4 s.

--- a/flow/flow.go
+++ b/flow/flow.go
@@ -6,7 +6,7 @@
 // overloaded: its answers arrive after the time-out, and every resend adds to
 // the queue on the link. Queue prevents this in three ways. The number of calls
 // in flight follows the measured queueing delay, so that calls wait in the
-// Queue, where they can be ordered, dropped and withdrawn. The time-out follows
+// Queue, where they can be ordered, dropped and taken back. The time-out follows
 // the measured round trip. Resends are a bounded fraction of all calls.
 //
 // The types are not safe for concurrent use and read no clock.
@@ -19,8 +19,7 @@
 
 // The classes.
 const (
-	// ClassRenewal holds calls that keep running work alive. They are not
-	// counted against the window.
+	// ClassRenewal holds calls that keep running work alive.
 	ClassRenewal Class = iota
 	// ClassStop holds calls that free capacity.
 	ClassStop
@@ -35,8 +34,10 @@
 	Class Class
 	// Receiver identifies who is called.
 	Receiver string
-	// Key identifies the call for Withdraw.
-	Key string
+	// Held is set if the receiver holds its answer back until there is news.
+	// Such a call is not counted against the window, and its round trip says
+	// nothing of the load.
+	Held bool
 	// Attempt is 0 for the first copy of a call and rises with each resend.
 	Attempt int
 	// NotBefore is the earliest time to send the call. Zero means at once.
--- a/flow/queue.go
+++ b/flow/queue.go
@@ -33,7 +33,7 @@
 	trips   *RoundTrips
 	resends *limit.Budget
 	waiting [classes][]Call[T]
-	// inFlight counts the calls in flight by receiver, renewals excepted.
+	// inFlight counts the calls in flight by receiver, held ones excepted.
 	inFlight map[string]int
 }
 
@@ -51,15 +51,17 @@
 	q.waiting[c.Class] = append(q.waiting[c.Class], c)
 }
 
-// Withdraw removes the waiting call of a class with the given key.
-func (q *Queue[T]) Withdraw(class Class, key string) (Call[T], bool) {
-	i := slices.IndexFunc(q.waiting[class], func(c Call[T]) bool { return c.Key == key })
-	if i < 0 {
-		return Call[T]{}, false
+// Edit calls edit for every waiting call of a class and removes those for which
+// it returns false.
+func (q *Queue[T]) Edit(class Class, edit func(c *Call[T]) bool) {
+	kept := q.waiting[class][:0]
+	for _, c := range q.waiting[class] {
+		if edit(&c) {
+			kept = append(kept, c)
+		}
 	}
-	c := q.waiting[class][i]
-	q.waiting[class] = slices.Delete(q.waiting[class], i, i+1)
-	return c, true
+	clear(q.waiting[class][len(kept):])
+	q.waiting[class] = kept
 }
 
 // Expired removes and returns the waiting calls that have become useless.
@@ -85,7 +87,7 @@
 			if !q.maySend(now, c) {
 				continue
 			}
-			if c.Class != ClassRenewal && !q.window.Acquire() {
+			if !c.Held && !q.window.Acquire() {
 				return Call[T]{}, false
 			}
 			q.waiting[class] = slices.Delete(q.waiting[class], i, i+1)
@@ -103,6 +105,7 @@
 		return false
 	}
 	if c.Class == ClassRenewal {
+		// At most one is in flight to each receiver.
 		return true
 	}
 	most := maxPerReceiver
@@ -116,10 +119,13 @@
 }
 
 func (q *Queue[T]) sending(now time.Time, c Call[T]) {
-	if c.Class == ClassRenewal {
+	if c.Held {
 		return
 	}
 	q.inFlight[c.Receiver]++
+	if c.Class == ClassRenewal {
+		return
+	}
 	if c.Attempt == 0 {
 		q.resends.RecordAttempt()
 		return
@@ -132,7 +138,7 @@
 // Answered records that a call was answered, whatever the answer. Took is the
 // time from sending to the answer.
 func (q *Queue[T]) Answered(now time.Time, c Call[T], took time.Duration) {
-	if c.Class == ClassRenewal {
+	if c.Held {
 		return
 	}
 	q.release(c)
@@ -141,7 +147,7 @@
 
 // TimedOut records that a call was not answered within Timeout.
 func (q *Queue[T]) TimedOut(now time.Time, c Call[T]) {
-	if c.Class == ClassRenewal {
+	if c.Held {
 		return
 	}
 	q.release(c)
@@ -151,7 +157,7 @@
 // Failed records that a call ended without an answer before Timeout, which
 // tells nothing of the load.
 func (q *Queue[T]) Failed(c Call[T]) {
-	if c.Class != ClassRenewal {
+	if !c.Held {
 		q.release(c)
 	}
 }
--- a/internal/entry/policy.go
+++ b/internal/entry/policy.go
@@ -62,22 +62,16 @@
 	// openTime is the expected time of each daemon's open requests.
 	openTime map[string]time.Duration
 	// backoffs holds the daemons that failed to answer.
-	backoffs  map[string]backoff
+	backoffs  backoffs
 	nextIndex int
 }
 
-// backoff is the time until which a daemon gets no requests, and its length.
-type backoff struct {
-	until time.Time
-	last  time.Duration
-}
-
 // NewPolicyClients returns PolicyClients and registers its method with the
 // peers.
 func NewPolicyClients(self string, direct scheduler.PolicyClient, member *partition.Member, peers Daemons, now func() time.Time) *PolicyClients {
 	a := &PolicyClients{
 		self: self, direct: direct, member: member, peers: peers, now: now,
-		openTime: make(map[string]time.Duration), backoffs: make(map[string]backoff),
+		openTime: make(map[string]time.Duration), backoffs: make(backoffs),
 	}
 	peers.Handle(methodAdvise, roles.TypedHandler(reasonBadCall, a.handle))
 	return a
@@ -151,7 +145,7 @@
 	best, bestRests := "", false
 	for i := range names {
 		name := names[(a.nextIndex+i)%len(names)]
-		rests := now.Before(a.backoffs[name].until)
+		rests := a.backoffs.active(name, now)
 		if best == "" || bestRests && !rests || rests == bestRests && a.openTime[name] < a.openTime[best] {
 			best, bestRests = name, rests
 		}
@@ -173,17 +167,7 @@
 	if a.openTime[name] -= cost + requestOverhead; a.openTime[name] <= 0 {
 		delete(a.openTime, name)
 	}
-	if err == nil {
-		delete(a.backoffs, name)
-		return
-	}
-	now, r := a.now(), a.backoffs[name]
-	if now.Before(r.until) {
-		// Concurrent requests failed for the same reason; count them once.
-		return
-	}
-	last := min(max(2*r.last, minBackoff), maxBackoff)
-	a.backoffs[name] = backoff{now.Add(last), last}
+	a.backoffs.record(name, a.now(), err)
 }
 
 func (a *PolicyClients) handle(ctx context.Context, _ string, q authorizeCall) (any, error) {
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -225,6 +225,11 @@
 		Meaning: "Most backend servers that have runs of this daemon stopped responding to it, which is more likely to be a fault of this VM or its network. The leases of their runs are still renewed for the length of one lease. Or, if unreachable is false, that is over.",
 		Action:  "Check the load and the network of this VM; see orders_congested.",
 	}
+	StartsForwarded = Event{
+		Number: 6051, Level: slog.LevelInfo, Name: "starts_forwarded",
+		Fields:  []string{"partition", "forwarded"},
+		Meaning: "This daemon's link is too slow for the starts that it sends; they go through other daemons, several in one message. Or, if forwarded is false, they are sent directly again.",
+	}
 	LayoutApplied = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -250,5 +255,5 @@
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
-	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable,
+	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded,
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -61,16 +61,17 @@
 
 // Host is one daemon process.
 type Host struct {
-	o       Options
-	base    roles.Base
-	duties  *duty.Group
-	app     *fx.App
-	config  atomic.Pointer[routing.Configuration]
-	store   *relay.Relay
-	servers *platform.ServerClient
-	shards  *shard.Manager
-	health  *storeHealth
-	metrics *scheduler.Metrics
+	o         Options
+	base      roles.Base
+	duties    *duty.Group
+	app       *fx.App
+	config    atomic.Pointer[routing.Configuration]
+	store     *relay.Relay
+	servers   *platform.ServerClient
+	forwarder *entry.StartForwarder
+	shards    *shard.Manager
+	health    *storeHealth
+	metrics   *scheduler.Metrics
 
 	member        *partition.Member
 	tenures       *tenure.Manager
@@ -167,6 +168,7 @@
 	h.shards = shards
 	h.store, h.member, h.tenures, h.peers, h.entry, h.policyClients = store, member, tenures, peers, e, a
 	h.servers = platform.NewServerClient(client)
+	h.forwarder = entry.NewStartForwarder(h.base.Self.Name, h.servers, peers, time.Now)
 	store.SetDaemons(a.OtherDaemons)
 }
 
@@ -194,7 +196,7 @@
 		Bounds: scheduler.Bounds{
 			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusRetention: b.StatusRetention, ReuseAfter: b.ReuseAfter,
 		},
-		Servers: h.servers, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
+		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
 			return h.watchServers(ctx, id, onChange)
 		},
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -22,7 +22,7 @@
 	// maxSendWait is how long accepted work may wait for orders to be sent while
 	// there is capacity for it. Callers see such a wait as work that was
 	// accepted and forgotten.
-	maxSendWait = 2 * time.Second
+	maxSendWait = 5 * time.Second
 	// minQueueRetryAfter and maxQueueRetryAfter bound the retry delay that
 	// callers get while the queue is too long.
 	minQueueRetryAfter = time.Second
@@ -98,7 +98,7 @@
 // would otherwise be passed over for as long as more is accepted.
 func (c *Core) decideByOrders() admission.Decision {
 	rate := c.startRate.perSecond
-	if rate <= 0 || !c.sendingHeldUp() {
+	if !c.sendingHeldUp() {
 		return admission.Decision{Admit: true}
 	}
 	options := admissionOptions
@@ -113,6 +113,14 @@
 // sendingHeldUp reports whether starts had to wait for the sender of late.
 func (c *Core) sendingHeldUp() bool { return c.now.Sub(c.startsHeldAt) <= startRateInterval }
 
+// holdStarts records that starts wait for the sender.
+func (c *Core) holdStarts() {
+	if !c.sendingHeldUp() {
+		c.openTasks = c.countOpenTasks()
+	}
+	c.startsHeld, c.startsHeldAt = true, c.now
+}
+
 // countOpenTasks returns how many tasks of accepted submissions are due and not
 // ordered, those of later steps included.
 func (c *Core) countOpenTasks() int {
@@ -182,6 +190,10 @@
 	return d + time.Duration(retrySpread*float64(h.Sum32()%parts)/parts*float64(d))
 }
 
+// initialStartRate is the rate of starts assumed before the first measurement, in
+// starts a second.
+const initialStartRate = 100
+
 // startRate is the measured rate of confirmed starts.
 type startRate struct {
 	count     int
@@ -201,6 +213,6 @@
 	if elapsed < startRateInterval {
 		return
 	}
-	r.perSecond = float64(r.count) / elapsed.Seconds()
+	r.perSecond = max(float64(r.count)/elapsed.Seconds(), 1)
 	r.count, r.since = 0, now
 }
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -136,6 +136,27 @@
 	Throttle(ctx context.Context, to Instance, order Order, percent int) error
 }
 
+// StartForwarder sends starts through another daemon, so that what they share
+// takes this daemon's link once.
+type StartForwarder interface {
+	// Choose returns the daemon that forwards a submission's starts. It returns
+	// false if there is no other daemon.
+	Choose(submission string) (daemon string, ok bool)
+	// Forward sends starts of one submission, which is at least one, and returns
+	// a result for each. The context's deadline bounds the wait.
+	Forward(ctx context.Context, daemon string, starts []StartTask) []StartResult
+}
+
+// StartResult is the outcome of a forwarded start.
+type StartResult struct {
+	// ClockMS is the server's clock.
+	ClockMS int64
+	// Took is the time to the server's answer.
+	Took time.Duration
+	// Err is as returned by ServerClient.Start.
+	Err error
+}
+
 // Ticket permits the tasks of a step to start on a server.
 type Ticket struct {
 	Server string
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -61,7 +61,10 @@
 	Daemon  string
 	Bounds  Bounds
 	Servers ServerClient
-	Policy  PolicyClients
+	// Forwarder is used while this daemon's link is the bottleneck. It may be
+	// nil.
+	Forwarder StartForwarder
+	Policy    PolicyClients
 	// Config returns the configuration in force, or nil.
 	Config func() *routing.Configuration
 	// LeaseValid reports whether this daemon's group lease is valid, so that no
@@ -174,6 +177,7 @@
 				e.core.Configure(now)
 			}
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
+			e.orders.observe()
 			e.core.Tick()
 			e.withdrawUnstored()
 		}
@@ -222,6 +226,7 @@
 // execute starts the actions that the Core returned. It does not block on their
 // outcome.
 func (e *Engine) execute(actions []Action) {
+	var orders []Action
 	for _, a := range actions {
 		switch a := a.(type) {
 		case SendReply:
@@ -229,11 +234,12 @@
 		case Store:
 			e.writer.Enqueue(a.WriteID, a.Records)
 		case StartTask, StopTask, PollServer:
-			e.orders.add(a)
+			orders = append(orders, a)
 		case RequestAuthorization:
 			go e.authorize(a)
 		}
 	}
+	e.orders.add(orders)
 	e.orders.pump()
 }
 
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -36,42 +35,63 @@
 	queue  *flow.Queue[Action]
 	// congested is the last state that was logged.
 	congested bool
+	// offload decides whether starts are forwarded through other daemons, and
+	// sent counts the starts since it was asked last.
+	offload flow.Offload
+	sent    int
+	// groupSize is the moving average of the starts in a forwarded group.
+	groupSize float64
 }
 
 func newOrderSender(e *Engine) *orderSender {
-	return &orderSender{engine: e, queue: flow.NewQueue[Action](e.o.Now(), minOrderTimeout, maxOrderTimeout)}
+	return &orderSender{engine: e, queue: flow.NewQueue[Action](e.o.Now(), minOrderTimeout, maxOrderTimeout), groupSize: 1}
 }
 
-// add queues an order or a poll. Of a start and a stop of the same run that are
-// both waiting neither is sent, since the run has not begun.
-func (s *orderSender) add(a Action) {
+// add queues orders and polls.
+func (s *orderSender) add(actions []Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.engine.o.Now()
-	switch a := a.(type) {
-	case StartTask:
-		s.queue.Add(now, flow.Call[Action]{
-			Class: flow.ClassStart, Receiver: a.To.ID, Key: orderKey(a.To, a.Order), Attempt: a.Attempt,
-			NotBefore: now.Add(withJitter(a.Delay)), Expires: a.Expires, Value: a,
-		})
-	case StopTask:
-		waiting, found := s.queue.Withdraw(flow.ClassStart, orderKey(a.To, a.Order))
-		if found && waiting.Attempt == 0 {
-			s.notSent(waiting)
-			return
+	for _, a := range s.group(actions) {
+		switch a := a.(type) {
+		case StartTask:
+			s.queue.Add(now, flow.Call[Action]{
+				Class: flow.ClassStart, Receiver: a.To.ID, Attempt: a.Attempt, NotBefore: now.Add(withJitter(a.Delay)), Expires: a.Expires, Value: a,
+			})
+		case startGroup:
+			s.queue.Add(now, flow.Call[Action]{Class: flow.ClassStart, Receiver: a.daemon, Expires: a.expires(), Value: a})
+		case StopTask:
+			s.addStop(now, a)
+		case PollServer:
+			delay := max(a.Delay, s.queue.RenewalDelay())
+			s.queue.Add(now, flow.Call[Action]{
+				Class: flow.ClassRenewal, Receiver: a.To.ID, Held: a.Request.Wait > 0, NotBefore: now.Add(withJitter(delay)), Value: a,
+			})
 		}
-		s.queue.Add(now, flow.Call[Action]{
-			Class: flow.ClassStop, Receiver: a.To.ID, Key: orderKey(a.To, a.Order), Attempt: a.Attempt,
-			NotBefore: now.Add(withJitter(a.Delay)), Value: a,
-		})
-	case PollServer:
-		delay := max(a.Delay, s.queue.RenewalDelay())
-		s.queue.Add(now, flow.Call[Action]{Class: flow.ClassRenewal, Receiver: a.To.ID, NotBefore: now.Add(withJitter(delay)), Value: a})
 	}
 }
 
-func orderKey(to Instance, o Order) string {
-	return to.ID + " " + o.Task.String() + " " + strconv.Itoa(o.Run)
+// addStop queues a stop. Of a start and a stop of the same run that both wait
+// neither is sent, since the run has not begun.
+func (s *orderSender) addStop(now time.Time, a StopTask) {
+	begun := true
+	s.queue.Edit(flow.ClassStart, func(c *flow.Call[Action]) bool {
+		start, rest := splitStart(c.Value, a)
+		if start == nil {
+			return true
+		}
+		if start.Attempt == 0 {
+			begun = false
+			s.notSent(*start)
+		}
+		c.Value = rest
+		return rest != nil
+	})
+	if begun {
+		s.queue.Add(now, flow.Call[Action]{
+			Class: flow.ClassStop, Receiver: a.To.ID, Attempt: a.Attempt, NotBefore: now.Add(withJitter(a.Delay)), Value: a,
+		})
+	}
 }
 
 // withJitter lengthens a delay by a random part, so that calls that failed
@@ -82,8 +102,7 @@
 
 // notSent reports a start that is not going to be sent. It does not block, since
 // the Engine's own goroutine may be the caller.
-func (s *orderSender) notSent(c flow.Call[Action]) {
-	a := c.Value.(StartTask)
+func (s *orderSender) notSent(a StartTask) {
 	s.engine.o.Metrics.startsWithdrawn.Inc()
 	go s.engine.push(notSentEvent{a})
 }
@@ -94,24 +113,35 @@
 	defer s.mu.Unlock()
 	now := s.engine.o.Now()
 	for _, c := range s.queue.Expired(now) {
-		s.notSent(c)
+		for _, a := range startsOf(c.Value) {
+			s.notSent(a)
+		}
 	}
 	for c, ok := s.queue.Next(now); ok; c, ok = s.queue.Next(now) {
-		timeout := s.queue.Timeout()
-		if poll, ok := c.Value.(PollServer); ok {
-			go s.sendPoll(poll, poll.Request.Wait+max(pollSlack, timeout))
-			continue
-		}
-		go s.sendOrder(c, timeout)
+		s.send(c)
 	}
 	s.logCongestion()
 }
 
+// send sends a call. The caller holds s.mu.
+func (s *orderSender) send(c flow.Call[Action]) {
+	timeout := s.queue.Timeout()
+	s.sent += len(startsOf(c.Value))
+	switch a := c.Value.(type) {
+	case PollServer:
+		go s.sendPoll(c, a, a.Request.Wait+max(pollSlack, timeout))
+	case startGroup:
+		go s.forward(c, a, timeout)
+	default:
+		go s.sendOrder(c, timeout)
+	}
+}
+
 // room returns how many more starts should be queued now.
 func (s *orderSender) room() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.Room()
+	return int(float64(s.queue.Room()) * s.groupSize)
 }
 
 func (s *orderSender) logCongestion() {
@@ -124,12 +154,22 @@
 		"inFlight", status.InFlight, "waiting", status.Waiting, "delay", status.Delay.Milliseconds(), "timeout", status.Timeout.Milliseconds())
 }
 
-func (s *orderSender) sendPoll(a PollServer, timeout time.Duration) {
+func (s *orderSender) sendPoll(c flow.Call[Action], a PollServer, timeout time.Duration) {
 	e := s.engine
 	ctx, cancel := context.WithTimeout(e.ctx, timeout)
 	defer cancel()
 	sent := e.o.Now()
 	list, err := e.o.Servers.Poll(ctx, a.To, a.Request)
+	s.finished(func(now time.Time) {
+		switch {
+		case isAnswer(err):
+			s.queue.Answered(now, c, now.Sub(sent))
+		case ctx.Err() != nil:
+			s.queue.TimedOut(now, c)
+		default:
+			s.queue.Failed(c)
+		}
+	})
 	e.push(polledEvent{a.To, sent, list, err})
 }
 
@@ -146,15 +186,14 @@
 		e.push(outcomeOf(c.Value, 0, verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer within %s", timeout)))
 	})
 	clock, err := s.call(ctx, c.Value)
-	answered := err == nil || verdict.ReasonOf(err) != ReasonNoAnswer
 	if !timer.Stop() {
-		if answered {
+		if isAnswer(err) {
 			e.push(outcomeOf(c.Value, clock, err))
 		}
 		return
 	}
 	s.finished(func(now time.Time) {
-		if answered {
+		if isAnswer(err) {
 			s.queue.Answered(now, c, now.Sub(sent))
 			return
 		}
@@ -163,6 +202,9 @@
 	e.push(outcomeOf(c.Value, clock, err))
 }
 
+// isAnswer reports whether a call's error, or nil, is the server's answer.
+func isAnswer(err error) bool { return err == nil || verdict.ReasonOf(err) != ReasonNoAnswer }
+
 // finished records the end of a call and sends what may be sent now.
 func (s *orderSender) finished(record func(now time.Time)) {
 	s.mu.Lock()
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -31,7 +31,7 @@
 	c.startsHeld = false
 	for _, st := range c.queued {
 		if c.startRoom <= 0 {
-			c.startsHeld, c.startsHeldAt = true, c.now
+			c.holdStarts()
 			break
 		}
 		switch {
