--- a/fairqueue/reserve.go
+++ b/fairqueue/reserve.go
@@ -21,8 +21,6 @@
 	Deviations          float64
 	ContendedDeviations float64
 	LongWaitThreshold   time.Duration
-	// Poisson is not used.
-	Poisson bool
 	// MinSlots is the minimum reserve, kept even without short requests.
 	MinSlots int
 	// MaxFraction bounds the reserve to a fraction of the slots held, rounded
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -89,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.Bounds.Grace-stopMargin)
 	defer cancel()
 	if err := h.Stop(ctx); err != nil {
-		log.Log(events.DaemonStopAborted, "inFlight", 0)
+		log.Log(events.DaemonStopAborted, "inFlight", h.InFlight())
 		return err
 	}
 	log.Log(events.DaemonStopped, "took", time.Since(began).Milliseconds())
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,6 +81,7 @@
 
 	callers, ready *http.Server
 	stopping       atomic.Bool
+	inFlight       atomic.Int64
 	// layoutsLoaded is set once the layouts of all configured services were known.
 	layoutsLoaded atomic.Bool
 }
@@ -214,7 +215,7 @@
 	router.HandleFunc("/ready", h.handleReady)
 	router.HandleFunc("/metrics", h.handleMetrics)
 	router.HandleFunc("/debug/state", h.handleState)
-	h.callers = &http.Server{Handler: callerAPI, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	h.callers = &http.Server{Handler: h.countInFlight(callerAPI), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	h.ready = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	for _, s := range []struct {
 		server  *http.Server
@@ -235,6 +236,18 @@
 	return nil
 }
 
+// countInFlight counts the calls that a handler is working on.
+func (h *Host) countInFlight(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.inFlight.Add(1)
+		defer h.inFlight.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// InFlight returns the number of callers' calls that are not answered yet.
+func (h *Host) InFlight() int { return int(h.inFlight.Load()) }
+
 func (h *Host) handleReady(w http.ResponseWriter, _ *http.Request) {
 	if !h.layoutsKnown() || h.stopping.Load() || h.store.Isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/placer/placements.go
+++ b/internal/placer/placements.go
@@ -98,6 +98,8 @@
 // daemon's own racks, and backfills only if no other worker fits.
 func (sc *scheduler) chooseWorker(j *job, t *task) (pipeline.Choice, bool) {
 	sc.p.metrics.decisions.Inc()
+	began := sc.p.o.Now()
+	defer func() { sc.p.metrics.decideSeconds.Update(sc.p.o.Now().Sub(began).Seconds()) }()
 	size := j.demand.Resources
 	defer func() { j.demand.Resources = size }()
 	j.demand.Resources = t.size()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,14 +61,14 @@
 // Relay is a Store that falls back to other daemons when the direct connection
 // fails.
 type Relay struct {
-	direct  Store
-	peers   roles.Peers
-	daemons func() []string
-	now     func() time.Time
-	meter   *meter
-	log     *events.Logger
+	direct Store
+	peers  roles.Peers
+	now    func() time.Time
+	meter  *meter
+	log    *events.Logger
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	daemons func() []string
 	// lastContact is when the store or another daemon last answered.
 	lastContact time.Time
 	// latency is the decayed maximum of the store's latency.
@@ -100,9 +100,21 @@
 	return r
 }
 
-// SetDaemons sets the function that lists the other daemons. It must be called
-// before any use of the Relay.
-func (r *Relay) SetDaemons(daemons func() []string) { r.daemons = daemons }
+// SetDaemons sets the function that lists the other daemons. Until then there are
+// none.
+func (r *Relay) SetDaemons(daemons func() []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.daemons = daemons
+}
+
+// otherDaemons lists the other daemons.
+func (r *Relay) otherDaemons() []string {
+	r.mu.Lock()
+	daemons := r.daemons
+	r.mu.Unlock()
+	return daemons()
+}
 
 // isStoreAnswer reports whether a result is the store's own answer.
 func isStoreAnswer(err error) bool { return err == nil || partition.IsPermanent(err) }
@@ -179,7 +191,7 @@
 // callThroughPeers asks other daemons in turn. It reports false if it asked
 // none.
 func callThroughPeers[T any](ctx context.Context, r *Relay, wait time.Duration, method string, params any) (value T, err error, asked bool) {
-	names := r.daemons()
+	names := r.otherDaemons()
 	chosen := r.selectPeers(names, isBulk(method))
 	if len(chosen) == 0 {
 		return value, nil, false
@@ -259,7 +271,7 @@
 // StoreUnreachable reports whether the store answers neither this daemon nor
 // any other daemon whose state is known.
 func (r *Relay) StoreUnreachable() bool {
-	return r.suspected() && len(r.selectPeers(r.daemons(), false)) == 0
+	return r.suspected() && len(r.selectPeers(r.otherDaemons(), false)) == 0
 }
 
 func (r *Relay) suspected() bool {
--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -43,7 +43,7 @@
 // store answers. It asks up to maxSurveyed at once, and in a larger fleet the
 // next ones each time.
 func (r *Relay) survey(ctx context.Context) {
-	names := r.daemons()
+	names := r.otherDaemons()
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
 	n := min(maxSurveyed, len(names))
