--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -23,6 +23,10 @@
 	// there is capacity for it. Callers see such a wait as work that was
 	// accepted and forgotten.
 	maxSendWait = 5 * time.Second
+	// lessPressingWeight is the weight of the tasks of less pressing queues in
+	// that wait. They give way to a new submission, but must not be passed over
+	// for as long as new ones come.
+	lessPressingWeight = 0.5
 	// minQueueRetryAfter and maxQueueRetryAfter bound the retry delay that
 	// callers get while the queue is too long.
 	minQueueRetryAfter = time.Second
@@ -94,19 +98,23 @@
 }
 
 // decideByOrders decides whether a submission's tasks can be ordered soon behind
-// all that was accepted before. Its priority does not count: what is accepted
-// would otherwise be passed over for as long as more is accepted.
-func (c *Core) decideByOrders() admission.Decision {
-	rate := c.startRate.perSecond
+// what was accepted before.
+func (c *Core) decideByOrders(j *job) admission.Decision {
 	if !c.sendingHeldUp() {
 		return admission.Decision{Admit: true}
 	}
+	open := 0.0
+	for priority, tasks := range c.openTasks {
+		weight := 1.0
+		if priority > j.queue.Priority {
+			weight = lessPressingWeight
+		}
+		open += weight * float64(tasks)
+	}
 	options := admissionOptions
 	options.MaxWait = maxSendWait
-	state := admission.State{
-		Load:  fairqueue.Load{Queued: c.openTasks, Backlog: time.Duration(float64(c.openTasks) / rate * float64(time.Second)), Share: 1},
-		Slots: 1,
-	}
+	backlog := time.Duration(open / c.startRate.perSecond * float64(time.Second))
+	state := admission.State{Load: fairqueue.Load{Queued: int(open), Backlog: backlog, Share: 1}, Slots: 1}
 	return admission.Decide(admission.Request{}, state, options, c.now)
 }
 
@@ -116,15 +124,15 @@
 // holdStarts records that starts wait for the sender.
 func (c *Core) holdStarts() {
 	if !c.sendingHeldUp() {
-		c.openTasks = c.countOpenTasks()
+		c.countOpenTasks()
 	}
 	c.startsHeld, c.startsHeldAt = true, c.now
 }
 
-// countOpenTasks returns how many tasks of accepted submissions are due and not
-// ordered, those of later steps included.
-func (c *Core) countOpenTasks() int {
-	n := 0
+// countOpenTasks counts, by priority, the tasks of accepted submissions that are
+// due and not ordered, those of later steps included.
+func (c *Core) countOpenTasks() {
+	clear(c.openTasks)
 	for _, j := range c.jobs {
 		if j.ending != "" || j.longRunning() {
 			continue
@@ -134,11 +142,10 @@
 				continue
 			}
 			for _, st := range o.steps {
-				n += st.unplacedTasks()
+				c.openTasks[j.queue.Priority] += st.unplacedTasks()
 			}
 		}
 	}
-	return n
 }
 
 // checkAcceptable decides whether a submission is refused for a reason that has
@@ -169,12 +176,12 @@
 	if j.sub.Timed() || j.longRunning() {
 		return Reply{}, false
 	}
-	d := c.decideByOrders()
+	d := c.decideByOrders(j)
 	if d.Admit {
 		d = c.decideByCores(j)
 	}
 	if d.Admit {
-		c.openTasks += j.taskCount()
+		c.openTasks[j.queue.Priority] += j.taskCount()
 		return Reply{}, false
 	}
 	after := spread(d.RetryAfter, j.sub.ID)
--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -213,3 +213,29 @@
 		t.Errorf("submitted again: %+v, want it accepted", again)
 	}
 }
+
+// Pressing work is refused only for a longer backlog of less pressing work than
+// of its own, since it is placed first.
+func TestCore_LessPressingTasksWeighLess(t *testing.T) {
+	h := newHarness(t, 20)
+	h.answerAllPolls()
+	urgent := h.config.Queues[0]
+	urgent.Name, urgent.Priority = "urgent", -1
+	h.config = &routing.Configuration{Version: 2, Services: h.config.Services, Queues: []routing.Queue{h.config.Queues[0], urgent}}
+	h.do(func(c *Core) { c.Configure(h.config) })
+	h.core.SetStartRoom(0)
+	// Backlog fills the wait at the assumed rate of starts.
+	backlog := oneTask(1000)
+	backlog.Count = int(initialStartRate*maxSendWait.Seconds()) + 10
+	h.submit(id1, backlog)
+	h.core.SetStartRoom(0)
+	if r := h.submit(id2, oneTask(1000)); r.Outcome != OutcomeRefused {
+		t.Fatalf("equally pressing: %+v, want it refused", r)
+	}
+	sub := &workload.Submission{ID: "00000000000000ff", Queue: "urgent", Service: testService, Spec: "x", Steps: []workload.Step{oneTask(1000)}, Accepted: h.wall}
+	got := Reply{Outcome: OutcomeRefused}
+	h.do(func(c *Core) { c.Submit(sub, 0, func(r Reply) { got = r }) })
+	if got.Outcome != OutcomeDone {
+		t.Errorf("more pressing: %+v, want it accepted", got)
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -96,8 +96,8 @@
 	startsHeldAt time.Time
 	startRate    startRate
 	// openTasks is the last result of countOpenTasks, plus the tasks accepted
-	// since. It is kept while sendingHeldUp.
-	openTasks int
+	// since, by priority. It is kept while sendingHeldUp.
+	openTasks map[int]int
 }
 
 type storedCallback struct {
@@ -112,7 +112,7 @@
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		pendingAcks: make(map[*server]uint64), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
-		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate},
+		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	c.maxLeaseSent = max(bounds.lease(), previousLease(records, bounds))
 	c.load(records)
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -308,7 +308,7 @@
 	c.checkReachability()
 	c.startRate.measure(c.now)
 	if c.sendingHeldUp() {
-		c.openTasks = c.countOpenTasks()
+		c.countOpenTasks()
 	}
 	for _, s := range c.servers {
 		c.checkServer(s)
