Send no order after the owner ended; acknowledge ends after a withdrawn write

Orders that waited in the queue were taken from it after the Engine had ended (36 of 100 in the test; their contexts had ended too, so that none left the process). An end that was listed while the log hung waited for the last write, and was not acknowledged to its server if that write was withdrawn and none followed.

--- a/flow/queue.go
+++ b/flow/queue.go
@@ -80,7 +80,7 @@
 }
 
 // Next removes and returns the next call to send now. It returns false if none
-// may be sent. The caller must pass the outcome to Answered or TimedOut.
+// may be sent. The caller must pass the outcome to Answered, TimedOut or Failed.
 func (q *Queue[T]) Next(now time.Time) (Call[T], bool) {
 	for class := range q.waiting {
 		for i, c := range q.waiting[class] {
--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -239,3 +239,21 @@
 		t.Errorf("more pressing: %+v, want it accepted", got)
 	}
 }
+
+// An end that was listed while the log hung must be acknowledged once the log is
+// back, although the write that it waited for was withdrawn and no other follows.
+func TestCore_AcknowledgesEndsAfterAWriteWasWithdrawn(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	start := h.runOne(id1, 1000)
+	h.holdStores = true
+	h.do(func(c *Core) { c.Cancel(id1, func(Reply) {}) })
+	h.submit(id2, oneTask(1000))
+	h.answerPoll("s0", PollResponse{Ended: []RunEnd{endOf(start, 1, workload.EndStopped)}})
+	h.do(func(c *Core) { c.WritesWithdrawn(c.UnstoredWrites(), time.Second) })
+	h.stores = h.stores[:1]
+	h.storeAll()
+	if got := h.core.servers["s0"].storedEnd; got != 1 {
+		t.Errorf("acknowledged through end %d, want 1", got)
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -107,10 +107,14 @@
 	go s.engine.push(notSentEvent{a})
 }
 
-// pump sends all calls that may be sent now.
+// pump sends all calls that may be sent now. Once the Engine has ended nothing is
+// sent any more, since another owner may have followed.
 func (s *orderSender) pump() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.engine.ctx.Err() != nil {
+		return
+	}
 	now := s.engine.o.Now()
 	for _, c := range s.queue.Expired(now) {
 		for _, a := range startsOf(c.Value) {
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -58,6 +58,11 @@
 func newTestSender(t *testing.T, servers ServerClient) *orderSender {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	return newTestSenderUntil(ctx, servers)
+}
+
+// newTestSenderUntil returns the orderSender of an Engine that ends with ctx.
+func newTestSenderUntil(ctx context.Context, servers ServerClient) *orderSender {
 	e := NewEngine(EngineOptions{Servers: servers, Events: events.Discard(), Metrics: NewMetrics(metrics.NewSet()), Now: time.Now})
 	e.ctx = ctx
 	return e.orders
@@ -117,6 +122,28 @@
 	})
 }
 
+// An owner that has lost its partition may have orders waiting. Sent after that,
+// they would be beside those of the next owner.
+func TestOrderSender_SendsNothingOnceTheEngineHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := &slowServers{delay: 300 * time.Millisecond}
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newTestSenderUntil(ctx, servers)
+		for i := range 100 {
+			s.add([]Action{startOf(i, i)})
+		}
+		s.pump()
+		synctest.Wait()
+		sent, _, _ := servers.counts()
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if after, _, _ := servers.counts(); after != sent {
+			t.Errorf("%d orders sent after the end", after-sent)
+		}
+	})
+}
+
 // A stop of a start that was sent must follow it.
 func TestOrderSender_StopFollowsASentStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -71,6 +71,7 @@
 	for _, id := range writeIDs {
 		withdrawn[id] = true
 	}
+	c.reattachCallbacks(withdrawn)
 	for id, j := range c.jobs {
 		if j.stored || !withdrawn[j.acceptWriteID] {
 			continue
@@ -84,6 +85,16 @@
 	}
 }
 
+// reattachCallbacks lets callbacks that wait for a withdrawn write run once the
+// last write before it is in the log.
+func (c *Core) reattachCallbacks(withdrawn map[uint64]bool) {
+	for i := range c.onStored {
+		for withdrawn[c.onStored[i].writeID] {
+			c.onStored[i].writeID--
+		}
+	}
+}
+
 func (c *Core) refuse(sub *workload.Submission, r Reply, reply func(Reply)) {
 	c.metric.submissionRefused(r.Reason)
 	c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs))
