--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -226,3 +227,31 @@
 		t.Errorf("acknowledged through end %d right after an answer, want 1", seen)
 	}
 }
+
+// A server that left may still run and answer. An owner that restarts finds it in
+// the partition's records, and must not use it again.
+func TestCore_ServerThatLeftGetsNoTasksAfterARestart(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	left := h.runOne(id1, 20000).To.ID
+	h.servers = slices.DeleteFunc(h.servers, func(s ServerInfo) bool { return s.ID == left })
+	h.takeOver()
+	for range 3 {
+		for id := range h.polls {
+			h.answerPoll(id, PollResponse{})
+		}
+		h.advance(time.Second)
+	}
+	many := oneTask(16000)
+	many.Count = 4
+	h.submit(id2, many)
+	starts := h.takeStarts()
+	for _, a := range starts {
+		if a.To.ID == left {
+			t.Errorf("task %s started on %s, which had left", a.Order.Task, left)
+		}
+	}
+	if len(starts) == 0 {
+		t.Error("nothing started on the server that stayed")
+	}
+}
