Give a service its first revision in the change that submits it, in a test

Cause: TestRollOver_StaysWithinDisruptionBudget submitted a job under revision 0 and raised it to 1 in a second change.

Change: one change submits the job under revision 1. The check is the same.

--- a/internal/placer/cell_test.go
+++ b/internal/placer/cell_test.go
@@ -322,9 +322,13 @@
 	c.changed = make(chan struct{})
 }
 
-func (c *cell) submit(id, team string, w document.Workload) {
+func (c *cell) submit(id, team string, w document.Workload) { c.submitRevision(id, team, w, 0) }
+
+// submitRevision submits a workload under a revision in one change, so that no
+// task can start under another.
+func (c *cell) submitRevision(id, team string, w document.Workload, revision uint64) {
 	c.change(func(v *view) {
-		v.jobs[id] = roles.JobEntry{ID: id, Service: team + "-service", Team: team, Workload: w, Offset: v.offset, Time: time.Now()}
+		v.jobs[id] = roles.JobEntry{ID: id, Service: team + "-service", Team: team, Workload: w, Revision: revision, Offset: v.offset, Time: time.Now()}
 	})
 }
 
--- a/internal/placer/rollover_test.go
+++ b/internal/placer/rollover_test.go
@@ -62,8 +62,7 @@
 			runInCell(t, 3, workersInRacks(24, smallWorker), workerstandin.Options{}, func(c *cell) {
 				w := service(count, 1000)
 				w.MaxUnavailable = tc.budget
-				c.submit("web", "a", w)
-				c.revise("web", func(*document.Workload) {})
+				c.submitRevision("web", "a", w, 1)
 				time.Sleep(10 * time.Second)
 				c.wantRunning("web", count)
 				c.revise("web", tc.change)
