--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -17,7 +17,24 @@
 	return h.submit(id, step)
 }
 
-// A crest brings more work than the service can begin in time. What would begin
+// addUrgentQueue adds a queue that is more pressing than the others.
+func (h *harness) addUrgentQueue() {
+	urgent := h.config.Queues[0]
+	urgent.Name, urgent.Priority = "urgent", -1
+	h.config = &routing.Configuration{Version: 2, Services: h.config.Services, Queues: []routing.Queue{h.config.Queues[0], urgent}}
+	h.do(func(c *Core) { c.Configure(h.config) })
+}
+
+// submitToUrgentQueue submits to that queue. It returns OutcomeRefused while there is no
+// reply.
+func (h *harness) submitToUrgentQueue(id string, steps ...workload.Step) Reply {
+	sub := &workload.Submission{ID: id, Queue: "urgent", Service: testService, Spec: "x", Steps: steps, Accepted: h.wall}
+	got := Reply{Outcome: OutcomeRefused}
+	h.do(func(c *Core) { c.Submit(sub, 0, func(r Reply) { got = r }) })
+	return got
+}
+
+// A burst brings more work than the service can begin in time. What would begin
 // too late is refused at once, with a delay after which there is room, and what
 // was accepted before is begun.
 func TestCore_RefusesWhatCannotBeginInTime(t *testing.T) {
@@ -70,17 +87,11 @@
 func TestCore_BacklogOfLaterQueuesRefusesNothing(t *testing.T) {
 	h := newHarness(t, 2)
 	h.answerAllPolls()
-	urgent := h.config.Queues[0]
-	urgent.Name, urgent.Priority = "urgent", -1
-	h.config = &routing.Configuration{Version: 2, Services: h.config.Services, Queues: []routing.Queue{h.config.Queues[0], urgent}}
-	h.do(func(c *Core) { c.Configure(h.config) })
+	h.addUrgentQueue()
 	for i := range 12 {
 		h.submitWide(fmt.Sprintf("%016x", i+1), 4)
 	}
-	sub := &workload.Submission{ID: "00000000000000ff", Queue: "urgent", Service: testService, Spec: "x", Steps: []workload.Step{oneTask(16000)}, Accepted: h.wall}
-	got := Reply{Outcome: OutcomeRefused}
-	h.do(func(c *Core) { c.Submit(sub, 0, func(r Reply) { got = r }) })
-	if got.Outcome != OutcomeDone {
+	if got := h.submitToUrgentQueue("00000000000000ff", oneTask(16000)); got.Outcome != OutcomeDone {
 		t.Errorf("got %+v, want it accepted", got)
 	}
 }
@@ -219,10 +230,7 @@
 func TestCore_LessPressingTasksWeighLess(t *testing.T) {
 	h := newHarness(t, 20)
 	h.answerAllPolls()
-	urgent := h.config.Queues[0]
-	urgent.Name, urgent.Priority = "urgent", -1
-	h.config = &routing.Configuration{Version: 2, Services: h.config.Services, Queues: []routing.Queue{h.config.Queues[0], urgent}}
-	h.do(func(c *Core) { c.Configure(h.config) })
+	h.addUrgentQueue()
 	h.core.SetStartRoom(0)
 	// Backlog fills the wait at the assumed rate of starts.
 	backlog := oneTask(1000)
@@ -232,10 +240,7 @@
 	if r := h.submit(id2, oneTask(1000)); r.Outcome != OutcomeRefused {
 		t.Fatalf("equally pressing: %+v, want it refused", r)
 	}
-	sub := &workload.Submission{ID: "00000000000000ff", Queue: "urgent", Service: testService, Spec: "x", Steps: []workload.Step{oneTask(1000)}, Accepted: h.wall}
-	got := Reply{Outcome: OutcomeRefused}
-	h.do(func(c *Core) { c.Submit(sub, 0, func(r Reply) { got = r }) })
-	if got.Outcome != OutcomeDone {
+	if got := h.submitToUrgentQueue("00000000000000ff", oneTask(1000)); got.Outcome != OutcomeDone {
 		t.Errorf("more pressing: %+v, want it accepted", got)
 	}
 }
--- a/internal/scheduler/orders_test.go
+++ b/internal/scheduler/orders_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/internal/events"
-	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -257,12 +256,8 @@
 	if n := len(h.takeStarts()); n != 3 {
 		t.Fatalf("%d starts, want 3", n)
 	}
-	urgent := h.config.Queues[0]
-	urgent.Name, urgent.Priority = "urgent", -1
-	h.config = &routing.Configuration{Version: 2, Services: h.config.Services, Queues: []routing.Queue{h.config.Queues[0], urgent}}
-	h.do(func(c *Core) { c.Configure(h.config) })
-	sub := &workload.Submission{ID: id2, Queue: "urgent", Service: testService, Spec: "x", Steps: []workload.Step{oneTask(1000)}, Accepted: h.wall}
-	h.do(func(c *Core) { c.Submit(sub, 0, func(Reply) {}) })
+	h.addUrgentQueue()
+	h.submitToUrgentQueue(id2, oneTask(1000))
 	h.core.SetStartRoom(1)
 	h.do(func(*Core) {})
 	starts := h.takeStarts()
