--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -114,7 +114,7 @@
 	c.placementNeeded = true
 }
 
-// assignQueue sets a job's queue and the run times measured in it.
+// assignQueue sets a job's queue and the statistics of that queue's run times.
 func (c *Core) assignQueue(j *job) {
 	if c.runTimes[j.sub.Queue] == nil {
 		c.runTimes[j.sub.Queue] = &runTimes{}
