--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -43,8 +43,8 @@
 	}
 	RunLost = Event{
 		Number: 6008, Level: slog.LevelWarn, Name: "run_lost",
-		Fields:  []string{"task", "run", "server", "why"},
-		Meaning: "A run is over and its outcome is unknown; its task is restarted.",
+		Fields:  []string{"task", "run", "server", "why", "age"},
+		Meaning: "A run is over and its outcome is unknown; its task is restarted. The field age is the time from its start order until the server stopped responding, in milliseconds.",
 		Action:  "Examine the server's earlier events. If many servers lose runs at the same time, check the network.",
 	}
 	RunOrphaned = Event{
@@ -230,6 +230,12 @@
 		Fields:  []string{"partition", "forwarded"},
 		Meaning: "This daemon's link is too slow for the starts that it sends; they go through other daemons, several in one message. Or, if forwarded is false, they are sent directly again.",
 	}
+	ServerCrashed = Event{
+		Number: 6052, Level: slog.LevelWarn, Name: "server_crashed",
+		Fields:  []string{"server", "address", "how", "attempts", "silent"},
+		Meaning: "An instance of a backend server is certainly over without having announced it, and its runs with it. The field how says how that was learned; silent is how long the server did not respond before, in milliseconds.",
+		Action:  "Compare the tasks of its run_lost events with those of other crashes: a task that recurs may crash its servers; an address that recurs is a faulty machine.",
+	}
 	LayoutApplied = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -255,5 +261,5 @@
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
-	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded,
+	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -266,10 +266,27 @@
 	c.placementNeeded = true
 }
 
+// lossReason says how it was learned that a run is over without a listed end.
+type lossReason string
+
+const (
+	// lossRestarted: the server restarted under the same ID.
+	lossRestarted lossReason = "server began anew"
+	// lossInstanceOver: another instance answers at the server's address.
+	lossInstanceOver lossReason = "the server's life is over"
+	// lossNotListed: the server answered the order and does not list the run.
+	lossNotListed lossReason = "not in the server's list"
+	// lossLeaseExpired: the server is unresponsive and the run's lease expired.
+	lossLeaseExpired lossReason = "lease lapsed"
+	// lossServerLeft: the same for a server that is no longer listed.
+	lossServerLeft lossReason = "lease lapsed on a server that left"
+)
+
 // markLost releases an attempt whose run is over without a listed end.
-func (c *Core) markLost(a *attempt, reason string) {
+func (c *Core) markLost(a *attempt, reason lossReason) {
 	c.metric.runsLost.Inc()
-	c.log.Log(events.RunLost, "task", a.task.id().String(), "run", a.run, "server", a.server.info.ID, "why", reason)
+	c.log.Log(events.RunLost, "task", a.task.id().String(), "run", a.run, "server", a.server.info.ID, "why", string(reason),
+		"age", a.server.lastSeenAlive(c.now).Sub(a.sentAt).Milliseconds())
 	c.release(a)
 	if a.task.step.spec.Gang {
 		a.task.step.markRunEnded(a.run)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -16,6 +16,7 @@
 	startsSent        *metrics.Counter
 	startsWithdrawn   *metrics.Counter
 	runsLost          *metrics.Counter
+	serversCrashed    *metrics.Counter
 	storeTime         *metrics.Histogram
 	firstStartTime    *metrics.Histogram
 	completionTime    *metrics.Histogram
@@ -30,6 +31,7 @@
 		startsSent:        set.NewCounter("currantwinch_starts_sent_total"),
 		startsWithdrawn:   set.NewCounter("currantwinch_starts_withdrawn_total"),
 		runsLost:          set.NewCounter("currantwinch_runs_lost_total"),
+		serversCrashed:    set.NewCounter("currantwinch_servers_crashed_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
 		completionTime:    set.NewHistogram("currantwinch_submission_seconds"),
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -139,6 +139,7 @@
 	}
 	if s.startedAtMS != 0 {
 		c.log.Log(events.ServerRestarted, "server", s.info.ID, "born", list.StartedAtMS, "before", s.startedAtMS, "attempts", len(s.attempts))
+		c.serverCrashed(s, lossRestarted)
 		s.processedEnd, s.storedEnd, s.ackedEnd = 0, 0, 0
 		s.leaseDeadlineMS = list.ClockMS + c.maxLeaseSent.Milliseconds()
 		listed := make(map[runKey]bool)
@@ -147,7 +148,7 @@
 		}
 		for key, a := range s.attempts {
 			if !listed[key] && a.state != startSent {
-				c.markLost(a, "server began anew")
+				c.markLost(a, lossRestarted)
 			}
 		}
 	}
@@ -156,8 +157,9 @@
 
 // instanceEnded releases the attempts on an instance that is gone.
 func (c *Core) instanceEnded(s *server) {
+	c.serverCrashed(s, lossInstanceOver)
 	for _, a := range s.attempts {
-		c.markLost(a, "the server's life is over")
+		c.markLost(a, lossInstanceOver)
 	}
 	s.synced = false
 	s.processedEnd, s.storedEnd, s.ackedEnd, s.startedAtMS = 0, 0, 0, 0
@@ -198,7 +200,7 @@
 	}
 	for key, a := range s.attempts {
 		if !listed[key] && !a.answeredAt.IsZero() && a.answeredAt.Before(sent) {
-			c.markLost(a, "not in the server's list")
+			c.markLost(a, lossNotListed)
 		}
 	}
 }
@@ -294,7 +296,7 @@
 // nothing.
 func (c *Core) removeServer(s *server) {
 	for _, a := range s.attempts {
-		c.markLost(a, "lease lapsed on a server that left")
+		c.markLost(a, lossServerLeft)
 	}
 	delete(c.servers, s.info.ID)
 	c.write([]partition.Record{tombstone(keyServer, s.info.ID)}, nil)
@@ -325,7 +327,7 @@
 	unresponsive := !s.unresponsiveSince.IsZero()
 	if unresponsive && len(s.attempts) > 0 && c.now.After(s.leaseExpiry()) {
 		for _, a := range s.attempts {
-			c.markLost(a, "lease lapsed")
+			c.markLost(a, lossLeaseExpired)
 		}
 		s.synced = false
 	}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -78,6 +78,15 @@
 	return s.listed && s.synced && !s.info.Draining && s.unknownRuns == 0 && s.unresponsiveSince.IsZero() && now.After(s.avoidUntil)
 }
 
+// lastSeenAlive returns when the server stopped responding, or now while it
+// responds.
+func (s *server) lastSeenAlive(now time.Time) time.Time {
+	if s.unresponsiveSince.IsZero() {
+		return now
+	}
+	return s.unresponsiveSince
+}
+
 // minClockMS returns a lower bound of the server's clock at now.
 func (s *server) minClockMS(now time.Time) int64 {
 	elapsed := now.Sub(s.clockAt)
