Give up tasks that crash the servers on which they are tried

Cause: markLost released a run that was lost with its server and left no trace, neither with the task nor with the server nor in the store. The task was placed again, with the same neighbours, as if it had never run.

Fix: a certain crash (another instance at the address, a later start under the same ID, a newer server listed at the address) is evidence against the runs that were there. Package crashloop weighs it: servers that go down together had a common cause; a run much older than the youngest is the less likely cause. A suspect starts in a trial only: on a server on which nothing else is started until it has run for twice as long as before the crash. Outliving it acquits; crashes in trials on two hosts end the submission as failed. Silence, expired leases and servers that drain are no evidence. Evidence, trials and the runs of a server that fell silent are stored with the task's progress, a trial before its start, so that the next owner goes on from there.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -236,6 +236,27 @@
 		Meaning: "An instance of a backend server is certainly over without having announced it, and its runs with it. The field how says how that was learned; silent is how long the server did not respond before, in milliseconds.",
 		Action:  "Compare the tasks of its run_lost events with those of other crashes: a task that recurs may crash its servers; an address that recurs is a faulty machine.",
 	}
+	TaskSuspected = Event{
+		Number: 6053, Level: slog.LevelInfo, Name: "task_suspected",
+		Fields:  []string{"task", "run", "server", "evidence", "crashes", "age"},
+		Meaning: "A server crashed under a run of the task. The field evidence says how much that shows: alone, the run was on trial there; shared, others may have caused it as well; weak, something else is the likelier cause. The field crashes counts those since the task last passed a trial; age is that of the run, in milliseconds.",
+	}
+	TrialBegun = Event{
+		Number: 6054, Level: slog.LevelInfo, Name: "trial_begun",
+		Fields:  []string{"step", "tasks", "server", "lasts"},
+		Meaning: "Tasks of a step that may have crashed their servers are started on a server on which nothing else is started for the time lasts, in milliseconds. A gang uses several servers, of which one is named.",
+	}
+	TaskAcquitted = Event{
+		Number: 6055, Level: slog.LevelInfo, Name: "task_acquitted",
+		Fields:  []string{"task"},
+		Meaning: "A task that may have crashed its servers has run long enough, or to its end, without a crash.",
+	}
+	TaskGivenUp = Event{
+		Number: 6056, Level: slog.LevelWarn, Name: "task_given_up",
+		Fields:  []string{"id", "task", "queue", "crashes"},
+		Meaning: "A task crashed the servers on which it was tried; its submission ends as failed.",
+		Action:  "Tell the submission's team. The task_suspected events of the task name the servers and times.",
+	}
 	LayoutApplied = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -262,4 +283,5 @@
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
+	TaskSuspected, TrialBegun, TaskAcquitted, TaskGivenUp,
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -258,6 +258,7 @@
 		} else {
 			delete(t.step.attemptsPerServer, a.server)
 		}
+		c.trialRunReleased(a)
 	}
 	if t.attempt == a {
 		t.attempt = nil
@@ -332,6 +333,7 @@
 	j.started = true
 	t.run = max(t.run, e.Run)
 	t.step.markRunEnded(e.Run)
+	c.runOutlived(t, e)
 	if e.Checkpoint != "" && !t.done {
 		c.saveCheckpoint(t, e.Checkpoint)
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/currantwinch/currantwinch/crashloop"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/routing"
@@ -72,6 +73,16 @@
 	// acknowledged to the server once it is stored.
 	pendingAcks map[*server]uint64
 
+	// exposed holds, by server, the tasks without an attempt there whose run may
+	// have ended with a crash of it.
+	exposed map[string][]*task
+	// hosts remembers which servers went down lately.
+	hosts crashloop.Hosts
+	// trials counts the trials under way; deferredTrials are those that are stored
+	// and wait for other runs on their servers to settle.
+	trials         int
+	deferredTrials []*trial
+
 	// recovered is set once every server of an earlier owner has listed its
 	// runs or the leases sent to it have expired.
 	recovered bool
@@ -102,6 +113,7 @@
 
 type storedCallback struct {
 	writeID uint64
+	since   time.Time
 	do      func()
 }
 
@@ -111,7 +123,7 @@
 	c := &Core{
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
-		pendingAcks: make(map[*server]uint64), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
+		pendingAcks: make(map[*server]uint64), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	c.maxLeaseSent = max(bounds.lease(), previousLease(records, bounds))
@@ -178,7 +190,7 @@
 
 // afterStored calls do once all writes so far are in the log.
 func (c *Core) afterStored(do func()) {
-	c.onStored = append(c.onStored, storedCallback{c.lastWriteID, do})
+	c.onStored = append(c.onStored, storedCallback{c.lastWriteID, c.now, do})
 }
 
 // WritesStored reports that all writes up to writeID are in the log.
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -1,14 +1,216 @@
 package scheduler
 
-import "github.com/currantwinch/currantwinch/internal/events"
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
 
-// serverCrashed handles the certain end of a server's instance. The end of a
-// draining server was announced and is no crash.
-func (c *Core) serverCrashed(s *server, reason lossReason) {
-	if s.info.Draining {
-		return
+	"github.com/currantwinch/currantwinch/crashloop"
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/workload"
+	"github.com/pkg/errors"
+)
+
+// history returns the evidence against the task, or against its gang as a whole.
+func (t *task) history() *crashloop.History {
+	if t.step.spec.Gang {
+		return &t.step.tasks[0].crashes
+	}
+	return &t.crashes
+}
+
+// suspect reports whether a task of the step may crash its servers. All tasks of the
+// step are started in trials then, since the submission stands or falls with each.
+func (s *step) suspect() bool {
+	for i := range s.tasks {
+		if !s.tasks[i].done && s.tasks[i].crashes.Suspect() {
+			return true
+		}
 	}
+	return false
+}
+
+// ended reports whether evidence against the task is of no use any more.
+func (t *task) ended() bool { return t.done || t.step.job().ending != "" }
+
+// crashedRun is a run that was on a server when it crashed.
+type crashedRun struct {
+	task *task
+	run  int
+	crashloop.Run
+}
+
+// attributeCrash handles the certain end of a server's instance before its runs are
+// released. It records what the crash shows about each of them, and returns the tasks
+// to give up. The end of a draining server was announced and is no crash.
+func (c *Core) attributeCrash(s *server, reason lossReason) []*task {
+	if s.info.Draining || s.over {
+		return nil
+	}
+	at := s.lastSeenAlive(c.now)
 	c.metric.serversCrashed.Inc()
 	c.log.Log(events.ServerCrashed, "server", s.info.ID, "address", s.info.Address, "how", string(reason), "attempts", len(s.attempts),
-		"silent", c.now.Sub(s.lastSeenAlive(c.now)).Milliseconds())
+		"silent", c.now.Sub(at).Milliseconds())
+	if s.unresponsiveSince.IsZero() {
+		c.hosts.WentDown(crashloop.Down{Host: s.info.Address, At: at, OnTrial: s.trial != nil})
+	}
+	runs := c.runsAt(s, at)
+	attributed := make([]crashloop.Run, len(runs))
+	for i := range runs {
+		attributed[i] = runs[i].Run
+	}
+	var culprits []*task
+	for i, kind := range crashloop.Attribute(attributed, c.hosts.Outage(s.info.Address, at)) {
+		if kind == 0 {
+			continue
+		}
+		c.recordCrash(s, runs[i], kind)
+		if runs[i].task.history().GivenUp() {
+			culprits = append(culprits, runs[i].task)
+		}
+	}
+	return culprits
+}
+
+// runsAt returns the runs on the server when it crashed, in the order of their tasks:
+// its attempts and the runs that an earlier owner recorded or whose lease expired.
+func (c *Core) runsAt(s *server, at time.Time) []crashedRun {
+	var out []crashedRun
+	for _, a := range s.attempts {
+		if a.task.ended() {
+			continue
+		}
+		out = append(out, crashedRun{a.task, a.run, crashloop.Run{Age: max(at.Sub(a.sentAt), 0), OnTrial: s.trial != nil && s.trial == a.task.step.trial}})
+	}
+	for _, t := range c.exposed[s.info.ID] {
+		if t.ended() || t.exposure == nil || t.exposure.Server != s.info.ID {
+			continue
+		}
+		out = append(out, crashedRun{t, t.exposure.Run, crashloop.Run{Age: msDuration(t.exposure.AgeMS), OnTrial: t.exposure.Trial}})
+		t.exposure = nil
+	}
+	delete(c.exposed, s.info.ID)
+	slices.SortFunc(out, func(x, y crashedRun) int {
+		return cmp.Or(cmp.Compare(x.task.id().String(), y.task.id().String()), cmp.Compare(x.run, y.run))
+	})
+	return out
+}
+
+func (c *Core) recordCrash(s *server, r crashedRun, kind crashloop.Kind) {
+	h := r.task.history()
+	if !h.Add(crashloop.Crash{Run: r.run, Host: s.info.Address, Kind: kind}, r.Age) {
+		return
+	}
+	r.task.exposure = nil
+	r.task.delayStart(c.now.Add(h.Backoff()))
+	c.markDirty(r.task.step.job())
+	c.log.Log(events.TaskSuspected, "task", r.task.id().String(), "run", r.run, "server", s.info.ID, "evidence", kind.String(),
+		"crashes", len(h.Crashes), "age", r.Age.Milliseconds())
+}
+
+// delayStart delays the next start of the task, or of its gang.
+func (t *task) delayStart(until time.Time) {
+	if !t.step.spec.Gang {
+		t.retryAt = until
+		return
+	}
+	for i := range t.step.tasks {
+		t.step.tasks[i].retryAt = until
+	}
+}
+
+// giveUp ends the submissions of tasks that crash their servers.
+func (c *Core) giveUp(culprits []*task) {
+	for _, t := range culprits {
+		j := t.step.job()
+		if j.ending != "" {
+			continue
+		}
+		c.metric.tasksGivenUp.Inc()
+		c.log.Log(events.TaskGivenUp, "id", j.sub.ID, "task", t.id().String(), "queue", j.sub.Queue, "crashes", len(t.history().Crashes))
+		c.finishJob(j, workload.StatusFailed)
+	}
+}
+
+// noteSilence records the runs of a server that has just stopped responding, so that
+// the next owner knows of them if it has crashed. It records none if the fault is
+// likely to be this daemon's.
+func (c *Core) noteSilence(s *server, err error) {
+	if s.over || len(s.attempts) == 0 {
+		return
+	}
+	c.hosts.WentDown(crashloop.Down{
+		Host: s.info.Address, At: c.now, Broken: !errors.Is(err, context.DeadlineExceeded), OnTrial: s.trial != nil,
+	})
+	if s.info.Draining || c.mostUnreachable {
+		return
+	}
+	for _, a := range s.attempts {
+		if a.task.ended() {
+			continue
+		}
+		a.task.exposure = c.exposureOf(a, s.trial != nil && s.trial == a.task.step.trial)
+		c.markDirty(a.task.step.job())
+	}
+}
+
+func (c *Core) exposureOf(a *attempt, trial bool) *workload.Exposure {
+	return &workload.Exposure{
+		Server: a.server.info.ID, Host: a.server.info.Address, StartedAtMS: a.server.info.StartedAtMS, Run: a.run,
+		AgeMS: max(c.now.Sub(a.sentAt).Milliseconds(), 0), Trial: trial,
+	}
+}
+
+// loadExposures finds the runs that an earlier owner recorded as exposed.
+func (c *Core) loadExposures(j *job) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for i := range st.tasks {
+				if e := st.tasks[i].exposure; e != nil {
+					c.exposed[e.Server] = append(c.exposed[e.Server], &st.tasks[i])
+				}
+			}
+		}
+	}
+}
+
+// keepExposure remembers a run whose lease expired on a silent server. If the server
+// turns out to have crashed, that still counts against the task.
+func (c *Core) keepExposure(a *attempt) {
+	if t := a.task; t.exposure != nil && t.exposure.Server == a.server.info.ID {
+		c.exposed[a.server.info.ID] = append(c.exposed[a.server.info.ID], t)
+	}
+}
+
+// settleExposures drops the exposures on a server that answered: it did not crash. A
+// server that began anew under its ID has been handled before.
+func (c *Core) settleExposures(s *server) {
+	for _, t := range c.exposed[s.info.ID] {
+		c.clearExposure(t, s)
+	}
+	delete(c.exposed, s.info.ID)
+	for _, a := range s.attempts {
+		if a.task.exposure != nil && !a.task.exposure.Trial {
+			c.clearExposure(a.task, s)
+		}
+	}
+}
+
+func (c *Core) clearExposure(t *task, s *server) {
+	if t.exposure == nil || t.exposure.Server != s.info.ID || t.step.trial != nil && t.step.trial == s.trial {
+		return
+	}
+	t.exposure = nil
+	c.markDirty(t.step.job())
+}
+
+// endReplacedInstance ends the instance that was at the address of a newly listed
+// server before. A machine runs one server at a time.
+func (c *Core) endReplacedInstance(info ServerInfo) {
+	for _, s := range c.servers {
+		if s.info.Address == info.Address && s.info.ID != info.ID && !s.over && s.info.StartedAtMS > 0 && s.info.StartedAtMS < info.StartedAtMS {
+			c.instanceEnded(s)
+		}
+	}
 }
--- a/internal/scheduler/crashworld_test.go
+++ b/internal/scheduler/crashworld_test.go
@@ -37,7 +37,7 @@
 	orders           []worldOrder
 	crashes          int
 	steps            int
-	gangs  map[string]int
+	gangs            map[string]int
 }
 
 type machine struct {
@@ -99,8 +99,29 @@
 // crash ends a machine's life.
 func (w *crashWorld) crash(m *machine) {
 	w.crashes++
+	lost := m.life.runs
 	m.life = nil
 	m.backAt = w.now.Add(worldDowntime)
+	for key := range lost {
+		w.breakGang(key)
+	}
+}
+
+// breakGang ends the other members of a run of a gang that lost one.
+func (w *crashWorld) breakGang(lost runKey) {
+	if w.gangs[lost.task.Submission] == 0 {
+		return
+	}
+	for _, m := range w.machines {
+		if m.life == nil {
+			continue
+		}
+		for key := range m.life.runs {
+			if key.task.Submission == lost.task.Submission && key.run == lost.run {
+				w.end(m.life, key, workload.EndGangMemberEnded)
+			}
+		}
+	}
 }
 
 func (w *crashWorld) list() []ServerInfo {
@@ -290,6 +311,7 @@
 	if err == nil {
 		if key := (runKey{a.Order.Task, a.Order.Run}); l.runs[key] != nil {
 			w.end(l, key, workload.EndStopped)
+			w.breakGang(key)
 		}
 	}
 	w.do(func(c *Core) { c.StopCompleted(a.To, a.Order, err) })
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/currantwinch/currantwinch/crashloop"
 	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -74,6 +75,8 @@
 	lastEndedRun int
 	// formationDeadline is when an incomplete gang is stopped.
 	formationDeadline time.Time
+	// trial is the trial under way, or nil.
+	trial *trial
 	// attemptsPerServer counts the step's attempts on each server.
 	attemptsPerServer map[*server]int
 }
@@ -91,6 +94,12 @@
 	failedOn   map[string]bool
 	checkpoint string
 	attempt    *attempt
+	// crashes is the evidence that the task crashes its servers. That of a gang is
+	// kept at its first member.
+	crashes crashloop.History
+	// exposure is the task's run whose server may have crashed, or its run in a
+	// trial; nil if there is none.
+	exposure *workload.Exposure
 	// retryAt is the earliest time of the next placement.
 	retryAt time.Time
 }
@@ -265,12 +274,16 @@
 func (s *step) taskProgress(to []workload.TaskProgress) []workload.TaskProgress {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || len(t.failedRuns) == 0 && t.checkpoint == "" {
+		if t.done || len(t.failedRuns) == 0 && t.checkpoint == "" && t.crashes.Empty() && t.exposure == nil {
 			continue
 		}
-		to = append(to, workload.TaskProgress{
-			Occurrence: s.occurrence.index, Step: s.index, Index: i, Run: t.run, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint,
-		})
+		p := workload.TaskProgress{
+			Occurrence: s.occurrence.index, Step: s.index, Index: i, Run: t.run, FailedRuns: t.failedRuns, Checkpoint: t.checkpoint, Exposure: t.exposure,
+		}
+		if !t.crashes.Empty() {
+			p.Crashes = &t.crashes
+		}
+		to = append(to, p)
 	}
 	return to
 }
@@ -294,7 +307,10 @@
 			continue
 		}
 		t := &s.tasks[m.Index]
-		t.run, t.failedRuns, t.checkpoint = m.Run, m.FailedRuns, m.Checkpoint
+		t.run, t.failedRuns, t.checkpoint, t.exposure = m.Run, m.FailedRuns, m.Checkpoint, m.Exposure
+		if m.Crashes != nil {
+			t.crashes = *m.Crashes
+		}
 	}
 }
 
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,7 @@
 	startsWithdrawn   *metrics.Counter
 	runsLost          *metrics.Counter
 	serversCrashed    *metrics.Counter
+	tasksGivenUp      *metrics.Counter
 	storeTime         *metrics.Histogram
 	firstStartTime    *metrics.Histogram
 	completionTime    *metrics.Histogram
@@ -31,6 +32,7 @@
 		startsSent:        set.NewCounter("currantwinch_starts_sent_total"),
 		startsWithdrawn:   set.NewCounter("currantwinch_starts_withdrawn_total"),
 		runsLost:          set.NewCounter("currantwinch_runs_lost_total"),
+		tasksGivenUp:      set.NewCounter("currantwinch_tasks_given_up_total"),
 		serversCrashed:    set.NewCounter("currantwinch_servers_crashed_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -188,6 +188,9 @@
 // fitCount returns how many more tasks of the step fit on s, given its free
 // capacity.
 func fitCount(st *step, s *server, free workload.Resources) int {
+	if s.trial != nil && s.trial.step != st {
+		return 0
+	}
 	limit := len(st.tasks)
 	if st.spec.MaxPerServer > 0 {
 		limit = st.spec.MaxPerServer - st.attemptsPerServer[s]
@@ -210,6 +213,10 @@
 		p.placeGang(st)
 		return
 	}
+	if st.suspect() {
+		p.tryTasks(st)
+		return
+	}
 	p.placeTasks(st)
 }
 
@@ -315,6 +322,9 @@
 // whose start was refused joins the run of the others.
 func (p *placementPass) placeGang(st *step) {
 	c := p.core
+	if st.suspect() && !c.mayTry(st) {
+		return
+	}
 	var missing []*task
 	run, present := 0, 0
 	for i := range st.tasks {
@@ -346,7 +356,11 @@
 	st.reserved = nil
 	if present == 0 {
 		run = st.nextGangRun()
-		st.formationDeadline = c.now.Add(time.Duration(gangFormationFraction * float64(c.bounds.GangTimeout)))
+		st.formationDeadline = c.formationDeadline()
+	}
+	if st.suspect() && st.trial == nil {
+		c.beginTrial(st, missing, chosen, run)
+		return
 	}
 	for i, t := range missing {
 		ticket, _ := c.ticketFor(st, chosen[i])
@@ -354,6 +368,12 @@
 	}
 }
 
+// formationDeadline returns when a gang that starts now is stopped if members are
+// still missing.
+func (c *Core) formationDeadline() time.Time {
+	return c.now.Add(time.Duration(gangFormationFraction * float64(c.bounds.GangTimeout)))
+}
+
 // gangServers chooses a server for each of need members. If they do not fit, it
 // returns nil, holds capacity for the gang and requests the missing tickets.
 func (p *placementPass) gangServers(st *step, need int) []*server {
@@ -373,12 +393,15 @@
 			servers = one
 		}
 	}
-	byFreeCPU := slices.Clone(servers)
-	slices.SortFunc(byFreeCPU, func(x, y *server) int {
+	inOrder := slices.Clone(servers)
+	slices.SortFunc(inOrder, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(x.free.CPU, y.free.CPU), cmp.Compare(x.info.ID, y.info.ID))
 	})
+	if st.suspect() {
+		p.sortForTrial(st, inOrder)
+	}
 	var chosen []*server
-	for _, s := range byFreeCPU {
+	for _, s := range inOrder {
 		for n := p.availableSlots(st, s); n > 0 && len(chosen) < need; n-- {
 			chosen = append(chosen, s)
 		}
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -60,7 +60,7 @@
 	if s.synced {
 		request.LeaseDeadlineMS = c.extendLease(s)
 		if s.storedEnd == s.processedEnd && (len(s.attempts) > 0 || s.unknownRuns > 0) {
-			request.Wait = pollWait
+			request.Wait = min(pollWait, c.trialTimeLeft(s))
 		}
 	}
 	c.emit(PollServer{To: s.instance(), Request: request, Delay: delay})
@@ -94,11 +94,13 @@
 		c.poll(s)
 		return
 	}
-	s.ackedEnd, s.failedPolls = s.ackInFlight, 0
+	s.ackedEnd, s.failedPolls, s.over = s.ackInFlight, 0, false
 	c.detectRestart(s, list)
 	s.updateClock(list.ClockMS, c.now)
 	c.processEnds(s, list.Ended)
 	c.reconcileRuns(s, sent, list.Running)
+	c.settleExposures(s)
+	c.reviewTrial(s)
 	if !s.synced {
 		s.synced = true
 		// An earlier owner may have sent its longest lease just before.
@@ -118,6 +120,7 @@
 	}
 	if s.unresponsiveSince.IsZero() {
 		s.unresponsiveSince = c.now
+		c.noteSilence(s, err)
 		c.log.Log(events.ServerUnresponsive, "server", s.info.ID, "attempts", len(s.attempts), "reason", string(verdict.ReasonOf(err)), "error", err.Error())
 	}
 	if verdict.ReasonOf(err) == ReasonWrongInstance {
@@ -139,7 +142,7 @@
 	}
 	if s.startedAtMS != 0 {
 		c.log.Log(events.ServerRestarted, "server", s.info.ID, "born", list.StartedAtMS, "before", s.startedAtMS, "attempts", len(s.attempts))
-		c.serverCrashed(s, lossRestarted)
+		culprits := c.attributeCrash(s, lossRestarted)
 		s.processedEnd, s.storedEnd, s.ackedEnd = 0, 0, 0
 		s.leaseDeadlineMS = list.ClockMS + c.maxLeaseSent.Milliseconds()
 		listed := make(map[runKey]bool)
@@ -147,20 +150,28 @@
 			listed[runKey{r.Task, r.Run}] = true
 		}
 		for key, a := range s.attempts {
-			if !listed[key] && a.state != startSent {
+			switch {
+			case listed[key]:
+			case a.state != startSent:
 				c.markLost(a, lossRestarted)
+			case a.task.step.suspect():
+				// The order must not reach the new instance outside a trial.
+				c.stop(a)
 			}
 		}
+		c.giveUp(culprits)
 	}
 	s.startedAtMS = list.StartedAtMS
 }
 
 // instanceEnded releases the attempts on an instance that is gone.
 func (c *Core) instanceEnded(s *server) {
-	c.serverCrashed(s, lossInstanceOver)
+	culprits := c.attributeCrash(s, lossInstanceOver)
 	for _, a := range s.attempts {
 		c.markLost(a, lossInstanceOver)
 	}
+	c.giveUp(culprits)
+	s.over = true
 	s.synced = false
 	s.processedEnd, s.storedEnd, s.ackedEnd, s.startedAtMS = 0, 0, 0, 0
 	s.leaseDeadlineMS = s.clockMS
@@ -238,6 +249,7 @@
 	t.attempt = a
 	t.step.job().started = true
 	c.confirmRun(a, r)
+	c.adoptTrial(a)
 }
 
 // SetServers applies the platform's server list, which must be complete.
@@ -265,6 +277,7 @@
 		return
 	}
 	if s == nil {
+		c.endReplacedInstance(info)
 		s = newServer(info)
 		c.servers[info.ID] = s
 		c.log.Log(events.ServerListed, "server", info.ID, "service", info.Service, "zone", info.Zone, "cpu", info.Capacity.CPU)
@@ -299,6 +312,7 @@
 		c.markLost(a, lossServerLeft)
 	}
 	delete(c.servers, s.info.ID)
+	delete(c.exposed, s.info.ID)
 	c.write([]partition.Record{tombstone(keyServer, s.info.ID)}, nil)
 	c.log.Log(events.ServerRemoved, "server", s.info.ID)
 	c.placementNeeded = true
@@ -315,6 +329,7 @@
 	for _, s := range c.servers {
 		c.checkServer(s)
 	}
+	c.startDeferredTrials()
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
 	c.expireFinalStates()
@@ -327,6 +342,7 @@
 	unresponsive := !s.unresponsiveSince.IsZero()
 	if unresponsive && len(s.attempts) > 0 && c.now.After(s.leaseExpiry()) {
 		for _, a := range s.attempts {
+			c.keepExposure(a)
 			c.markLost(a, lossLeaseExpired)
 		}
 		s.synced = false
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -80,6 +80,7 @@
 		}
 		if j := c.jobs[r.Key[1:]]; j != nil {
 			j.restore(p)
+			c.loadExposures(j)
 		}
 	}
 	for _, j := range c.jobs {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -56,6 +56,12 @@
 	// unresponsiveSince is when the server stopped answering polls; zero while
 	// it answers.
 	unresponsiveSince time.Time
+	// over is set once the instance is known to have ended, until another one
+	// answers under the same ID.
+	over bool
+	// trial is the trial under way on the server, or nil. Nothing else is started
+	// there meanwhile.
+	trial *trial
 	// avoidUntil excludes the server from placement after a refusal or a
 	// failure.
 	avoidUntil time.Time
--- a/workload/record.go
+++ b/workload/record.go
@@ -1,12 +1,13 @@
 package workload
 
 import (
+	"github.com/currantwinch/currantwinch/crashloop"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
 
-// TaskProgress is the stored state of a task that has ended at least once but is
-// not done.
+// TaskProgress is the stored state of a task that has ended at least once, or whose
+// server may have crashed, but is not done.
 type TaskProgress struct {
 	Occurrence int    `cbor:"1,keyasint,omitempty"`
 	Step       int    `cbor:"2,keyasint,omitempty"`
@@ -14,6 +15,27 @@
 	Run        int    `cbor:"4,keyasint,omitempty"`
 	FailedRuns []int  `cbor:"5,keyasint,omitempty"`
 	Checkpoint string `cbor:"6,keyasint,omitempty"`
+	// Crashes is the evidence that the task crashes its servers; nil if there is
+	// none.
+	Crashes *crashloop.History `cbor:"7,keyasint,omitempty"`
+	// Exposure is a run that may be about to end with its server; nil if there is
+	// none.
+	Exposure *Exposure `cbor:"8,keyasint,omitempty"`
+}
+
+// Exposure is a run whose server fell silent, or the run of a trial. If that server
+// turns out to have crashed, the next owner knows that the task ran there.
+type Exposure struct {
+	Server string `cbor:"1,keyasint"`
+	// Host identifies the server's machine.
+	Host string `cbor:"2,keyasint,omitempty"`
+	// StartedAtMS identifies the server's instance; 0 if unknown.
+	StartedAtMS int64 `cbor:"3,keyasint,omitempty"`
+	Run         int   `cbor:"4,keyasint"`
+	// AgeMS is how long the run had been ordered when the server fell silent, in
+	// milliseconds.
+	AgeMS int64 `cbor:"5,keyasint,omitempty"`
+	Trial bool  `cbor:"6,keyasint,omitempty"`
 }
 
 // StepProgress is the stored set of completed tasks of a step.
