Withdraw unconfirmed starts from a server whose capacity shrank

What a server would see: an order decided on its old capacity, sent or sent again up to seconds after it reported a smaller one, brings it over that capacity (LIMIT).

Cause: the list resizes the server's record, and placement keeps to the result, but starts that waited to be sent went out all the same, and an unanswered one was repeated for as long as its server was listed.

Change: a shrink that leaves a server overcommitted stops the starts that it has not confirmed, the newest first, until the others fit; the sender drops those that it has not sent. Members of a trial have to fit together when it starts, not each by itself.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -257,6 +257,11 @@
 		Meaning: "A task crashed the servers on which it was tried; its submission ends as failed.",
 		Action:  "Tell the submission's team. The task_suspected events of the task name the servers and times.",
 	}
+	ServerShrank = Event{
+		Number: 6057, Level: slog.LevelInfo, Name: "server_shrank",
+		Fields:  []string{"server", "cpu", "free", "attempts", "withdrawn"},
+		Meaning: "A backend server's capacity shrank below what its attempts need. It gets no tasks until enough of them have ended; starts that it had not confirmed are withdrawn. The fields cpu and free are in thousandths of a core.",
+	}
 	LayoutApplied = Event{
 		Number: 6042, Level: slog.LevelInfo, Name: "layout_taken",
 		Fields:  []string{"service", "shards", "racks"},
@@ -283,5 +288,5 @@
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
-	TaskSuspected, TrialBegun, TaskAcquitted, TaskGivenUp,
+	TaskSuspected, TrialBegun, TaskAcquitted, TaskGivenUp, ServerShrank,
 }
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -37,6 +37,8 @@
 	stops    []StopTask
 	polls    map[string]PollServer
 	requests []RequestAuthorization
+	// firstStart is for the tests that keep a start for later.
+	firstStart StartTask
 	// holdStores keeps writes out of the log until storeAll.
 	holdStores bool
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -282,6 +282,7 @@
 		c.servers[info.ID] = s
 		c.log.Log(events.ServerListed, "server", info.ID, "service", info.Service, "zone", info.Zone, "cpu", info.Capacity.CPU)
 	}
+	shrunk := !s.info.Capacity.Fits(info.Capacity)
 	s.resize(info.Capacity)
 	instanceChanged := s.info.Address != info.Address || info.StartedAtMS != 0 && s.startedAtMS != 0 && info.StartedAtMS != s.startedAtMS
 	if info.Draining && !s.info.Draining {
@@ -292,6 +293,9 @@
 		s.departsAt = c.now.Add(info.Remaining)
 	}
 	s.info, s.listed = info, true
+	if shrunk {
+		c.withdrawUnconfirmed(s)
+	}
 	if !s.stored {
 		kept := workload.ServerRecord{Service: info.Service, Address: info.Address}
 		c.write([]partition.Record{recordOf(keyServer, info.ID, kept)}, func() {
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -146,7 +146,7 @@
 		c.deferredTrials = append(c.deferredTrials, tr)
 		return
 	}
-	startable := slices.DeleteFunc(slices.Clone(tr.members), func(m trialMember) bool { return !c.canStart(m) })
+	startable := c.startable(tr)
 	if len(startable) == 0 || st.spec.Gang && len(startable) < len(tr.members) {
 		c.endTrial(tr)
 		return
@@ -177,12 +177,27 @@
 	}
 }
 
+// startable returns the members that may still be started on their servers and fit
+// there together.
+func (c *Core) startable(tr *trial) []trialMember {
+	var out []trialMember
+	need := tr.step.spec.Reserved()
+	used := make(map[*server]workload.Resources)
+	for _, m := range tr.members {
+		if c.canStart(m) && need.Fits(m.server.free.Minus(used[m.server])) {
+			used[m.server] = used[m.server].Plus(need)
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // canStart reports whether a member of a trial may still be started on its server.
 func (c *Core) canStart(m trialMember) bool {
 	st := m.task.step
 	_, ticketed := c.ticketFor(st, m.server)
 	return ticketed && m.task.needsPlacement() && st.job().ending == "" && c.mayStart(st) &&
-		c.servers[m.server.info.ID] == m.server && m.server.usable(c.now) && st.spec.Reserved().Fits(m.server.free)
+		c.servers[m.server.info.ID] == m.server && m.server.usable(c.now)
 }
 
 // endTrial ends a trial, whatever its outcome.
