Count crashes that no owner lived to notice; try only the suspect tasks of a step

The owner that gave the order can end in the same moment as the server, before it has stored anything. In virtual time, with the owner ended at each crash, the task was started 16 times after its third crash, and nothing beside it was ever completed.

The next owner now counts the crash of an inherited server that it never heard from as weak evidence against each inherited task that runs nowhere once it has recovered. One such crash changes nothing; after two the task starts in trials, which are stored before they begin, so that the owners after that know.

Also: of a step with a suspect only the suspect tasks wait for a trial; the others are placed as before, but not on a server under trial.

Tests: OwnersThatEndAfterEachCrash (ended at once: failed without the change), CountsOnlyCertainCrashes, GivesUpLongRunningAndScheduledWork, BoundsTheTrialsUnderWay.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -76,6 +76,9 @@
 	// exposed holds, by server, the tasks without an attempt there whose run may
 	// have ended with a crash of it.
 	exposed map[string][]*task
+	// unseenCrashes are the servers of earlier owners that crashed before this owner
+	// heard from them.
+	unseenCrashes []ServerInfo
 	// hosts remembers which servers went down lately.
 	hosts crashloop.Hosts
 	// trials counts the trials under way; deferredTrials are those that are stored
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -20,17 +20,6 @@
 	return &t.crashes
 }
 
-// suspect reports whether a task of the step may crash its servers. All tasks of the
-// step are started in trials then, since the submission stands or falls with each.
-func (s *step) suspect() bool {
-	for i := range s.tasks {
-		if !s.tasks[i].done && s.tasks[i].crashes.Suspect() {
-			return true
-		}
-	}
-	return false
-}
-
 // ended reports whether evidence against the task is of no use any more.
 func (t *task) ended() bool { return t.done || t.step.job().ending != "" }
 
@@ -55,6 +44,9 @@
 	if s.unresponsiveSince.IsZero() {
 		c.hosts.WentDown(crashloop.Down{Host: s.info.Address, At: at, OnTrial: s.trial != nil})
 	}
+	if s.inherited && s.polledAt.IsZero() && !c.recovered {
+		c.unseenCrashes = append(c.unseenCrashes, s.info)
+	}
 	runs := c.runsAt(s, at)
 	attributed := make([]crashloop.Run, len(runs))
 	for i := range runs {
@@ -97,6 +89,28 @@
 	return out
 }
 
+// exposeInherited counts the crashes of servers that this owner never heard from
+// against the inherited tasks that run nowhere: an earlier owner may have started any of
+// them there and ended before it could store that. It is called once all runs of
+// earlier owners are known or over.
+func (c *Core) exposeInherited() {
+	for _, info := range c.unseenCrashes {
+		for _, st := range c.queued {
+			if !st.job().inherited || st.job().ending != "" || st.job().sub.Service != info.Service {
+				continue
+			}
+			for i := range st.tasks {
+				t := &st.tasks[i]
+				crash := crashloop.Crash{Run: maxInheritedRun(c.epoch), Host: info.Address, Kind: crashloop.Weak}
+				if t.needsPlacement() && t.history().Add(crash, 0) {
+					c.markDirty(st.job())
+				}
+			}
+		}
+	}
+	c.unseenCrashes = nil
+}
+
 func (c *Core) recordCrash(s *server, r crashedRun, kind crashloop.Kind) {
 	h := r.task.history()
 	if !h.Add(crashloop.Crash{Run: r.run, Host: s.info.Address, Kind: kind}, r.Age) {
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
@@ -27,3 +29,191 @@
 		t.Errorf("its neighbour: %q, want completed", got)
 	}
 }
+
+// Only what is certain to have ended a server's instance without notice is a crash. If
+// silence, a cut or a departure counted, tasks would be given up for the network's faults.
+func TestCore_CountsOnlyCertainCrashes(t *testing.T) {
+	noAnswer := verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer")
+	otherInstance := verdict.New(verdict.NotRun, ReasonWrongInstance, "other instance")
+	failPoll := func(h *harness, err error) {
+		poll := h.polls["s0"]
+		delete(h.polls, "s0")
+		h.do(func(c *Core) { c.PollCompleted(poll.To, h.now, PollResponse{}, err) })
+	}
+	for _, tc := range []struct {
+		name    string
+		end     func(h *harness)
+		crashes int
+	}{
+		{"another instance answers", func(h *harness) { failPoll(h, otherInstance) }, 1},
+		{"it answers so again", func(h *harness) {
+			failPoll(h, otherInstance)
+			failPoll(h, otherInstance)
+		}, 1},
+		{"it began anew under its ID", func(h *harness) { h.answerPoll("s0", PollResponse{StartedAtMS: 2000}) }, 1},
+		{"a newer server is listed at its address", func(h *harness) {
+			failPoll(h, noAnswer)
+			h.servers = append(h.servers, ServerInfo{ID: "s9", Service: testService, Address: h.servers[0].Address, Capacity: h.servers[0].Capacity, StartedAtMS: 9000})
+			h.do(func(c *Core) { c.SetServers(h.servers) })
+		}, 1},
+		{"an older server is listed at its address", func(h *harness) {
+			h.servers = append(h.servers, ServerInfo{ID: "s9", Service: testService, Address: h.servers[0].Address, Capacity: h.servers[0].Capacity, StartedAtMS: 500})
+			h.do(func(c *Core) { c.SetServers(h.servers) })
+		}, 0},
+		{"it fell silent and answers again", func(h *harness) {
+			failPoll(h, noAnswer)
+			h.answerPoll("s0", PollResponse{Running: []ActiveRun{{Task: workload.TaskID{Submission: id1}, Run: 1}}})
+		}, 0},
+		{"its lease expired", func(h *harness) {
+			for range 30 {
+				if _, ok := h.polls["s0"]; ok {
+					failPoll(h, noAnswer)
+				}
+				h.advance(500 * time.Millisecond)
+			}
+		}, 0},
+		{"its lease expired, and it turns out to have crashed", func(h *harness) {
+			for range 30 {
+				if _, ok := h.polls["s0"]; ok {
+					failPoll(h, noAnswer)
+				}
+				h.advance(500 * time.Millisecond)
+			}
+			failPoll(h, otherInstance)
+		}, 1},
+		{"it does not list the run", func(h *harness) {
+			h.advance(10 * time.Millisecond)
+			h.answerPoll("s0", PollResponse{})
+		}, 0},
+		{"it was draining", func(h *harness) {
+			h.servers[0].Draining = true
+			h.do(func(c *Core) { c.SetServers(h.servers) })
+			failPoll(h, otherInstance)
+		}, 0},
+		{"it left the list", func(h *harness) {
+			h.servers = nil
+			h.do(func(c *Core) { c.SetServers(h.servers) })
+			for range 30 {
+				if _, ok := h.polls["s0"]; ok {
+					failPoll(h, noAnswer)
+				}
+				h.advance(500 * time.Millisecond)
+			}
+		}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.answerAllPolls()
+			h.runOne(id1, 1000)
+			h.advance(10 * time.Millisecond)
+			task := &h.core.jobs[id1].occurrences[0].steps[0].tasks[0]
+			tc.end(h)
+			if got := len(task.crashes.Crashes); got != tc.crashes {
+				t.Errorf("%d crashes counted, want %d", got, tc.crashes)
+			}
+		})
+	}
+}
+
+// The owner that gave the order knows what ran on a server that crashes, and may end with
+// it, again and again. BUDGET has to hold for the owners that follow, however soon the
+// last one ended.
+func TestCore_OwnersThatEndAfterEachCrash(t *testing.T) {
+	// An owner that ends at once has not noticed the crash.
+	const atOnce = 0
+	for _, delay := range []time.Duration{atOnce, worldStep, 100 * time.Millisecond, time.Second, 4 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			w := newCrashWorld(t, 12, 1)
+			w.crashAfter[workload.TaskID{Submission: id1, Index: 1}] = 2 * worldStep
+			wide := oneTask(1000)
+			wide.Count = 4
+			due := time.Time{}
+			w.afterCrash = func() {
+				if delay == atOnce {
+					w.takeOver()
+					return
+				}
+				due = w.now.Add(delay)
+			}
+			w.submit(id1, wide)
+			w.submit(id2, wide)
+			for range 60 * int(time.Second/worldStep) {
+				w.step()
+				if !due.IsZero() && !w.now.Before(due) {
+					due = time.Time{}
+					w.takeOver()
+				}
+			}
+			w.checkBudget()
+			if got := w.status(id1); got != workload.StatusFailed {
+				t.Errorf("submission with a task that crashes its servers: %q, want failed", got)
+			}
+			if got := w.status(id2); got != workload.StatusCompleted {
+				t.Errorf("its neighbour: %q, want completed", got)
+			}
+		})
+	}
+}
+
+// A long-running task is never given up for failed runs, but a crash of each server that
+// runs it has to end, and so do the later occurrences of a schedule.
+func TestCore_GivesUpLongRunningAndScheduledWork(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(w *crashWorld, sub *workload.Submission)
+	}{
+		{"long-running", func(_ *crashWorld, sub *workload.Submission) { sub.Steps[0].LongRunning = true }},
+		{"scheduled", func(w *crashWorld, sub *workload.Submission) {
+			sub.Repeat, sub.FirstRun, sub.Interval = 20, w.wall, 5*time.Second
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newCrashWorld(t, 12, 1)
+			sub := &workload.Submission{ID: id1, Queue: testQueue, Service: testService, Spec: "x", Steps: []workload.Step{oneTask(1000)}, Accepted: w.wall}
+			tc.change(w, sub)
+			for k := range 20 {
+				w.crashAfter[workload.TaskID{Submission: id1, Occurrence: k}] = worldStep
+			}
+			w.do(func(c *Core) { c.Submit(sub, 0, func(Reply) {}) })
+			w.run(60 * time.Second)
+			w.checkBudget()
+			if got := w.status(id1); got != workload.StatusFailed {
+				t.Errorf("%q, want failed", got)
+			}
+			if w.crashes > 10 {
+				t.Errorf("%d servers crashed, want at most 10", w.crashes)
+			}
+		})
+	}
+}
+
+// A task that is given up must not take its server with it once more: no more than a
+// share of the servers may be on trial at once, and one per step.
+func TestCore_BoundsTheTrialsUnderWay(t *testing.T) {
+	w := newCrashWorld(t, 16, 1)
+	for i := range 8 {
+		id := fmt.Sprintf("%016x", i+1)
+		w.crashAfter[workload.TaskID{Submission: id}] = worldStep
+		wide := oneTask(4000)
+		wide.Count = 8
+		w.submit(id, wide)
+	}
+	most, down := 0, 0
+	for range 30 * int(time.Second/worldStep) {
+		w.step()
+		most = max(most, w.core.trials)
+		now := 0
+		for _, m := range w.machines {
+			if m.life == nil {
+				now++
+			}
+		}
+		if w.core.trials > 0 {
+			down = max(down, now)
+		}
+	}
+	if limit := int(maxTrialShare * 16); most == 0 || most > limit {
+		t.Errorf("%d trials at once, want 1 to %d of 16 servers", most, limit)
+	}
+	t.Logf("at most %d of 16 servers were down at once while trials were under way", down)
+}
--- a/internal/scheduler/crashworld_test.go
+++ b/internal/scheduler/crashworld_test.go
@@ -37,7 +37,11 @@
 	orders           []worldOrder
 	crashes          int
 	steps            int
-	gangs            map[string]int
+	// afterCrash is called after each crash that a task caused; it may be nil.
+	afterCrash func()
+	// failing is set while afterCrash is due.
+	failing bool
+	gangs   map[string]int
 }
 
 type machine struct {
@@ -159,6 +163,10 @@
 	for _, m := range w.machines {
 		w.stepMachine(m)
 	}
+	if w.failing && w.afterCrash != nil {
+		w.afterCrash()
+	}
+	w.failing = false
 	w.collect()
 	w.deliver()
 	if w.steps%worldTick == 0 {
@@ -191,6 +199,7 @@
 		if after, deadly := w.crashAfter[key.task]; deadly && age >= after {
 			w.crashed[key.task] = append(w.crashed[key.task], w.now)
 			w.crash(m)
+			w.failing = true
 			return
 		}
 		if after, faulty := w.faultyAfter[m]; faulty && age >= after {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -188,7 +188,7 @@
 // fitCount returns how many more tasks of the step fit on s, given its free
 // capacity.
 func fitCount(st *step, s *server, free workload.Resources) int {
-	if s.trial != nil && s.trial.step != st {
+	if s.trial != nil && !(st.spec.Gang && s.trial.step == st) {
 		return 0
 	}
 	limit := len(st.tasks)
@@ -213,10 +213,7 @@
 		p.placeGang(st)
 		return
 	}
-	if st.suspect() {
-		p.tryTasks(st)
-		return
-	}
+	p.tryTasks(st)
 	p.placeTasks(st)
 }
 
@@ -251,19 +248,22 @@
 	return open, ticketed, slots
 }
 
-// placeTasks places the tasks of a step one by one.
+// placeTasks places the tasks of a step one by one, but for those that need a trial.
 func (p *placementPass) placeTasks(st *step) {
 	c := p.core
 	need := 0
 	for i := range st.tasks {
-		if st.tasks[i].needsPlacement() {
+		if t := &st.tasks[i]; t.needsPlacement() && !t.crashes.Suspect() {
 			need++
 		}
 	}
+	if need == 0 {
+		return
+	}
 	open, ticketed, _ := p.serversWithCapacity(st)
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if !t.needsPlacement() || c.now.Before(t.retryAt) {
+		if !t.needsPlacement() || t.crashes.Suspect() || c.now.Before(t.retryAt) {
 			continue
 		}
 		if c.startRoom <= 0 {
@@ -322,7 +322,8 @@
 // whose start was refused joins the run of the others.
 func (p *placementPass) placeGang(st *step) {
 	c := p.core
-	if st.suspect() && !c.mayTry(st) {
+	suspect := st.tasks[0].crashes.Suspect()
+	if suspect && !c.mayTry(st) {
 		return
 	}
 	var missing []*task
@@ -358,7 +359,7 @@
 		run = st.nextGangRun()
 		st.formationDeadline = c.formationDeadline()
 	}
-	if st.suspect() && st.trial == nil {
+	if suspect && st.trial == nil {
 		c.beginTrial(st, missing, chosen, run)
 		return
 	}
@@ -397,7 +398,7 @@
 	slices.SortFunc(inOrder, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(x.free.CPU, y.free.CPU), cmp.Compare(x.info.ID, y.info.ID))
 	})
-	if st.suspect() {
+	if st.tasks[0].crashes.Suspect() {
 		p.sortForTrial(st, inOrder)
 	}
 	var chosen []*server
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -154,7 +154,7 @@
 			case listed[key]:
 			case a.state != startSent:
 				c.markLost(a, lossRestarted)
-			case a.task.step.suspect():
+			case a.task.history().Suspect():
 				// The order must not reach the new instance outside a trial.
 				c.stop(a)
 			}
@@ -411,6 +411,7 @@
 		}
 	}
 	c.recovered = true
+	c.exposeInherited()
 	c.placementNeeded = true
 	c.log.Log(events.OwnerRecovered, "epoch", c.epoch, "took", c.now.Sub(c.started).Milliseconds(), "servers", len(c.servers), "jobs", len(c.jobs))
 }
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -135,7 +135,7 @@
 		return err
 	}
 	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address})
-	s.stored = true
+	s.stored, s.inherited = true, true
 	// An earlier owner may have sent a full lease just before now.
 	s.leaseDeadlineMS = c.maxLeaseSent.Milliseconds()
 	s.clockAt = c.now
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -21,6 +21,8 @@
 	listed bool
 	// stored is set once the server has a record in the partition.
 	stored bool
+	// inherited is set if an earlier owner recorded the server.
+	inherited bool
 	// synced is set once the server has listed its runs to this epoch. From
 	// then on it refuses the orders of earlier owners.
 	synced bool
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -50,19 +50,17 @@
 	return c.trials < max(int(maxTrialShare*float64(len(c.servers))), 1)
 }
 
-// tryTasks begins a trial of the step's tasks on one server.
+// tryTasks begins a trial of the step's suspect tasks on one server, if there are any.
+// They are tried together, since one of them ends the submission of all.
 func (p *placementPass) tryTasks(st *step) {
 	c := p.core
-	if !c.mayTry(st) {
-		return
-	}
 	var missing []*task
 	for i := range st.tasks {
-		if t := &st.tasks[i]; t.needsPlacement() && !c.now.Before(t.retryAt) {
+		if t := &st.tasks[i]; t.needsPlacement() && t.crashes.Suspect() && !c.now.Before(t.retryAt) {
 			missing = append(missing, t)
 		}
 	}
-	if len(missing) == 0 {
+	if len(missing) == 0 || !c.mayTry(st) {
 		return
 	}
 	open, ticketed, _ := p.serversWithCapacity(st)
