Defer jobs whose workers reboot wherever they run

A reboot is evidence against the job as a failure is, but never fails a task, since another task may have caused it: after three workers without a success anywhere the job is started once a minute and kept apart, as a job that fails everywhere.

--- a/internal/placer/health.go
+++ b/internal/placer/health.go
@@ -80,12 +80,8 @@
 		sc.retryTask(t, 0, now)
 		return
 	}
-	poison := j.health.Poison()
-	j.health.RecordFailure(t.worker)
+	sc.recordJobFailure(j, t.worker)
 	t.failedWorkers = append(t.failedWorkers, t.worker)
-	if !poison && j.health.Poison() {
-		sc.p.o.Events.Log(events.JobDeferred, "job", j.entry.ID, "team", j.entry.Team)
-	}
 	if !j.isService() && len(t.failedWorkers) >= j.maxAttempts() {
 		t.fire(onGiveUp)
 		sc.checkJobDone(j, now)
@@ -98,6 +94,28 @@
 	sc.retryTask(t, delay, now)
 }
 
+// recordJobFailure counts a failure on a worker as evidence against the job, and logs
+// when the job is deferred for it.
+func (sc *scheduler) recordJobFailure(j *job, worker string) {
+	poison := j.health.Poison()
+	j.health.RecordFailure(worker)
+	if !poison && j.health.Poison() {
+		sc.p.o.Events.Log(events.JobDeferred, "job", j.entry.ID, "team", j.entry.Team)
+	}
+}
+
+// retryAfterReboot retries a task whose worker rebooted under it. The task, or another
+// one there, may have caused it, so that no task fails for it; but a job whose workers
+// reboot wherever it runs is deferred.
+func (sc *scheduler) retryAfterReboot(t *task, now time.Time) {
+	sc.recordJobFailure(t.job, t.worker)
+	var delay time.Duration
+	if t.job.health.Poison() {
+		delay = maxFailureBackoff
+	}
+	sc.retryTask(t, delay, now)
+}
+
 func (sc *scheduler) closedReason(worker string) string {
 	for _, r := range sc.racks {
 		if w, ok := r.workers[worker]; ok {
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -297,6 +297,34 @@
 	})
 }
 
+// TestHealth_JobThatRebootsItsWorkersIsDeferred runs a task that reboots each worker that
+// starts it. A reboot counted nowhere, so that it was started on one worker after another
+// without a pause. It may reboot three workers, and then one a minute.
+func TestHealth_JobThatRebootsItsWorkersIsDeferred(t *testing.T) {
+	runInCell(t, 3, workersInRacks(16, smallWorker), workerstandin.Options{}, func(c *cell) {
+		c.submit("crasher", "p", batch(1, 500))
+		for i := range 4 {
+			c.submit(fmt.Sprint("good", i), fmt.Sprint("team", i), batch(7, 2000))
+		}
+		reboots := 0
+		const watched = 10 * time.Minute
+		for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			for _, e := range c.workers.RunningAttempts() {
+				if e.Task.JobID == "crasher" {
+					c.workers.Reboot(e.VM)
+					reboots++
+				}
+			}
+		}
+		if limit := 3 + int(watched/time.Minute); reboots < 3 || reboots > limit {
+			t.Errorf("%d workers rebooted in %v, want 3 to %d", reboots, watched, limit)
+		}
+		for i := range 4 {
+			c.wantDone(fmt.Sprint("good", i), 7, 0)
+		}
+	})
+}
+
 // TestUsage_OversizeTasksAreThrottledThenStopped runs tasks that use twice the
 // CPU and memory that they request beside a service that does not. No task of
 // the service may be stopped and no worker may run out of memory.
--- a/internal/placer/poll.go
+++ b/internal/placer/poll.go
@@ -289,7 +289,7 @@
 	for _, a := range w.attempts {
 		a.inInventory = false
 		if !a.reserved && !a.state.terminated() && !(a.startPending && a.startValidUntil.IsZero()) {
-			r.markLost(a, "rebooted")
+			r.markLost(a, lostReboot)
 		}
 	}
 	w.acknowledged = make(map[TaskRef]bool)
--- a/internal/placer/tasks.go
+++ b/internal/placer/tasks.go
@@ -171,7 +171,7 @@
 		sc.retryTask(t, 0, now)
 	case s.Reason == exitLeaseExpired || s.Reason == exitReboot:
 		sc.p.o.Events.Log(events.TaskLost, "job", t.job.entry.ID, "index", t.index, "attempt", t.attempt, "worker", t.worker, "reason", s.Reason)
-		sc.retryTask(t, 0, now)
+		sc.retryLost(t, s.Reason, now)
 	default:
 		sc.handleFailed(t, s, now)
 	}
@@ -182,6 +182,8 @@
 	exitStopped      = "stopped"
 	exitLeaseExpired = "lease_expired"
 	exitReboot       = "reboot"
+	// lostReboot is given for attempts that a rebooted worker no longer lists.
+	lostReboot = "rebooted"
 )
 
 func (j *job) isService() bool { return j.entry.Workload.Class == document.ClassService }
@@ -206,6 +208,15 @@
 	t.fire(onLapse)
 	sc.uncountPlaced(t)
 	sc.p.o.Events.Log(events.TaskLost, "job", t.job.entry.ID, "index", t.index, "attempt", t.attempt, "worker", t.worker, "reason", s.Reason)
+	sc.retryLost(t, s.Reason, now)
+}
+
+// retryLost retries a task that ended with its lease or its worker.
+func (sc *scheduler) retryLost(t *task, reason string, now time.Time) {
+	if reason == exitReboot || reason == lostReboot {
+		sc.retryAfterReboot(t, now)
+		return
+	}
 	sc.retryTask(t, 0, now)
 }
 
