Read stored progress with indexes out of range

A new owner indexed a submission's steps and tasks by stored numbers without a lower bound: a progress record with a negative index ends the daemon that reads it, and each owner after it.

--- a/crashloop/history.go
+++ b/crashloop/history.go
@@ -124,7 +124,7 @@
 // TrialTime returns how long the task has to run in its next trial.
 func (h *History) TrialTime() time.Duration {
 	d := max(minTrial, ageFactor*time.Duration(h.LongestMS)*time.Millisecond)
-	return min(d<<min(h.Acquittals, maxDoublings), maxTrial)
+	return min(d<<min(max(h.Acquittals, 0), maxDoublings), maxTrial)
 }
 
 // Backoff returns the delay of the next start.
--- a/internal/scheduler/crashsim_test.go
+++ b/internal/scheduler/crashsim_test.go
@@ -189,9 +189,13 @@
 						seed, r.innocentsFailed, r.unfinished, r.culpritsOpen, r.worstRestarts)
 				}
 				sum.crashes += r.crashes
+				sum.innocentsFailed += r.innocentsFailed
+				sum.unfinished += r.unfinished
+				sum.culpritsOpen += r.culpritsOpen
 				sum.worstRestarts = max(sum.worstRestarts, r.worstRestarts)
 			}
-			t.Logf("%d seeds: %d servers crashed, at most %d starts after a third crash", seeds, sum.crashes, sum.worstRestarts)
+			t.Logf("%d seeds: %d servers crashed, %d innocent submissions failed, %d did not end, %d culprits not given up, at most %d starts after a third crash",
+				seeds, sum.crashes, sum.innocentsFailed, sum.unfinished, sum.culpritsOpen, sum.worstRestarts)
 		})
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -302,11 +302,10 @@
 		}
 	}
 	for _, m := range p.Tasks {
-		s := j.step(m.Occurrence, m.Step)
-		if s == nil || m.Index >= len(s.tasks) {
+		t := j.task(workload.TaskID{Occurrence: m.Occurrence, Step: m.Step, Index: m.Index})
+		if t == nil {
 			continue
 		}
-		t := &s.tasks[m.Index]
 		t.run, t.failedRuns, t.checkpoint, t.exposure = m.Run, m.FailedRuns, m.Checkpoint, m.Exposure
 		if m.Crashes != nil {
 			t.crashes = *m.Crashes
@@ -326,7 +325,7 @@
 }
 
 func (j *job) step(occurrence, index int) *step {
-	if occurrence >= len(j.occurrences) || index >= len(j.sub.Steps) {
+	if occurrence < 0 || occurrence >= len(j.occurrences) || index < 0 || index >= len(j.sub.Steps) {
 		return nil
 	}
 	return j.occurrences[occurrence].steps[index]
@@ -335,7 +334,7 @@
 // task returns the task with the given ID, or nil.
 func (j *job) task(id workload.TaskID) *task {
 	s := j.step(id.Occurrence, id.Step)
-	if s == nil || id.Index >= len(s.tasks) {
+	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
 		return nil
 	}
 	return &s.tasks[id.Index]
