--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -40,6 +40,14 @@
 		delete(h.polls, "s0")
 		h.do(func(c *Core) { c.PollCompleted(poll.To, h.now, PollResponse{}, err) })
 	}
+	expireLease := func(h *harness) {
+		for range 30 {
+			if _, ok := h.polls["s0"]; ok {
+				failPoll(h, noAnswer)
+			}
+			h.advance(500 * time.Millisecond)
+		}
+	}
 	for _, tc := range []struct {
 		name    string
 		end     func(h *harness)
@@ -64,21 +72,9 @@
 			failPoll(h, noAnswer)
 			h.answerPoll("s0", PollResponse{Running: []ActiveRun{{Task: workload.TaskID{Submission: id1}, Run: 1}}})
 		}, 0},
-		{"its lease expired", func(h *harness) {
-			for range 30 {
-				if _, ok := h.polls["s0"]; ok {
-					failPoll(h, noAnswer)
-				}
-				h.advance(500 * time.Millisecond)
-			}
-		}, 0},
+		{"its lease expired", expireLease, 0},
 		{"its lease expired, and it turns out to have crashed", func(h *harness) {
-			for range 30 {
-				if _, ok := h.polls["s0"]; ok {
-					failPoll(h, noAnswer)
-				}
-				h.advance(500 * time.Millisecond)
-			}
+			expireLease(h)
 			failPoll(h, otherInstance)
 		}, 1},
 		{"it does not list the run", func(h *harness) {
@@ -93,12 +89,7 @@
 		{"it left the list", func(h *harness) {
 			h.servers = nil
 			h.do(func(c *Core) { c.SetServers(h.servers) })
-			for range 30 {
-				if _, ok := h.polls["s0"]; ok {
-					failPoll(h, noAnswer)
-				}
-				h.advance(500 * time.Millisecond)
-			}
+			expireLease(h)
 		}, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
