Tell the next owner which starts had no effect and which servers went down together

Reading the new code as the owner that follows: a trial whose start was refused stayed stored, so that a later crash of that server counted against a task that never ran there; the crashes of a rack just before a take-over looked like single ones, since only the last owner had seen when the servers fell silent, and made every task there a suspect; a server that restarted under its own ID was not seen as crashed.

Refused, expired and unlisted starts drop their exposure. An exposure holds the time at which its server fell silent and the instance. Crashes of which something is stored are not counted against other inherited tasks as well.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -179,6 +179,7 @@
 		c.poll(a.server)
 		return
 	}
+	c.startHadNoEffect(a.task, a.run)
 	c.release(a)
 }
 
@@ -213,6 +214,7 @@
 		return
 	}
 	t.retryAt = c.now.Add(failureBackoff)
+	c.startHadNoEffect(t, a.run)
 	c.release(a)
 }
 
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -38,13 +38,16 @@
 		return nil
 	}
 	at := s.lastSeenAlive(c.now)
+	if s.polledAt.IsZero() && !s.silentBefore.IsZero() {
+		at = s.silentBefore
+	}
 	c.metric.serversCrashed.Inc()
 	c.log.Log(events.ServerCrashed, "server", s.info.ID, "address", s.info.Address, "how", string(reason), "attempts", len(s.attempts),
 		"silent", c.now.Sub(at).Milliseconds())
 	if s.unresponsiveSince.IsZero() {
 		c.hosts.WentDown(crashloop.Down{Host: s.info.Address, At: at, OnTrial: s.trial != nil})
 	}
-	if s.inherited && s.polledAt.IsZero() && !c.recovered {
+	if s.inherited && s.polledAt.IsZero() && !c.recovered && len(c.exposed[s.info.ID]) == 0 {
 		c.unseenCrashes = append(c.unseenCrashes, s.info)
 	}
 	runs := c.runsAt(s, at)
@@ -89,10 +92,10 @@
 	return out
 }
 
-// exposeInherited counts the crashes of servers that this owner never heard from
-// against the inherited tasks that run nowhere: an earlier owner may have started any of
-// them there and ended before it could store that. It is called once all runs of
-// earlier owners are known or over.
+// exposeInherited counts the crashes of servers that this owner never heard from, and
+// of which earlier owners had recorded nothing, against the inherited tasks that run
+// nowhere: an earlier owner may have started any of them there and ended before it
+// could store that. It is called once all runs of earlier owners are known or over.
 func (c *Core) exposeInherited() {
 	for _, info := range c.unseenCrashes {
 		for _, st := range c.queued {
@@ -165,6 +168,7 @@
 			continue
 		}
 		a.task.exposure = c.exposureOf(a, s.trial != nil && s.trial == a.task.step.trial)
+		a.task.exposure.SilentAtMS = c.wall
 		c.markDirty(a.task.step.job())
 	}
 }
@@ -176,19 +180,34 @@
 	}
 }
 
-// loadExposures finds the runs that an earlier owner recorded as exposed.
+// loadExposures finds the runs that an earlier owner recorded as exposed, and what it
+// knew of their servers.
 func (c *Core) loadExposures(j *job) {
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for i := range st.tasks {
-				if e := st.tasks[i].exposure; e != nil {
-					c.exposed[e.Server] = append(c.exposed[e.Server], &st.tasks[i])
+				if st.tasks[i].exposure != nil {
+					c.loadExposure(&st.tasks[i])
 				}
 			}
 		}
 	}
 }
 
+func (c *Core) loadExposure(t *task) {
+	e := t.exposure
+	c.exposed[e.Server] = append(c.exposed[e.Server], t)
+	s := c.servers[e.Server]
+	if s == nil {
+		return
+	}
+	s.startedAtMS = e.StartedAtMS
+	if e.SilentAtMS > 0 && s.silentBefore.IsZero() {
+		s.silentBefore = c.now.Add(-msDuration(c.wall - e.SilentAtMS))
+		c.hosts.WentDown(crashloop.Down{Host: e.Host, At: s.silentBefore, Broken: true, OnTrial: e.Trial})
+	}
+}
+
 // keepExposure remembers a run whose lease expired on a silent server. If the server
 // turns out to have crashed, that still counts against the task.
 func (c *Core) keepExposure(a *attempt) {
@@ -197,8 +216,18 @@
 	}
 }
 
+// startHadNoEffect drops the exposure of a run that certainly did not start.
+func (c *Core) startHadNoEffect(t *task, run int) {
+	if t.exposure != nil && t.exposure.Run == run {
+		t.exposure = nil
+		c.markDirty(t.step.job())
+	}
+}
+
 // settleExposures drops the exposures on a server that answered: it did not crash. A
-// server that began anew under its ID has been handled before.
+// server that began anew under its ID has been handled before. Those of runs that go on
+// are only dropped from memory: storing that would double the writes for each server that
+// was silent for a moment.
 func (c *Core) settleExposures(s *server) {
 	for _, t := range c.exposed[s.info.ID] {
 		c.clearExposure(t, s)
@@ -206,7 +235,7 @@
 	delete(c.exposed, s.info.ID)
 	for _, a := range s.attempts {
 		if a.task.exposure != nil && !a.task.exposure.Trial {
-			c.clearExposure(a.task, s)
+			a.task.exposure = nil
 		}
 	}
 }
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
@@ -33,17 +32,10 @@
 // Only what is certain to have ended a server's instance without notice is a crash. If
 // silence, a cut or a departure counted, tasks would be given up for the network's faults.
 func TestCore_CountsOnlyCertainCrashes(t *testing.T) {
-	noAnswer := verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer")
-	otherInstance := verdict.New(verdict.NotRun, ReasonWrongInstance, "other instance")
-	failPoll := func(h *harness, err error) {
-		poll := h.polls["s0"]
-		delete(h.polls, "s0")
-		h.do(func(c *Core) { c.PollCompleted(poll.To, h.now, PollResponse{}, err) })
-	}
 	expireLease := func(h *harness) {
 		for range 30 {
 			if _, ok := h.polls["s0"]; ok {
-				failPoll(h, noAnswer)
+				h.failPoll("s0", ReasonNoAnswer)
 			}
 			h.advance(500 * time.Millisecond)
 		}
@@ -53,14 +45,14 @@
 		end     func(h *harness)
 		crashes int
 	}{
-		{"another instance answers", func(h *harness) { failPoll(h, otherInstance) }, 1},
+		{"another instance answers", func(h *harness) { h.failPoll("s0", ReasonWrongInstance) }, 1},
 		{"it answers so again", func(h *harness) {
-			failPoll(h, otherInstance)
-			failPoll(h, otherInstance)
+			h.failPoll("s0", ReasonWrongInstance)
+			h.failPoll("s0", ReasonWrongInstance)
 		}, 1},
 		{"it began anew under its ID", func(h *harness) { h.answerPoll("s0", PollResponse{StartedAtMS: 2000}) }, 1},
 		{"a newer server is listed at its address", func(h *harness) {
-			failPoll(h, noAnswer)
+			h.failPoll("s0", ReasonNoAnswer)
 			h.servers = append(h.servers, ServerInfo{ID: "s9", Service: testService, Address: h.servers[0].Address, Capacity: h.servers[0].Capacity, StartedAtMS: 9000})
 			h.do(func(c *Core) { c.SetServers(h.servers) })
 		}, 1},
@@ -69,13 +61,13 @@
 			h.do(func(c *Core) { c.SetServers(h.servers) })
 		}, 0},
 		{"it fell silent and answers again", func(h *harness) {
-			failPoll(h, noAnswer)
+			h.failPoll("s0", ReasonNoAnswer)
 			h.answerPoll("s0", PollResponse{Running: []ActiveRun{{Task: workload.TaskID{Submission: id1}, Run: 1}}})
 		}, 0},
 		{"its lease expired", expireLease, 0},
 		{"its lease expired, and it turns out to have crashed", func(h *harness) {
 			expireLease(h)
-			failPoll(h, otherInstance)
+			h.failPoll("s0", ReasonWrongInstance)
 		}, 1},
 		{"it does not list the run", func(h *harness) {
 			h.advance(10 * time.Millisecond)
@@ -84,7 +76,7 @@
 		{"it was draining", func(h *harness) {
 			h.servers[0].Draining = true
 			h.do(func(c *Core) { c.SetServers(h.servers) })
-			failPoll(h, otherInstance)
+			h.failPoll("s0", ReasonWrongInstance)
 		}, 0},
 		{"it left the list", func(h *harness) {
 			h.servers = nil
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -20,6 +20,7 @@
 	Scheduled     int          `json:"timedOccurrences"`
 	PendingWrites int          `json:"unstoredWrites"`
 	OpenRequests  int          `json:"openQuestions"`
+	Trials        int          `json:"trials"`
 	Servers       []ServerDump `json:"servers"`
 }
 
@@ -42,7 +43,7 @@
 func (c *Core) Dump() Dump {
 	d := Dump{
 		Epoch: c.epoch, Recovered: c.recovered, Jobs: len(c.jobs), Ended: len(c.finalStates), Queued: len(c.queued),
-		Scheduled: len(c.scheduled), PendingWrites: len(c.onStored), OpenRequests: c.openRequests,
+		Scheduled: len(c.scheduled), PendingWrites: len(c.onStored), OpenRequests: c.openRequests, Trials: c.trials,
 	}
 	for _, s := range c.servers {
 		row := ServerDump{
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -211,6 +211,7 @@
 	}
 	for key, a := range s.attempts {
 		if !listed[key] && !a.answeredAt.IsZero() && a.answeredAt.Before(sent) {
+			c.startHadNoEffect(a.task, a.run)
 			c.markLost(a, lossNotListed)
 		}
 	}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -64,6 +64,9 @@
 	// trial is the trial under way on the server, or nil. Nothing else is started
 	// there meanwhile.
 	trial *trial
+	// silentBefore is when the server stopped responding to an earlier owner; zero if
+	// that is not known.
+	silentBefore time.Time
 	// avoidUntil excludes the server from placement after a refusal or a
 	// failure.
 	avoidUntil time.Time
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -145,7 +145,15 @@
 		return
 	}
 	startable := c.startable(tr)
-	if len(startable) == 0 || st.spec.Gang && len(startable) < len(tr.members) {
+	if st.spec.Gang && len(startable) < len(tr.members) {
+		startable = nil
+	}
+	for _, m := range tr.members {
+		if !slices.Contains(startable, m) {
+			c.startHadNoEffect(m.task, m.run)
+		}
+	}
+	if len(startable) == 0 {
 		c.endTrial(tr)
 		return
 	}
--- a/workload/record.go
+++ b/workload/record.go
@@ -36,6 +36,8 @@
 	// milliseconds.
 	AgeMS int64 `cbor:"5,keyasint,omitempty"`
 	Trial bool  `cbor:"6,keyasint,omitempty"`
+	// SilentAtMS is when the server fell silent, in Unix milliseconds; 0 if it had not.
+	SilentAtMS int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // StepProgress is the stored set of completed tasks of a step.
