Name the parts of a trial in the terms of the field; adopt all its members

Tasks that crash their servers are poison tasks, as in placement/health, and a task that outlives its trial is cleared; the event is task_cleared. An owner that took over a trial of several tasks on one server adopted the first alone, and runs of the same step that were on the server before counted as members: the trial's own list decides now. TestCore_NextOwnerGoesOnWithATrial has two tasks and failed on the old code.

--- a/crashloop/crashloop_test.go
+++ b/crashloop/crashloop_test.go
@@ -95,11 +95,11 @@
 
 // A task that crashes late passes a short trial. The next one must be longer, or it
 // would crash servers without end.
-func TestHistory_TrialGrowsAfterAnAcquittal(t *testing.T) {
+func TestHistory_TrialGrowsAfterAPassedOne(t *testing.T) {
 	var h crashloop.History
 	h.Add(crash(1, "a", crashloop.Shared), 800*ms)
 	first := h.TrialTime()
-	h.Acquit()
+	h.Clear()
 	if h.Suspect() {
 		t.Error("still a suspect after a passed trial")
 	}
--- a/crashloop/history.go
+++ b/crashloop/history.go
@@ -3,7 +3,7 @@
 //
 // One crash names a dozen suspects. Each of them is tried by itself: it starts on
 // a server on which nothing else is started until the trial is over. A suspect that
-// outlives its trial is acquitted; one under which two servers crashed in trials is
+// outlives its trial is cleared; one under which two servers crashed in trials is
 // given up.
 //
 // The package does no I/O and reads no clock. Its types are not safe for concurrent
@@ -78,16 +78,16 @@
 // History is the evidence against one task, or one gang as a whole. The zero value
 // has none. It is stored with the task.
 type History struct {
-	// Crashes are those since the last acquittal.
+	// Crashes are those since the last passed trial.
 	Crashes []Crash `cbor:"1,keyasint,omitempty"`
-	// Acquittals counts the passed trials.
-	Acquittals int `cbor:"2,keyasint,omitempty"`
+	// PassedTrials counts the trials that the task outlived.
+	PassedTrials int `cbor:"2,keyasint,omitempty"`
 	// LongestMS is the longest time from a start to a crash, in milliseconds.
 	LongestMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty reports whether there is nothing to store.
-func (h *History) Empty() bool { return len(h.Crashes) == 0 && h.Acquittals == 0 }
+func (h *History) Empty() bool { return len(h.Crashes) == 0 && h.PassedTrials == 0 }
 
 // Add records a crash that came age after the run's start. It reports false if a
 // crash of that run has been recorded before: a gang's run counts once.
@@ -124,7 +124,7 @@
 // TrialTime returns how long the task has to run in its next trial.
 func (h *History) TrialTime() time.Duration {
 	d := max(minTrial, ageFactor*time.Duration(h.LongestMS)*time.Millisecond)
-	return min(d<<min(max(h.Acquittals, 0), maxDoublings), maxTrial)
+	return min(d<<min(max(h.PassedTrials, 0), maxDoublings), maxTrial)
 }
 
 // Backoff returns the delay of the next start.
@@ -135,11 +135,11 @@
 	return min(minBackoff<<min(len(h.Crashes)-2, maxDoublings), maxBackoff)
 }
 
-// Acquit drops the evidence, after a passed trial or a successful run.
-func (h *History) Acquit() {
+// Clear drops the evidence, after a passed trial or a successful run.
+func (h *History) Clear() {
 	if len(h.Crashes) == 0 {
 		return
 	}
 	h.Crashes = nil
-	h.Acquittals++
+	h.PassedTrials++
 }
--- a/internal/events/backendserver.go
+++ b/internal/events/backendserver.go
@@ -80,8 +80,8 @@
 		Fields:  []string{"step", "tasks", "server", "lasts"},
 		Meaning: "Tasks of a step that may have crashed their servers are started on a server on which nothing else is started for the time lasts, in milliseconds. A gang uses several servers, of which one is named.",
 	}
-	TaskAcquitted = Event{
-		Number: 6055, Level: slog.LevelInfo, Name: "task_acquitted",
+	TaskCleared = Event{
+		Number: 6055, Level: slog.LevelInfo, Name: "task_cleared",
 		Fields:  []string{"task"},
 		Meaning: "A task that may have crashed its servers has run long enough, or to its end, without a crash.",
 	}
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -195,5 +195,5 @@
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
-	TaskSuspected, TrialBegun, TaskAcquitted, TaskGivenUp, ServerShrank,
+	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank,
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -55,17 +55,17 @@
 	for i := range runs {
 		attributed[i] = runs[i].Run
 	}
-	var culprits []*task
+	var givenUp []*task
 	for i, kind := range crashloop.Attribute(attributed, c.hosts.Outage(s.info.Address, at)) {
 		if kind == 0 {
 			continue
 		}
 		c.recordCrash(s, runs[i], kind)
 		if runs[i].task.history().GivenUp() {
-			culprits = append(culprits, runs[i].task)
+			givenUp = append(givenUp, runs[i].task)
 		}
 	}
-	return culprits
+	return givenUp
 }
 
 // runsAt returns the runs on the server when it crashed, in the order of their tasks:
@@ -76,7 +76,7 @@
 		if a.task.ended() {
 			continue
 		}
-		out = append(out, crashedRun{a.task, a.run, crashloop.Run{Age: max(at.Sub(a.sentAt), 0), OnTrial: s.trial != nil && s.trial == a.task.step.trial}})
+		out = append(out, crashedRun{a.task, a.run, crashloop.Run{Age: max(at.Sub(a.sentAt), 0), OnTrial: s.trial.includes(a)}})
 	}
 	for _, t := range c.exposed[s.info.ID] {
 		if t.ended() || t.exposure == nil || t.exposure.Server != s.info.ID {
@@ -138,8 +138,8 @@
 }
 
 // giveUp ends the submissions of tasks that crash their servers.
-func (c *Core) giveUp(culprits []*task) {
-	for _, t := range culprits {
+func (c *Core) giveUp(tasks []*task) {
+	for _, t := range tasks {
 		j := t.step.job()
 		if j.ending != "" {
 			continue
@@ -167,7 +167,7 @@
 		if a.task.ended() {
 			continue
 		}
-		a.task.exposure = c.exposureOf(a, s.trial != nil && s.trial == a.task.step.trial)
+		a.task.exposure = c.exposureOf(a, s.trial.includes(a))
 		a.task.exposure.SilentAtMS = c.wall
 		c.markDirty(a.task.step.job())
 	}
--- a/internal/scheduler/crash_owner_test.go
+++ b/internal/scheduler/crash_owner_test.go
@@ -104,20 +104,36 @@
 func TestCore_NextOwnerGoesOnWithATrial(t *testing.T) {
 	h := newHarness(t, 2)
 	h.answerAllPolls()
-	first := h.runOne(id1, 1000)
-	h.failPoll(first.To.ID, ReasonWrongInstance)
+	pair := oneTask(1000)
+	pair.Count = 2
+	h.submit(id1, pair)
+	first := h.takeStarts()
+	for _, s := range first {
+		h.confirmStart(s)
+	}
+	h.failPoll(first[0].To.ID, ReasonWrongInstance)
 	h.advance(time.Second)
-	trial := h.takeStarts()[0]
-	h.confirmStart(trial)
+	trial := h.takeStarts()
+	if len(trial) != 2 || trial[0].To != trial[1].To {
+		t.Fatalf("starts %+v, want both tasks on one server", trial)
+	}
+	list := PollResponse{}
+	for _, s := range trial {
+		h.confirmStart(s)
+		list.Running = append(list.Running, runOf(s))
+	}
 	h.takeOver()
-	h.answerPoll(trial.To.ID, PollResponse{Running: []ActiveRun{runOf(trial)}})
-	if s := h.core.servers[trial.To.ID]; s.trial == nil || h.core.trials != 1 {
-		t.Fatalf("trial %v on the server, %d in all, want it adopted", s.trial, h.core.trials)
+	server := trial[0].To.ID
+	h.answerPoll(server, list)
+	if s := h.core.servers[server]; s.trial == nil || len(s.trial.members) != 2 || h.core.trials != 1 {
+		t.Fatalf("trial %+v on the server, %d in all, want it adopted with both tasks", s.trial, h.core.trials)
 	}
-	h.failPoll(trial.To.ID, ReasonWrongInstance)
-	got := h.firstTask(id1).crashes.Crashes
-	if len(got) != 2 || got[1].Kind != crashloop.Alone {
-		t.Errorf("crashes %+v, want a second one in a trial", got)
+	h.failPoll(server, ReasonWrongInstance)
+	for i := range 2 {
+		got := h.core.jobs[id1].occurrences[0].steps[0].tasks[i].crashes.Crashes
+		if len(got) != 2 || got[1].Kind != crashloop.Alone {
+			t.Errorf("task %d: crashes %+v, want a second one in a trial", i, got)
+		}
 	}
 	if h.core.trials != 0 {
 		t.Errorf("%d trials under way after the crash, want 0", h.core.trials)
--- a/internal/scheduler/crashsim_test.go
+++ b/internal/scheduler/crashsim_test.go
@@ -23,8 +23,8 @@
 	disturb func(w *crashWorld, at time.Duration)
 	// gangs makes every fourth submission a gang.
 	gangs bool
-	// culprits is the number of submissions with a task that crashes its servers.
-	culprits int
+	// poison is the number of submissions with a task that crashes its servers.
+	poison int
 }
 
 const (
@@ -49,38 +49,38 @@
 func crashScenarios() []crashScenario {
 	fifth := func(w *crashWorld) { w.crashWhere(func(int) bool { return w.rng.IntN(5) == 0 }) }
 	return []crashScenario{
-		{name: "culprits alone", culprits: 6},
-		{name: "no culprit, a fifth crashes twice", disturb: func(w *crashWorld, now time.Duration) {
+		{name: "poison tasks alone", poison: 6},
+		{name: "no poison task, a fifth crashes twice", disturb: func(w *crashWorld, now time.Duration) {
 			if at(now, 5*time.Second) || at(now, 9*time.Second) {
 				fifth(w)
 			}
 		}},
-		{name: "a rack crashes twice", culprits: 4, disturb: func(w *crashWorld, now time.Duration) {
+		{name: "a rack crashes twice", poison: 4, disturb: func(w *crashWorld, now time.Duration) {
 			if at(now, 6*time.Second) || at(now, 10*time.Second) {
 				w.crashWhere(func(i int) bool { return i/8 == 2 })
 			}
 		}},
-		{name: "a fifth crashes three times", culprits: 4, disturb: func(w *crashWorld, now time.Duration) {
+		{name: "a fifth crashes three times", poison: 4, disturb: func(w *crashWorld, now time.Duration) {
 			if at(now, 5*time.Second) || at(now, 9*time.Second) || at(now, 13*time.Second) {
 				fifth(w)
 			}
 		}},
-		{name: "a flapping machine", culprits: 4, disturb: func(w *crashWorld, now time.Duration) {
+		{name: "a flapping machine", poison: 4, disturb: func(w *crashWorld, now time.Duration) {
 			if now%(5*time.Second) < worldStep {
 				w.crashWhere(func(i int) bool { return i == 7 })
 			}
 		}},
-		{name: "faulty machines", culprits: 4, disturb: func(w *crashWorld, now time.Duration) {
+		{name: "faulty machines", poison: 4, disturb: func(w *crashWorld, now time.Duration) {
 			if at(now, 0) {
 				w.faultyAfter[w.machines[3]], w.faultyAfter[w.machines[30]] = 20*time.Millisecond, 500*time.Millisecond
 			}
 		}},
-		{name: "owners end every 4 s", culprits: 5, disturb: func(w *crashWorld, now time.Duration) {
+		{name: "owners end every 4 s", poison: 5, disturb: func(w *crashWorld, now time.Duration) {
 			if now%(4*time.Second) < worldStep && now < 40*time.Second {
 				w.takeOver()
 			}
 		}},
-		{name: "store away", culprits: 5, disturb: func(w *crashWorld, now time.Duration) {
+		{name: "store away", poison: 5, disturb: func(w *crashWorld, now time.Duration) {
 			if at(now, 6*time.Second) {
 				w.holdStores = true
 			}
@@ -89,21 +89,21 @@
 				w.storeAll()
 			}
 		}},
-		{name: "gangs", culprits: 6, gangs: true},
-		{name: "a burst of culprits", culprits: 20},
+		{name: "gangs", poison: 6, gangs: true},
+		{name: "a burst of poison tasks", poison: 20},
 	}
 }
 
 // crashResult counts what a play came to.
 type crashResult struct {
-	innocentsFailed, unfinished, culpritsOpen, crashes, worstRestarts int
+	healthyFailed, unfinished, poisonOpen, crashes, worstRestarts int
 }
 
 // play runs a scenario on one seed.
 func (sc crashScenario) play(t *testing.T, seed uint64) crashResult {
 	w := newCrashWorld(t, scenarioMachines, seed)
 	rng := rand.New(rand.NewPCG(seed, 2))
-	guilty := make(map[string]bool)
+	poison := make(map[string]bool)
 	durations := make(map[string]time.Duration)
 	w.runTime = func(id workload.TaskID) time.Duration {
 		if w.gangs[id.Submission] > 0 {
@@ -126,8 +126,8 @@
 			step.Gang = true
 			w.gangs[id] = step.Count
 		}
-		if i < sc.culprits*4 && i%4 == 0 {
-			guilty[id] = true
+		if i < sc.poison*4 && i%4 == 0 {
+			poison[id] = true
 			after := []time.Duration{10, 10, 200, 400}[rng.IntN(4)] * time.Millisecond
 			w.crashAfter[workload.TaskID{Submission: id, Index: rng.IntN(step.Count)}] = after
 		}
@@ -155,11 +155,11 @@
 	for _, a := range arrivals {
 		status := w.status(a.id)
 		switch {
-		case guilty[a.id] && status != workload.StatusFailed:
-			out.culpritsOpen++
-		case !guilty[a.id] && status == workload.StatusFailed:
-			out.innocentsFailed++
-		case !guilty[a.id] && status != workload.StatusCompleted:
+		case poison[a.id] && status != workload.StatusFailed:
+			out.poisonOpen++
+		case !poison[a.id] && status == workload.StatusFailed:
+			out.healthyFailed++
+		case !poison[a.id] && status != workload.StatusCompleted:
 			out.unfinished++
 		}
 	}
@@ -173,7 +173,7 @@
 // causes of their own, owners end and the store is away. No submission that can be
 // done may be given up, and no task may be started three times more after it has
 // crashed three servers.
-func TestCore_GivesUpCulpritsAndNoOthers(t *testing.T) {
+func TestCore_GivesUpPoisonTasksAndNoOthers(t *testing.T) {
 	for _, sc := range crashScenarios() {
 		t.Run(sc.name, func(t *testing.T) {
 			seeds := *crashSeeds
@@ -184,18 +184,18 @@
 			for i := range seeds {
 				seed := *crashSeed + uint64(i)
 				r := sc.play(t, seed)
-				if r.innocentsFailed > 0 || r.unfinished > 0 || r.culpritsOpen > 0 || r.worstRestarts >= 3 {
-					t.Errorf("seed %d: %d innocent submissions failed, %d did not end, %d culprits not given up, %d starts after a third crash",
-						seed, r.innocentsFailed, r.unfinished, r.culpritsOpen, r.worstRestarts)
+				if r.healthyFailed > 0 || r.unfinished > 0 || r.poisonOpen > 0 || r.worstRestarts >= 3 {
+					t.Errorf("seed %d: %d healthy submissions failed, %d did not end, %d poison ones not given up, %d starts after a third crash",
+						seed, r.healthyFailed, r.unfinished, r.poisonOpen, r.worstRestarts)
 				}
 				sum.crashes += r.crashes
-				sum.innocentsFailed += r.innocentsFailed
+				sum.healthyFailed += r.healthyFailed
 				sum.unfinished += r.unfinished
-				sum.culpritsOpen += r.culpritsOpen
+				sum.poisonOpen += r.poisonOpen
 				sum.worstRestarts = max(sum.worstRestarts, r.worstRestarts)
 			}
-			t.Logf("%d seeds: %d servers crashed, %d innocent submissions failed, %d did not end, %d culprits not given up, at most %d starts after a third crash",
-				seeds, sum.crashes, sum.innocentsFailed, sum.unfinished, sum.culpritsOpen, sum.worstRestarts)
+			t.Logf("%d seeds: %d servers crashed, %d healthy submissions failed, %d did not end, %d poison ones not given up, at most %d starts after a third crash",
+				seeds, sum.crashes, sum.healthyFailed, sum.unfinished, sum.poisonOpen, sum.worstRestarts)
 		})
 	}
 }
--- a/internal/scheduler/crashworld_test.go
+++ b/internal/scheduler/crashworld_test.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		age := w.now.Sub(r.workAt)
-		if after, deadly := w.crashAfter[key.task]; deadly && age >= after {
+		if after, poison := w.crashAfter[key.task]; poison && age >= after {
 			w.crashed[key.task] = append(w.crashed[key.task], w.now)
 			w.crash(m)
 			w.failing = true
--- a/internal/scheduler/fuzz_test.go
+++ b/internal/scheduler/fuzz_test.go
@@ -20,7 +20,7 @@
 		{Tasks: []workload.TaskProgress{{Index: -1, Run: -5}}},
 		{Tasks: []workload.TaskProgress{{Occurrence: 1, Step: -3, Index: 1 << 40}}},
 		{Tasks: []workload.TaskProgress{{
-			Run: 3, FailedRuns: []int{1, 1}, Crashes: &crashloop.History{Crashes: []crashloop.Crash{{Run: 1, Kind: 9}}, Acquittals: -7, LongestMS: -1},
+			Run: 3, FailedRuns: []int{1, 1}, Crashes: &crashloop.History{Crashes: []crashloop.Crash{{Run: 1, Kind: 9}}, PassedTrials: -7, LongestMS: -1},
 			Exposure: &workload.Exposure{Server: "s", Run: 2, AgeMS: -5, Trial: true},
 		}}},
 	} {
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -142,7 +142,7 @@
 	}
 	if s.startedAtMS != 0 {
 		c.log.Log(events.ServerRestarted, "server", s.info.ID, "born", list.StartedAtMS, "before", s.startedAtMS, "attempts", len(s.attempts))
-		culprits := c.attributeCrash(s, lossRestarted)
+		givenUp := c.attributeCrash(s, lossRestarted)
 		s.processedEnd, s.storedEnd, s.ackedEnd = 0, 0, 0
 		s.leaseDeadlineMS = list.ClockMS + c.maxLeaseSent.Milliseconds()
 		listed := make(map[runKey]bool)
@@ -159,18 +159,18 @@
 				c.stop(a)
 			}
 		}
-		c.giveUp(culprits)
+		c.giveUp(givenUp)
 	}
 	s.startedAtMS = list.StartedAtMS
 }
 
 // instanceEnded releases the attempts on an instance that is gone.
 func (c *Core) instanceEnded(s *server) {
-	culprits := c.attributeCrash(s, lossInstanceOver)
+	givenUp := c.attributeCrash(s, lossInstanceOver)
 	for _, a := range s.attempts {
 		c.markLost(a, lossInstanceOver)
 	}
-	c.giveUp(culprits)
+	c.giveUp(givenUp)
 	s.over = true
 	s.synced = false
 	s.processedEnd, s.storedEnd, s.ackedEnd, s.startedAtMS = 0, 0, 0, 0
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -39,6 +39,11 @@
 	run    int
 }
 
+// includes reports whether the attempt is a run of the trial. A nil trial has none.
+func (tr *trial) includes(a *attempt) bool {
+	return tr != nil && slices.Contains(tr.members, trialMember{a.task, a.server, a.run})
+}
+
 // mayTry reports whether a trial of the step may begin or go on being filled.
 func (c *Core) mayTry(st *step) bool {
 	if st.trial != nil {
@@ -256,7 +261,7 @@
 	return max(s.trial.startedAt.Add(s.trial.runTime).Sub(c.now), minTrialPoll).Truncate(time.Millisecond)
 }
 
-// reviewTrial acquits the tasks of a trial that the server has outlived.
+// reviewTrial clears the tasks of a trial that the server has outlived.
 func (c *Core) reviewTrial(s *server) {
 	tr := s.trial
 	if tr == nil || tr.startedAt.IsZero() {
@@ -273,15 +278,15 @@
 	}
 	for _, m := range tr.members {
 		if m.server == s && m.task.attempt != nil && m.task.attempt.server == s {
-			c.acquit(m.task)
+			c.clearTask(m.task)
 		}
 	}
 	c.leaveTrial(s)
 }
 
-// acquit drops the evidence against a task that its server has outlived. A gang is
-// acquitted once all servers of its trial have been.
-func (c *Core) acquit(t *task) {
+// clearTask drops the evidence against a task that its server has outlived. A gang is
+// cleared once all servers of its trial have been.
+func (c *Core) clearTask(t *task) {
 	if t.exposure == nil && len(t.history().Crashes) == 0 {
 		return
 	}
@@ -290,8 +295,8 @@
 	if tr := t.step.trial; t.step.spec.Gang && tr != nil && tr.serversLeft() > 1 {
 		return
 	}
-	t.history().Acquit()
-	c.log.Log(events.TaskAcquitted, "task", t.id().String())
+	t.history().Clear()
+	c.log.Log(events.TaskCleared, "task", t.id().String())
 }
 
 // serversLeft counts the servers on which the trial is under way.
@@ -308,7 +313,7 @@
 // runOutlived handles the listed end of a run: its server did not crash under it.
 func (c *Core) runOutlived(t *task, e RunEnd) {
 	if e.Kind == workload.EndDone {
-		c.acquit(t)
+		c.clearTask(t)
 		return
 	}
 	if t.exposure != nil && t.exposure.Run == e.Run {
@@ -320,7 +325,10 @@
 // adoptTrial goes on with the trial of a run that an earlier owner started.
 func (c *Core) adoptTrial(a *attempt) {
 	t, st := a.task, a.task.step
-	if t.exposure == nil || !t.exposure.Trial || t.exposure.Run != a.run || t.exposure.Server != a.server.info.ID || a.server.trial != nil {
+	if t.exposure == nil || !t.exposure.Trial || t.exposure.Run != a.run || t.exposure.Server != a.server.info.ID {
+		return
+	}
+	if a.server.trial != nil && a.server.trial != st.trial {
 		return
 	}
 	if st.trial == nil {
