--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -255,3 +255,21 @@
 		t.Error("nothing started on the server that stayed")
 	}
 }
+
+// An owner that never heard from an inherited server has sent it no lease. The owners after
+// it must not wait for the longest lease anew, or a task that ran on a server that left waits
+// for as long as owners follow each other.
+func TestCore_EachNextOwnerDoesNotWaitForTheLeaseAnew(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	start := h.runOne(id1, 1000)
+	h.takeOver()
+	h.answerAllPollsBut(start.To.ID)
+	h.advance(8 * time.Second)
+	h.takeOver()
+	h.answerAllPollsBut(start.To.ID)
+	h.advance(4 * time.Second)
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts 12 s after the last lease of at most 10 s was sent, want 1", n)
+	}
+}
