Hold the crash of a server less against runs that had been going for seconds

Cause, found in virtual time: where all runs of a crashed server were long-running ones, none was much older than the youngest, and all became suspects. Their trials last twice as long as the run had been going, 10 s at most, and one step has one trial at a time, so that tasks of one step waited for each other.

TestCore_LongRunningTasksAreBackSoonAfterCrashes failed before.

--- a/crashloop/attribution.go
+++ b/crashloop/attribution.go
@@ -9,6 +9,10 @@
 	// crashes its server mostly does so early.
 	olderFactor = 10
 	ageSlack    = 100 * time.Millisecond
+	// provenAge is the age from which a run is the less likely cause whatever ran beside
+	// it. Where all runs are long-running ones, one of them crashing its server now is
+	// less likely than a fault of the server.
+	provenAge = 3 * time.Second
 	// settleTime is how much older than a trial a run beside it has to be in order not
 	// to explain a crash as well as the trial does.
 	settleTime = 300 * time.Millisecond
@@ -37,7 +41,7 @@
 		}
 		onTrial = onTrial || r.OnTrial
 	}
-	likely := youngest*olderFactor + ageSlack
+	likely := min(youngest*olderFactor+ageSlack, provenAge)
 	for _, r := range runs {
 		disturbed = disturbed || !r.OnTrial && r.Age <= likely && !Settled(r.Age-youngest)
 	}
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -200,3 +200,32 @@
 	}
 	t.Logf("at most %d of 16 servers were down at once while trials were under way", down)
 }
+
+// Servers crash one after another for causes of their own. Long-running tasks that were lost
+// with them, all of them old, must not wait for one long trial after another.
+func TestCore_LongRunningTasksAreBackSoonAfterCrashes(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		w := newCrashWorld(t, 24, seed)
+		w.runTime = func(workload.TaskID) time.Duration { return time.Hour }
+		wide := oneTask(1000)
+		wide.Count, wide.LongRunning, wide.MaxPerServer = 60, true, 4
+		w.submit(id1, wide)
+		w.run(5 * time.Second)
+		for range 4 {
+			if m := w.machines[w.rng.IntN(len(w.machines))]; m.life != nil {
+				w.crash(m)
+			}
+			w.run(time.Duration(w.rng.IntN(4000)) * time.Millisecond)
+		}
+		w.run(10 * time.Second)
+		running := 0
+		for _, m := range w.machines {
+			if m.life != nil {
+				running += len(m.life.runs)
+			}
+		}
+		if running != wide.Count {
+			t.Errorf("seed %d: %d tasks run 10 s after the last crash, want %d", seed, running, wide.Count)
+		}
+	}
+}
