Keep trials on weak evidence short

Long-running tasks whose servers went down twice are suspects by two weak crashes, and their trials lasted as long as they had run, 10 s, one after another for each step. The age of a weak crash does not lengthen a trial any more. TestHistory_WeakEvidenceLeadsToAShortTrial would have failed before; tests of crashloop and internal/scheduler pass.

--- a/crashloop/crashloop_test.go
+++ b/crashloop/crashloop_test.go
@@ -110,6 +110,17 @@
 	}
 }
 
+// Weak evidence against a run that had been going for long must not lead to a trial as
+// long: long-running tasks of one step wait for each other's trials.
+func TestHistory_WeakEvidenceLeadsToAShortTrial(t *testing.T) {
+	var h crashloop.History
+	h.Add(crash(1, "a", crashloop.Weak), time.Minute)
+	h.Add(crash(2, "b", crashloop.Weak), time.Minute)
+	if d := h.TrialTime(); !h.Suspect() || d > time.Second {
+		t.Errorf("suspect %v, trial of %v, want at most 1s", h.Suspect(), d)
+	}
+}
+
 func TestHistory_BackoffGrows(t *testing.T) {
 	var h crashloop.History
 	last := time.Duration(-1)
--- a/crashloop/history.go
+++ b/crashloop/history.go
@@ -82,7 +82,8 @@
 	Crashes []Crash `cbor:"1,keyasint,omitempty"`
 	// PassedTrials counts the trials that the task outlived.
 	PassedTrials int `cbor:"2,keyasint,omitempty"`
-	// LongestMS is the longest time from a start to a crash, in milliseconds.
+	// LongestMS is the longest time from a start to a crash that is more than weak
+	// evidence, in milliseconds.
 	LongestMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
@@ -96,7 +97,9 @@
 		return false
 	}
 	h.Crashes = append(h.Crashes, c)
-	h.LongestMS = max(h.LongestMS, age.Milliseconds())
+	if c.Kind != Weak {
+		h.LongestMS = max(h.LongestMS, age.Milliseconds())
+	}
 	return true
 }
 
