Review case 5: a submission whose checkpoints don't fit in one record stops the store

Cause: the progress of a submission is one record without a bound, and a record that the store refuses is sent again for ever, before all others. Change: the case. The scripts take their ports below those of outgoing connections.

--- a/review/_rig/fleet.go
+++ b/review/_rig/fleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -76,7 +77,7 @@
 		return nil, err
 	}
 	f := &Fleet{Ledger: ledger, Store: NewStore(), dir: dir, client: &http.Client{}}
-	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
+	storeListener, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -121,13 +122,31 @@
 	f.Store.Put("keyed.op", "config", value)
 }
 
+// firstPort and ports are the range of the ports that are used, below those that the
+// system gives to outgoing connections.
+const (
+	firstPort = 20000
+	ports     = 12000
+)
+
+// given holds the addresses that freeAddress has returned.
+var given = make(map[string]bool)
+
+// freeAddress returns a loopback address that nobody listens at.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		if given[address] {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		given[address] = true
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 func portOf(address string) int {
--- a/review/_rig/ledger.go
+++ b/review/_rig/ledger.go
@@ -147,3 +147,22 @@
 	}
 	return done
 }
+
+// Ends returns how many ends the runners have listed, and how many of them are not
+// taken note of.
+func (l *Ledger) Ends() (listed, unnoted int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, runs := range l.runs {
+		for _, r := range runs {
+			if r.endNumber == 0 {
+				continue
+			}
+			listed++
+			if r.noted.IsZero() && !r.lapsed {
+				unnoted++
+			}
+		}
+	}
+	return listed, unnoted
+}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -26,6 +26,7 @@
 
 var scenarios = map[string]scenario{
 	"reborn-ack": {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, rebornAck},
+	"wide":       {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, wide},
 	"schedules":  {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, schedules},
 	"many-ends":  {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, manyEnds},
 }
