--- a/review/_rig/ledger.go
+++ b/review/_rig/ledger.go
@@ -166,3 +166,10 @@
 	}
 	return listed, unnoted
 }
+
+// StartsOf returns how often a task was started.
+func (l *Ledger) StartsOf(task string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs[task])
+}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -28,6 +28,7 @@
 	"reborn-ack": {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, rebornAck},
 	"wide":       {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, wide},
 	"schedules":  {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, schedules},
+	"deadly":     {Options{Daemons: 5, Runners: 10, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, deadly},
 	"many-ends":  {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, manyEnds},
 }
 
--- a/review/_rig/runner.go
+++ b/review/_rig/runner.go
@@ -23,6 +23,10 @@
 	MaxHold           time.Duration
 	Beat              time.Duration
 
+	// onDeadly, if set, is called at the start of a task whose text begins with
+	// "deadly".
+	onDeadly func()
+
 	store  *Store
 	ledger *Ledger
 	server *http.Server
@@ -285,6 +289,9 @@
 	r := &run{task: o.Task, number: o.Run, started: time.Now(), length: lengthOf(o.Spec), saves: strings.HasPrefix(o.Spec, "saves ")}
 	n.running[o.Task] = r
 	n.ledger.Started(n.ID, n.boot, o.Task, o.Run, o.Fence)
+	if n.onDeadly != nil && strings.HasPrefix(o.Spec, "deadly ") {
+		go n.onDeadly()
+	}
 	if r.length > 0 {
 		boot := n.boot
 		r.timer = time.AfterFunc(r.length, func() {
