--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -78,7 +78,7 @@
 func rebornAck(f *Fleet, trouble bool) ([]string, error) {
 	const (
 		width        = 40
-		outage       = 4200 * time.Millisecond
+		outage       = 4000 * time.Millisecond
 		crashAfter   = 900 * time.Millisecond
 		reuseAfter   = 2100 * time.Millisecond
 		longRun      = "ms=1500"
@@ -140,7 +140,7 @@
 	const (
 		width     = 50
 		number    = 15
-		killAfter = 3300 * time.Millisecond
+		killAfter = 3700 * time.Millisecond
 		downFor   = 3 * time.Second
 	)
 	all := ids(1, number)
