Review: stand-ins for a lost rack, a cut holder, another kind and failing tasks

Change: the store serves each daemon at an address of its own, so that it can leave one without an answer and take its partitions away; runners have kinds, entries that expire, and tasks that fail; each run takes a block of ports for itself.

--- a/review/_rig/fleet.go
+++ b/review/_rig/fleet.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -37,6 +39,20 @@
 	Daemons, Runners int
 	CPU, MemMB       int64
 	MaxHold          time.Duration
+	// RackSize is the number of runners of a rack; 4 if it is not set.
+	RackSize int
+	// KindOf returns the kind of the runners of a rack, by the rack's number from 0; all
+	// are of kind "a" if it is not set.
+	KindOf func(rack int) string
+}
+
+func (o Options) rackOf(runner int) int { return runner / cmp.Or(o.RackSize, 4) }
+
+func (o Options) kindOf(runner int) string {
+	if o.KindOf == nil {
+		return "a"
+	}
+	return o.KindOf(o.rackOf(runner))
 }
 
 // Fleet is a running installation: the project's daemons as processes, and stand-ins
@@ -72,21 +88,19 @@
 	if err != nil {
 		return nil, err
 	}
-	dir, err := os.MkdirTemp("", "review")
-	if err != nil {
+	if err := takeBlock(); err != nil {
 		return nil, err
 	}
-	f := &Fleet{Ledger: ledger, Store: NewStore(), dir: dir, client: &http.Client{}}
-	storeListener, err := net.Listen("tcp", freeAddress())
+	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	go func() { _ = (&http.Server{Handler: f.Store}).Serve(storeListener) }()
+	f := &Fleet{Ledger: ledger, Store: NewStore(), dir: dir, client: &http.Client{}}
 	f.PutConfig(1)
 	for i := range o.Runners {
 		r := &Runner{
-			ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Address: freeAddress(), Rack: fmt.Sprintf("r1-%d", i/4+1), CPU: o.CPU, MemMB: o.MemMB,
-			MaxHold: o.MaxHold, Beat: heartbeat, store: f.Store, ledger: ledger,
+			ID: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), Address: freeAddress(), Rack: fmt.Sprintf("r1-%02d", o.rackOf(i)+1), CPU: o.CPU, MemMB: o.MemMB,
+			MaxHold: o.MaxHold, Beat: heartbeat, Kind: o.kindOf(i), store: f.Store, ledger: ledger,
 		}
 		if err := r.Start(); err != nil {
 			return nil, err
@@ -94,7 +108,7 @@
 		f.Runners = append(f.Runners, r)
 	}
 	for i := range o.Daemons {
-		d, err := f.newDaemon(i, o, storeListener.Addr().String())
+		d, err := f.newDaemon(i, o)
 		if err != nil {
 			return nil, err
 		}
@@ -122,29 +136,45 @@
 	f.Store.Put("keyed.op", "config", value)
 }
 
-// firstPort and ports are the range of the ports that are used, below those that the
-// system gives to outgoing connections.
+// The ports that are used are below those that the system gives to outgoing connections.
+// Each process of this program takes a block of them for itself by listening at the
+// block's first port.
 const (
-	firstPort = 20000
-	ports     = 12000
+	firstPort  = 20000
+	blocks     = 24
+	blockPorts = 500
+)
+
+var (
+	// block is the listener at the first port of this process's block.
+	block net.Listener
+	// nextPort is the next port of the block.
+	nextPort int
 )
 
-// given holds the addresses that freeAddress has returned.
-var given = make(map[string]bool)
+// takeBlock takes a block of ports that no other process of this program has taken.
+func takeBlock() error {
+	for _, n := range rand.Perm(blocks) {
+		first := firstPort + n*blockPorts
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			block, nextPort = l, first+1
+			return nil
+		}
+	}
+	return errors.New("no block of ports is free")
+}
 
-// freeAddress returns a loopback address that nobody listens at.
+// freeAddress returns a loopback address of the block that nobody listens at.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
-		if given[address] {
-			continue
-		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
 		_ = l.Close()
-		given[address] = true
 		return address
 	}
 }
@@ -156,11 +186,26 @@
 	return n
 }
 
-func (f *Fleet) newDaemon(i int, o Options, store string) (*Daemon, error) {
+// serveStore serves the store to one machine at an address of its own, so that the
+// store can tell the machines apart.
+func (f *Fleet) serveStore(machine string) (string, error) {
+	listener, err := net.Listen("tcp", freeAddress())
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = (&http.Server{Handler: f.Store.For(machine)}).Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (f *Fleet) newDaemon(i int, o Options) (*Daemon, error) {
 	d := &Daemon{
 		Name: fmt.Sprintf("edge-%s-%d", zoneName, i+1), Peer: freeAddress(), Frontend: freeAddress(), Readiness: freeAddress(), fleet: f,
 	}
 	d.settings = filepath.Join(f.dir, d.Name+".json")
+	store, err := f.serveStore(d.Name)
+	if err != nil {
+		return nil, err
+	}
 	port := portOf(d.Peer)
 	settings := map[string]any{
 		"node_name": d.Name, "role": "daemon", "machine_class": "edge", "serves": []string{"edge", "control"}, "ip": "127.0.0.1",
@@ -260,6 +305,16 @@
 	}
 }
 
+// lastLog returns the end of the process's log.
+func (d *Daemon) lastLog() string {
+	const most = 600
+	text, err := os.ReadFile(filepath.Join(d.fleet.dir, d.Name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-most):])
+}
+
 func (f *Fleet) awaitReady() error {
 	deadline := time.Now().Add(15 * time.Second)
 	for _, d := range f.Daemons {
@@ -272,7 +327,7 @@
 				}
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s is not ready", d.Name)
+				return fmt.Errorf("%s is not ready: %s", d.Name, d.lastLog())
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -327,13 +382,15 @@
 
 // Step is a step of a submission on the wire.
 type Step struct {
-	Count        int   `json:"count"`
-	CPU          int64 `json:"cpu"`
-	MemMB        int64 `json:"mem_mb"`
-	EstimatedMS  int64 `json:"estimated_ms"`
-	AntiAffinity int   `json:"anti_affinity,omitempty"`
-	LongRunning  bool  `json:"long_running,omitempty"`
-	Checkpoints  bool  `json:"checkpointing,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int64  `json:"cpu"`
+	MemMB        int64  `json:"mem_mb"`
+	EstimatedMS  int64  `json:"estimated_ms"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	Checkpoints  bool   `json:"checkpointing,omitempty"`
+	DependsOn    []int  `json:"depends_on,omitempty"`
+	Requirements string `json:"requirements,omitempty"`
 }
 
 // Call makes one requester's call at a daemon.
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -25,11 +25,15 @@
 }
 
 var scenarios = map[string]scenario{
-	"reborn-ack": {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, rebornAck},
-	"wide":       {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, wide},
-	"schedules":  {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, schedules},
-	"deadly":     {Options{Daemons: 5, Runners: 10, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, deadly},
-	"many-ends":  {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, manyEnds},
+	"reborn-ack":   {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, rebornAck},
+	"wide":         {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, wide},
+	"schedules":    {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, schedules},
+	"deadly":       {Options{Daemons: 5, Runners: 10, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, deadly},
+	"stale-cancel": {Options{Daemons: 4, Runners: 8, CPU: 32000, MemMB: 65536, MaxHold: 10 * time.Second}, staleCancel},
+	"other-kind":   {Options{Daemons: 3, Runners: 9, CPU: 32000, MemMB: 65536, MaxHold: 6 * time.Second}, otherKind},
+	"crashing":     {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, crashing},
+	"lost-rack":    {Options{Daemons: 3, Runners: 400, CPU: 32000, MemMB: 65536, MaxHold: 6 * time.Second, RackSize: 20, KindOf: firstTwoRacks}, lostRack},
+	"many-ends":    {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, manyEnds},
 }
 
 func main() {
@@ -74,7 +78,7 @@
 }
 
 // rebornAck: a runner crashes and is back under its id while the store is down, with
-// an end that the scheduler has read and could not store. See review/1/claim.txt.
+// an end that the scheduler has read and could not store. See review/2/claim.txt.
 func rebornAck(f *Fleet, trouble bool) ([]string, error) {
 	const (
 		width        = 40
@@ -135,7 +139,7 @@
 
 // manyEnds: the daemon that schedules is killed, and more runs end on one runner
 // than it lists at a time before another daemon has taken over. See
-// review/2/claim.txt.
+// review/3/claim.txt.
 func manyEnds(f *Fleet, trouble bool) ([]string, error) {
 	const (
 		width     = 50
--- a/review/_rig/runner.go
+++ b/review/_rig/runner.go
@@ -14,14 +14,20 @@
 // maxListedEnds is the most ends that a runner lists in one response.
 const maxListedEnds = 500
 
+// entryIntervals is the number of heartbeat intervals after which an entry expires.
+const entryIntervals = 3
+
 // Runner is a stand-in for one backend server. It runs a task for the time that the
 // task's text names: "ms=700" is 700 ms, and "ms=0" lasts until it is stopped. A text
-// that begins with "saves " gives checkpoints.
+// that begins with "saves " gives checkpoints, and one that begins with "fails " makes each
+// run fail after that time; after "once " only the first run fails.
 type Runner struct {
 	ID, Address, Rack string
 	CPU, MemMB        int64
 	MaxHold           time.Duration
 	Beat              time.Duration
+	// Kind is the label of the runner's kind, which a new boot may change.
+	Kind string
 
 	// onDeadly, if set, is called at the start of a task whose text begins with
 	// "deadly".
@@ -46,6 +52,23 @@
 	lastEnd  int
 	changed  chan struct{}
 	sequence int
+	// cutFromStore is set while the runner can't reach the store, and written counts
+	// the entries that the store has accepted.
+	cutFromStore bool
+	written      int
+	// listedRuns is set once the boot has listed its runs.
+	listedRuns bool
+	misplaced  []misplacedStart
+}
+
+// misplacedStart is a start of a task that requires another kind of runner.
+type misplacedStart struct {
+	task string
+	kind string
+	boot int
+	at   time.Time
+	// told is set if the boot had listed its runs, and so its birth, before.
+	told bool
 }
 
 type run struct {
@@ -54,7 +77,9 @@
 	started time.Time
 	length  time.Duration
 	saves   bool
-	timer   *time.Timer
+	// how is the kind of the end after the run's length.
+	how   string
+	timer *time.Timer
 }
 
 // checkpointInterval is the work after which a task has a new checkpoint.
@@ -94,6 +119,7 @@
 		return err
 	}
 	n.mu.Lock()
+	n.listedRuns = false
 	n.up, n.draining, n.silent, n.boot, n.born = true, false, false, n.boot+1, time.Now()
 	n.fence, n.deadline, n.lapsed, n.lastEnd, n.sequence, n.ends = 0, 0, time.Time{}, 0, 0, nil
 	n.running, n.latest, n.changed = make(map[string]*run), make(map[string]int), make(chan struct{})
@@ -176,7 +202,7 @@
 
 func (n *Runner) writeEntry() {
 	n.mu.Lock()
-	if !n.up || n.silent {
+	if !n.up || n.silent || n.cutFromStore {
 		n.mu.Unlock()
 		return
 	}
@@ -188,12 +214,50 @@
 	host := strings.Split(n.Rack, "-")[0]
 	entry := map[string]any{
 		"service": serviceName, "address": n.Address, "zone": zoneName, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
-		"capacity": map[string]any{"cpu": n.CPU, "mem_mb": n.MemMB, "gpu": 0}, "labels": []string{"a", n.Rack}, "machine": "m-" + host + n.ID,
+		"capacity": map[string]any{"cpu": n.CPU, "mem_mb": n.MemMB, "gpu": 0}, "labels": []string{n.Kind, n.Rack}, "machine": "m-" + host + n.ID,
 		"clock_ms": n.clock(), "sequence": n.sequence, "born": n.born.UnixMilli(),
 	}
 	n.mu.Unlock()
 	value, _ := json.Marshal(entry)
-	n.store.Put("keyed.servers", n.ID, value)
+	if n.store.Put("keyed.servers", n.ID, value) {
+		n.wrote()
+	}
+}
+
+// wrote notes that the store has accepted the entry, which expires after three
+// heartbeat intervals without another one.
+func (n *Runner) wrote() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.written++
+	written := n.written
+	time.AfterFunc(entryIntervals*n.Beat, func() {
+		n.mu.Lock()
+		expired := n.written == written
+		n.mu.Unlock()
+		if expired {
+			n.ledger.Note("store   the entry of %s has expired", n.ID)
+			n.store.Put("keyed.servers", n.ID, nil)
+		}
+	})
+}
+
+// SetCutFromStore cuts the runner off from the store, but not from the daemons.
+func (n *Runner) SetCutFromStore(cut bool) {
+	n.mu.Lock()
+	n.cutFromStore = cut
+	n.mu.Unlock()
+	n.ledger.Note("runner  %s cut off from the store: %t", n.ID, cut)
+	if !cut {
+		n.writeEntry()
+	}
+}
+
+// Written returns how often the store has accepted the runner's entry.
+func (n *Runner) Written() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.written
 }
 
 // watchLease ends everything that runs once the lease is over.
@@ -286,9 +350,19 @@
 		n.conflict(w, "old")
 		return
 	}
-	r := &run{task: o.Task, number: o.Run, started: time.Now(), length: lengthOf(o.Spec), saves: strings.HasPrefix(o.Spec, "saves ")}
+	r := &run{task: o.Task, number: o.Run, started: time.Now(), length: lengthOf(o.Spec), saves: strings.HasPrefix(o.Spec, "saves "), how: "done"}
+	if strings.HasPrefix(o.Spec, "fails ") || strings.HasPrefix(o.Spec, "once ") {
+		r.how = "failed"
+	}
 	n.running[o.Task] = r
 	n.ledger.Started(n.ID, n.boot, o.Task, o.Run, o.Fence)
+	if strings.HasPrefix(o.Spec, "once ") && n.ledger.StartsOf(o.Task) > 1 {
+		r.length = 0
+	}
+	if _, kind, ok := strings.Cut(o.Spec, "needs="); ok && kind != n.Kind {
+		n.misplaced = append(n.misplaced, misplacedStart{o.Task, n.Kind, n.boot, time.Now(), n.listedRuns})
+		n.ledger.Note("runner  %s boot %d is of kind %s; %s needs %s", n.ID, n.boot, n.Kind, o.Task, kind)
+	}
 	if n.onDeadly != nil && strings.HasPrefix(o.Spec, "deadly ") {
 		go n.onDeadly()
 	}
@@ -298,7 +372,7 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			if n.up && n.boot == boot && n.running[r.task] == r {
-				n.endRun(r, "done")
+				n.endRun(r, r.how)
 			}
 		})
 	}
@@ -315,6 +389,7 @@
 // lengthOf returns the run time that a task's text names.
 func lengthOf(spec string) time.Duration {
 	_, text, _ := strings.Cut(spec, "ms=")
+	text, _, _ = strings.Cut(text, " ")
 	ms, _ := strconv.Atoi(text)
 	return time.Duration(ms) * time.Millisecond
 }
@@ -362,6 +437,10 @@
 		ends = append(ends, []any{e.number, e.task, e.run, e.how, e.saved})
 	}
 	clock, born := n.clock(), n.born.UnixMilli()
+	if !n.listedRuns {
+		n.listedRuns = true
+		n.ledger.Note("runner  %s boot %d lists its runs for the first time, born %d", n.ID, n.boot, born)
+	}
 	n.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{"clock_ms": clock, "born": born, "running": runs, "finished": ends})
 }
--- a/review/_rig/schedules.go
+++ b/review/_rig/schedules.go
@@ -51,7 +51,7 @@
 }
 
 // schedules: teams hand in submissions that run once a minute for a week. See
-// review/3/claim.txt.
+// review/REPORT.md: it is a trial, not a case.
 func schedules(f *Fleet, trouble bool) ([]string, error) {
 	const (
 		number     = 70
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sort"
@@ -66,11 +67,48 @@
 	down  bool
 	since time.Time
 	group groupState
+	// unanswered holds the machines whose calls get no answer.
+	unanswered map[string]bool
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{parts: make(map[string]*logPart), group: newGroupState()}
+	return &Store{parts: make(map[string]*logPart), group: newGroupState(), unanswered: make(map[string]bool)}
+}
+
+// For returns the store as one machine reaches it.
+func (s *Store) For(machine string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isUnanswered(machine) {
+			<-r.Context().Done()
+			return
+		}
+		s.ServeHTTP(w, r)
+	})
+}
+
+func (s *Store) isUnanswered(machine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unanswered[machine]
+}
+
+// SetUnanswered makes the store leave the calls of one machine without an answer, or
+// serve it again.
+func (s *Store) SetUnanswered(machine string, unanswered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unanswered[machine] = unanswered
+}
+
+// Revoke takes all partitions away from a member and deals them to the others, at once
+// and without any request.
+func (s *Store) Revoke(member string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.group.until, member)
+	s.group.deal()
+	maps.Copy(s.group.owner, s.group.target)
 }
 
 // SetDown makes the store answer every call with 503, or serve again. Membership
--- a/review/_rig/wide.go
+++ b/review/_rig/wide.go
@@ -7,7 +7,7 @@
 )
 
 // wide: a submission has more checkpoints than fit in one record of the store. See
-// review/5/claim.txt.
+// review/REPORT.md: it is a trial, not a case.
 func wide(f *Fleet, trouble bool) ([]string, error) {
 	const (
 		width     = 12000
