--- a/review/_rig/lostrack.go
+++ b/review/_rig/lostrack.go
@@ -79,6 +79,13 @@
 		}
 	}
 	f.Ledger.Note("%d tasks run on %d runners; the runners of kind b that are up have room for %d more", inUse, len(f.Runners), room)
+	const coresOfRunner, twiceOver = 32, 2
+	used := inUse * int(step.CPU) / 1000
+	f.Ledger.Note("%d of %d cores are in use", used, coresOfRunner*len(f.Runners))
+	if room < twiceOver*width || 2*used >= coresOfRunner*len(f.Runners) {
+		f.Ledger.Note("excused: no room twice over, or half of the capacity is in use")
+		return nil, nil
+	}
 	var broken []string
 	for _, id := range append(before, after...) {
 		state := f.State(id)
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -29,10 +29,10 @@
 	"wide":         {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, wide},
 	"schedules":    {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, schedules},
 	"deadly":       {Options{Daemons: 5, Runners: 10, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, deadly},
-	"stale-cancel": {Options{Daemons: 4, Runners: 8, CPU: 32000, MemMB: 65536, MaxHold: 10 * time.Second}, staleCancel},
+	"stale-cancel": {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, staleCancel},
 	"other-kind":   {Options{Daemons: 3, Runners: 9, CPU: 32000, MemMB: 65536, MaxHold: 6 * time.Second}, otherKind},
 	"crashing":     {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, crashing},
-	"lost-rack":    {Options{Daemons: 3, Runners: 400, CPU: 32000, MemMB: 65536, MaxHold: 6 * time.Second, RackSize: 20, KindOf: firstTwoRacks}, lostRack},
+	"lost-rack":    {Options{Daemons: 3, Runners: 400, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second, RackSize: 20, KindOf: firstTwoRacks}, lostRack},
 	"long-name":    {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, longName},
 	"many-ends":    {Options{Daemons: 3, Runners: 8, CPU: 32000, MemMB: 131072, MaxHold: 6 * time.Second}, manyEnds},
 }
--- a/review/_rig/stalecancel.go
+++ b/review/_rig/stalecancel.go
@@ -44,17 +44,18 @@
 // answering for it. See review/4/claim.txt.
 func staleCancel(f *Fleet, trouble bool) ([]string, error) {
 	const (
-		apart       = 24 * time.Millisecond
-		cutFor      = 2 * time.Second
-		cutEvery    = 5 * time.Second
-		cuts        = 8
+		apart       = 67 * time.Millisecond
+		cutFor      = 1500 * time.Millisecond
+		cutEvery    = 3500 * time.Millisecond
+		cuts        = 12
 		firstCut    = 2 * time.Second
-		traffic     = firstCut + (cuts-1)*cutEvery + time.Second
-		stepMS      = 44000
+		traffic     = firstCut + (cuts-1)*cutEvery + cutFor
+		stepMS      = 45000
 		cancelTime  = 3 * time.Second
 		contactTime = 4 * time.Second
 		watched     = traffic + stepMS*time.Millisecond + 3*time.Second
-		cancelShare = 0.35
+		// Requesters cancel this share of what they hand in, for cutFor from each cut on.
+		cancelShare = 0.4
 	)
 	first := Step{Count: 1, CPU: 100, MemMB: 32, EstimatedMS: stepMS}
 	second := first
@@ -77,7 +78,8 @@
 	calm := began.Add(firstCut + (cuts-1)*cutEvery + cutFor + contactTime)
 	for n := 0; time.Since(began) < traffic; n++ {
 		id := ids(2, n+1)[n]
-		cancel := rand.Float64() < cancelShare
+		since := time.Since(began) - firstCut
+		cancel := since >= 0 && since%cutEvery < cutFor && rand.Float64() < cancelShare
 		calls.Go(func() {
 			if !f.submit(id, body) || !cancel {
 				return
