One session per instance of a backend server: an acknowledgement that waited is not for the next one

Cause: what is known of one instance (end numbers, clock, lease, ...) lay in a record that outlived it and was reset field by field in three places. flush put the acknowledgement of ends into a callback that waits for the log; it named the server, and ran after the reset, against the next instance. The next poll told that instance to drop ends up to a number of the one before, unread. Two further paths were found by reading: an answer to a poll of the former instance was applied to the next, and so were the confirmation of a stop and the clock of a start's late answer.

Ruled out: the guess by time (instanceUnchanged) alone. The acknowledgement was sent within its bound, by an owner that had just heard from the new instance.

Fix: what belongs to one instance is one value, session, replaced whole; orders, polls, trials and deferred acknowledgements name it, and what comes back for an earlier one is not applied. The time bound counts from a lower bound of the last moment at which the instance was up (sent time, or its own clock's progress), is checked again when the poll leaves its queue, and does not hold after this machine was suspended, since the monotonic clock does not count that time. run_lost, run_adopted, run_unknown, server_crashed and server_reborn say of which instance they are.

The test harness gets the bound ReuseAfter that every installation has; it was 0, which no platform can mean.

--- a/internal/events/backendserver.go
+++ b/internal/events/backendserver.go
@@ -32,8 +32,8 @@
 	}
 	ServerRestarted = Event{
 		Number: 6025, Level: slog.LevelWarn, Name: "server_reborn",
-		Fields:  []string{"server", "born", "before", "attempts"},
-		Meaning: "A backend server restarted under the same ID; its earlier runs are over.",
+		Fields:  []string{"server", "born", "before", "attempts", "processedEnd", "storedEnd"},
+		Meaning: "A backend server restarted under the same ID; its earlier runs are over. Of the earlier instance, ends were handled through processedEnd and stored through storedEnd.",
 		Action:  "Find the cause of the restart.",
 	}
 	ServerRemoved = Event{
@@ -66,7 +66,7 @@
 	}
 	ServerCrashed = Event{
 		Number: 6052, Level: slog.LevelWarn, Name: "server_crashed",
-		Fields:  []string{"server", "address", "how", "attempts", "silent"},
+		Fields:  []string{"server", "address", "born", "how", "attempts", "silent"},
 		Meaning: "An instance of a backend server is certainly over without having announced it, and its runs with it. The field how says how that was learned; silent is how long the server did not respond before, in milliseconds.",
 		Action:  "Compare the tasks of its run_lost events with those of other crashes: a task that recurs may crash its servers; an address that recurs is a faulty machine.",
 	}
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -42,19 +42,19 @@
 	}
 	RunLost = Event{
 		Number: 6008, Level: slog.LevelWarn, Name: "run_lost",
-		Fields:  []string{"task", "run", "server", "why", "age"},
+		Fields:  []string{"task", "run", "server", "born", "why", "age"},
 		Meaning: "A run is over and its outcome is unknown; its task is restarted. The field age is the time from its start order until the server stopped responding, in milliseconds.",
 		Action:  "Examine the server's earlier events. If many servers lose runs at the same time, check the network.",
 	}
 	RunOrphaned = Event{
 		Number: 6009, Level: slog.LevelWarn, Name: "run_unknown",
-		Fields:  []string{"task", "run", "server"},
+		Fields:  []string{"task", "run", "server", "born"},
 		Meaning: "A backend server runs a task of a submission that has ended; the run is stopped.",
 		Action:  "None, unless it repeats for one server: then the server does not carry out stop commands.",
 	}
 	RunAdopted = Event{
 		Number: 6010, Level: slog.LevelInfo, Name: "run_adopted",
-		Fields:  []string{"task", "run", "server"},
+		Fields:  []string{"task", "run", "server", "born"},
 		Meaning: "A run that was started by an earlier owner was adopted by this daemon.",
 	}
 	GangIncomplete = Event{
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -122,8 +122,12 @@
 		return
 	}
 	a.startResults++
+	current := c.serverOf(to) != nil
 	if err == nil {
-		c.startConfirmed(a, clock)
+		if current {
+			a.server.updateClock(clock, c.now)
+		}
+		c.startConfirmed(a)
 		return
 	}
 	c.metric.orderFailed(err)
@@ -136,11 +140,14 @@
 		c.startUnanswered(a)
 		return
 	}
+	if current && verdict.ReasonOf(err) == ReasonWrongInstance {
+		c.instanceEnded(a.server)
+		return
+	}
 	c.startRejected(a, verdict.ReasonOf(err))
 }
 
-func (c *Core) startConfirmed(a *attempt, clock int64) {
-	a.server.updateClock(clock, c.now)
+func (c *Core) startConfirmed(a *attempt) {
 	if a.state == startSent {
 		a.state = running
 		a.answeredAt = c.now
@@ -189,10 +196,7 @@
 	s, t := a.server, a.task
 	switch reason {
 	case ReasonFenced:
-		c.fence(s)
-		return
-	case ReasonWrongInstance:
-		c.instanceEnded(s)
+		c.fence(s.info.ID)
 		return
 	case ReasonInvalidTicket:
 		delete(t.step.authorization.tickets, s.info.ID)
@@ -218,10 +222,10 @@
 	c.release(a)
 }
 
-// fence ends the Core, since a later owner has sent orders.
-func (c *Core) fence(s *server) {
+// fence ends the Core, since a later owner has sent orders to the server.
+func (c *Core) fence(server string) {
 	c.fenced = true
-	c.log.Log(events.OwnerFenced, "server", s.info.ID, "epoch", c.epoch)
+	c.log.Log(events.OwnerFenced, "server", server, "epoch", c.epoch)
 }
 
 // StopCompleted handles the outcome of a stop order.
@@ -230,22 +234,26 @@
 	if a == nil {
 		return
 	}
-	if err == nil {
+	current := c.serverOf(to) != nil
+	if err == nil && current {
 		a.answeredAt = c.now
 		c.poll(a.server)
 		return
 	}
-	c.metric.orderFailed(err)
-	c.log.Log(events.CommandFailed, "task", o.Task.String(), "run", o.Run, "server", to.ID, "order", "stop",
-		"reason", string(verdict.ReasonOf(err)), "verdict", verdict.Of(err).String(), "error", err.Error())
-	switch verdict.ReasonOf(err) {
-	case ReasonFenced:
-		c.fence(a.server)
-	case ReasonWrongInstance:
+	if err != nil {
+		c.metric.orderFailed(err)
+		c.log.Log(events.CommandFailed, "task", o.Task.String(), "run", o.Run, "server", to.ID, "order", "stop",
+			"reason", string(verdict.ReasonOf(err)), "verdict", verdict.Of(err).String(), "error", err.Error())
+	}
+	switch reason := verdict.ReasonOf(err); {
+	case reason == ReasonFenced:
+		c.fence(to.ID)
+	case reason == ReasonWrongInstance && current:
 		c.instanceEnded(a.server)
 	default:
+		// A stop that an earlier instance confirmed forbids nothing to this one.
 		a.stopResults++
-		c.emit(StopTask{To: to, Order: o, Attempt: a.stopResults, Delay: resendDelay(a.stopResults)})
+		c.emit(StopTask{To: a.server.instance(), Order: o, Attempt: a.stopResults, Delay: resendDelay(a.stopResults)})
 		c.poll(a.server)
 	}
 }
@@ -288,7 +296,7 @@
 // markLost releases an attempt whose run is over without a listed end.
 func (c *Core) markLost(a *attempt, reason lossReason) {
 	c.metric.runsLost.Inc()
-	c.log.Log(events.RunLost, "task", a.task.id().String(), "run", a.run, "server", a.server.info.ID, "why", string(reason),
+	c.log.Log(events.RunLost, "task", a.task.id().String(), "run", a.run, "server", a.server.info.ID, "born", a.server.startedAtMS, "why", string(reason),
 		"age", a.server.lastSeenAlive(c.now).Sub(a.sentAt).Milliseconds())
 	c.release(a)
 	if a.task.step.spec.Gang {
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -64,6 +64,9 @@
 type Instance struct {
 	ID      string
 	Address string
+	// Session is the Core's number of the instance, by which it recognizes
+	// outcomes that belong to an earlier one. It is not sent to the server.
+	Session uint64
 }
 
 // Order starts or stops one run of a task.
@@ -89,6 +92,9 @@
 	// AckedEnd is the number of the last stored end, which the server may drop
 	// with all before it.
 	AckedEnd uint64
+	// AckValidUntil is when AckedEnd becomes too old to be sent, since another
+	// instance may have followed by then.
+	AckValidUntil time.Time
 	// Wait is how long the server may hold the answer back until a run ends.
 	Wait time.Duration
 }
@@ -123,6 +129,9 @@
 	StartedAtMS int64
 	Running     []ActiveRun
 	Ended       []RunEnd
+	// AckWithheld is set if the request was sent without its acknowledgement,
+	// which had become too old.
+	AckWithheld bool
 }
 
 // ServerClient sends orders to backend servers. The verdict of an error says
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -48,6 +48,11 @@
 	now  time.Time
 	wall int64
 
+	// lastSession is the number of the newest session.
+	lastSession uint64
+	// resumedAt is when this machine was last found to have been suspended.
+	resumedAt time.Time
+
 	// maxLeaseSent is the longest lease that this or an earlier owner may have
 	// sent.
 	maxLeaseSent time.Duration
@@ -69,9 +74,9 @@
 	// onStored holds callbacks, in order, that run once a write is in the log.
 	onStored []storedCallback
 	dirty    []*job
-	// pendingAcks holds, for each server, the last processed end, which is
-	// acknowledged to the server once it is stored.
-	pendingAcks map[*server]uint64
+	// pendingAcks holds the servers with processed ends, which are acknowledged
+	// once they are stored.
+	pendingAcks map[*server]bool
 
 	// exposed holds, by server, the tasks without an attempt there whose run may
 	// have ended with a crash of it.
@@ -126,7 +131,7 @@
 	c := &Core{
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
-		pendingAcks: make(map[*server]uint64), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
+		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	c.maxLeaseSent = max(bounds.lease(), previousLease(records, bounds))
@@ -143,7 +148,10 @@
 }
 
 // SetTime sets the monotonic and the wall-clock time of the next event.
-func (c *Core) SetTime(now time.Time, wall int64) { c.now, c.wall = now, wall }
+func (c *Core) SetTime(now time.Time, wall int64) {
+	c.checkSuspended(now, wall)
+	c.now, c.wall = now, wall
+}
 
 // Fenced reports whether a later owner has sent orders or has written to the
 // partition. The Core returns no more actions then.
@@ -218,14 +226,12 @@
 	if len(c.pendingAcks) == 0 {
 		return
 	}
-	acks := c.pendingAcks
-	c.pendingAcks = make(map[*server]uint64)
-	acknowledge := func() {
-		for s, n := range acks {
-			s.storedEnd = max(s.storedEnd, n)
-			c.poll(s)
-		}
+	acks := make([]ackedEnds, 0, len(c.pendingAcks))
+	for s := range c.pendingAcks {
+		acks = append(acks, ackedEnds{s.instance(), s.processedEnd})
 	}
+	clear(c.pendingAcks)
+	acknowledge := func() { c.acknowledge(acks) }
 	if len(c.onStored) == 0 && !c.hasStores() {
 		acknowledge()
 		return
@@ -233,6 +239,23 @@
 	c.afterStored(acknowledge)
 }
 
+// ackedEnds names the last stored end of one instance of a server.
+type ackedEnds struct {
+	to     Instance
+	number uint64
+}
+
+// acknowledge lets the next polls acknowledge ends that are stored. An instance
+// that followed meanwhile numbers its ends anew and gets nothing of that.
+func (c *Core) acknowledge(acks []ackedEnds) {
+	for _, a := range acks {
+		if s := c.serverOf(a.to); s != nil {
+			s.storedEnd = max(s.storedEnd, a.number)
+			c.poll(s)
+		}
+	}
+}
+
 // hasStores reports whether the current event has produced writes.
 func (c *Core) hasStores() bool {
 	for _, a := range c.actions {
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -48,7 +48,7 @@
 		t: t, now: time.Unix(1_700_000_000, 0), wall: 1_700_000_000_000, log: make(map[string]partition.Record),
 		polls: make(map[string]PollServer),
 		bounds: Bounds{
-			MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: 2 * time.Minute,
+			MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: 2 * time.Minute, ReuseAfter: 2 * time.Second,
 		},
 		config: &routing.Configuration{
 			Version: 1, Services: map[string]routing.Service{testService: {Name: testService}},
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -42,7 +42,7 @@
 		at = s.silentBefore
 	}
 	c.metric.serversCrashed.Inc()
-	c.log.Log(events.ServerCrashed, "server", s.info.ID, "address", s.info.Address, "how", string(reason), "attempts", len(s.attempts),
+	c.log.Log(events.ServerCrashed, "server", s.info.ID, "address", s.info.Address, "born", s.startedAtMS, "how", string(reason), "attempts", len(s.attempts),
 		"silent", c.now.Sub(at).Milliseconds())
 	if s.unresponsiveSince.IsZero() {
 		c.hosts.WentDown(crashloop.Down{Host: s.info.Address, At: at, OnTrial: s.trial != nil})
--- a/internal/scheduler/crashworld_test.go
+++ b/internal/scheduler/crashworld_test.go
@@ -42,6 +42,10 @@
 	// failing is set while afterCrash is due.
 	failing bool
 	gangs   map[string]int
+	// sameID lets a machine come back under the ID that it had.
+	sameID bool
+	// ledger records what the servers did; it may be nil.
+	ledger *runLedger
 }
 
 type machine struct {
@@ -52,6 +56,8 @@
 	backAt   time.Time
 	listedAt time.Time
 	stayDown bool
+	// entry is the list's entry of the machine, if it has the same ID for ever.
+	entry ServerInfo
 }
 
 // life is one server: the machine from one start to the next crash.
@@ -72,14 +78,22 @@
 type worldOrder struct {
 	due    time.Time
 	action Action
+	// heldBy is the life that holds a poll open; nil before it arrives.
+	heldBy *life
 }
 
 func newCrashWorld(t *testing.T, machines int, seed uint64) *crashWorld {
+	return newCrashWorldOf(t, machines, seed, func(*crashWorld) {})
+}
+
+// newCrashWorldOf returns a world that set has changed before its first machine starts.
+func newCrashWorldOf(t *testing.T, machines int, seed uint64, set func(*crashWorld)) *crashWorld {
 	w := &crashWorld{
 		rng: rand.New(rand.NewPCG(seed, 1)), crashAfter: make(map[workload.TaskID]time.Duration), faultyAfter: make(map[*machine]time.Duration),
 		started: make(map[workload.TaskID][]time.Time), crashed: make(map[workload.TaskID][]time.Time), gangs: make(map[string]int),
 		runTime: func(workload.TaskID) time.Duration { return time.Second },
 	}
+	set(w)
 	w.harness = newHarness(t, 0)
 	w.bounds.ReuseAfter = 2 * time.Second
 	for i := range machines {
@@ -97,6 +111,9 @@
 func (w *crashWorld) boot(m *machine) {
 	m.lives++
 	m.life = &life{id: fmt.Sprintf("%s#%d", m.address, m.lives), bornMS: w.wall, runs: make(map[runKey]*worldRun)}
+	if w.sameID {
+		m.life.id = m.address
+	}
 	m.listedAt = w.now.Add(worldListLag)
 }
 
@@ -104,6 +121,7 @@
 func (w *crashWorld) crash(m *machine) {
 	w.crashes++
 	lost := m.life.runs
+	w.ledger.crashed(m.life)
 	m.life = nil
 	m.backAt = w.now.Add(worldDowntime)
 	for key := range lost {
@@ -131,13 +149,15 @@
 func (w *crashWorld) list() []ServerInfo {
 	var out []ServerInfo
 	for _, m := range w.machines {
-		if m.life == nil || w.now.Before(m.listedAt) {
-			continue
+		if m.life != nil && !w.now.Before(m.listedAt) {
+			m.entry = ServerInfo{
+				ID: m.life.id, Service: testService, Address: m.address, Capacity: workload.Resources{CPU: 32000, MemoryMB: 64000},
+				Labels: []string{"a", m.rack}, StartedAtMS: m.life.bornMS,
+			}
+			out = append(out, m.entry)
+		} else if w.sameID && m.entry.ID != "" {
+			out = append(out, m.entry)
 		}
-		out = append(out, ServerInfo{
-			ID: m.life.id, Service: testService, Address: m.address, Capacity: workload.Resources{CPU: 32000, MemoryMB: 64000},
-			Labels: []string{"a", m.rack}, StartedAtMS: m.life.bornMS,
-		})
 	}
 	return out
 }
@@ -215,16 +235,17 @@
 func (w *crashWorld) end(l *life, key runKey, kind workload.EndKind) {
 	delete(l.runs, key)
 	l.lastEnd++
+	w.ledger.ended(l, key, l.lastEnd, kind)
 	l.ends = append(l.ends, RunEnd{Number: l.lastEnd, Task: key.task, Run: key.run, Kind: kind})
 }
 
 // collect takes over the actions that the Core returned.
 func (w *crashWorld) collect() {
 	for _, a := range w.takeStarts() {
-		w.orders = append(w.orders, worldOrder{w.now.Add(a.Delay), a})
+		w.orders = append(w.orders, worldOrder{due: w.now.Add(a.Delay), action: a})
 	}
 	for _, a := range w.stops {
-		w.orders = append(w.orders, worldOrder{w.now.Add(a.Delay), a})
+		w.orders = append(w.orders, worldOrder{due: w.now.Add(a.Delay), action: a})
 	}
 	w.stops = nil
 	ids := make([]string, 0, len(w.polls))
@@ -234,7 +255,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		a := w.polls[id]
-		w.orders = append(w.orders, worldOrder{w.now.Add(a.Delay), a})
+		w.orders = append(w.orders, worldOrder{due: w.now.Add(a.Delay), action: a})
 	}
 	clear(w.polls)
 }
@@ -278,15 +299,26 @@
 
 func (w *crashWorld) start(a StartTask) {
 	l, err := w.reach(a.To)
+	clock := w.clock()
 	if err == nil {
+		clock = w.lifeClock(l)
 		key := runKey{a.Order.Task, a.Order.Run}
 		if l.runs[key] == nil {
 			l.runs[key] = &worldRun{begun: w.now, workAt: w.now}
 			w.started[a.Order.Task] = append(w.started[a.Order.Task], w.now)
+			w.ledger.started(l, key, w.now)
 			w.formGang(key)
 		}
 	}
-	w.do(func(c *Core) { c.StartCompleted(a.To, a.Order, w.clock(), err) })
+	w.do(func(c *Core) { c.StartCompleted(a.To, a.Order, clock, err) })
+}
+
+// lifeClock returns the clock of a server. Under the same ID it starts anew.
+func (w *crashWorld) lifeClock(l *life) int64 {
+	if w.sameID {
+		return w.wall - l.bornMS + 1
+	}
+	return w.clock()
 }
 
 // formGang lets the members of a gang begin to work once all are there.
@@ -329,18 +361,25 @@
 // poll answers a poll, or holds it until a run ends.
 func (w *crashWorld) poll(a PollServer, o worldOrder) {
 	l, err := w.reach(a.To)
+	if err == nil && o.heldBy != nil && o.heldBy != l {
+		err = verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "connection reset")
+	}
 	if err != nil {
 		w.do(func(c *Core) { c.PollCompleted(a.To, w.now, PollResponse{}, err) })
 		return
 	}
+	if o.heldBy == nil {
+		w.ledger.noted(l, a.Request.AckedEnd)
+	}
 	for len(l.ends) > 0 && l.ends[0].Number <= a.Request.AckedEnd {
 		l.ends = l.ends[1:]
 	}
 	if len(l.ends) == 0 && w.now.Before(o.due.Add(a.Request.Wait)) {
+		o.heldBy = l
 		w.orders = append(w.orders, o)
 		return
 	}
-	list := PollResponse{ClockMS: w.clock(), StartedAtMS: l.bornMS, Ended: slices.Clone(l.ends)}
+	list := PollResponse{ClockMS: w.lifeClock(l), StartedAtMS: l.bornMS, Ended: slices.Clone(l.ends)}
 	for key := range l.runs {
 		list.Running = append(list.Running, ActiveRun{Task: key.task, Run: key.run})
 	}
--- a/internal/scheduler/forward.go
+++ b/internal/scheduler/forward.go
@@ -54,7 +54,7 @@
 func splitStart(waiting Action, stop StopTask) (start *StartTask, rest Action) {
 	starts := startsOf(waiting)
 	i := slices.IndexFunc(starts, func(a StartTask) bool {
-		return a.To == stop.To && a.Order.Task == stop.Order.Task && a.Order.Run == stop.Order.Run
+		return a.To.ID == stop.To.ID && a.Order.Task == stop.Order.Task && a.Order.Run == stop.Order.Run
 	})
 	if i < 0 {
 		return nil, waiting
--- a/internal/scheduler/fuzz_test.go
+++ b/internal/scheduler/fuzz_test.go
@@ -44,9 +44,9 @@
 		c := NewCore(2, Bounds{MaxLease: time.Second}, records, events.Discard(), NewMetrics(metrics.NewSet()), now, now.UnixMilli())
 		c.PollAll()
 		c.Finish(true)
-		to := Instance{ID: "s", Address: "10.0.0.1:80"}
-		c.PollCompleted(to, now, PollResponse{ClockMS: 5, StartedAtMS: 1}, nil)
-		c.PollCompleted(to, now, PollResponse{ClockMS: 9, StartedAtMS: 2}, nil)
+		for born := int64(1); born <= 2; born++ {
+			c.PollCompleted(c.servers["s"].instance(), now, PollResponse{ClockMS: 5 * born, StartedAtMS: born}, nil)
+		}
 		c.Finish(true)
 	})
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -163,7 +163,13 @@
 	ctx, cancel := context.WithTimeout(e.ctx, timeout)
 	defer cancel()
 	sent := e.o.Now()
-	list, err := e.o.Servers.Poll(ctx, a.To, a.Request)
+	request := a.Request
+	withheld := request.AckedEnd > 0 && sent.After(request.AckValidUntil)
+	if withheld {
+		request.AckedEnd = 0
+	}
+	list, err := e.o.Servers.Poll(ctx, a.To, request)
+	list.AckWithheld = withheld
 	s.finished(func(now time.Time) {
 		switch {
 		case isAnswer(err):
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -53,8 +53,8 @@
 	}
 	s.polling = true
 	request := PollRequest{Epoch: c.epoch}
-	if s.synced && c.instanceUnchanged(s) {
-		request.AckedEnd = s.storedEnd
+	if until := c.ackValidUntil(s); s.synced && !c.now.After(until) {
+		request.AckedEnd, request.AckValidUntil = s.storedEnd, until
 	}
 	s.ackInFlight = max(request.AckedEnd, s.ackedEnd)
 	if s.synced {
@@ -66,16 +66,13 @@
 	c.emit(PollServer{To: s.instance(), Request: request, Delay: delay})
 }
 
-// instanceUnchanged reports whether the server must still be the instance that
-// answered last. End numbers start again in a new instance, which would drop
-// ends that nobody has read if it got an old acknowledgement.
-func (c *Core) instanceUnchanged(s *server) bool {
-	return c.now.Sub(s.polledAt) <= c.bounds.ReuseAfter/2
-}
-
 // PollCompleted handles the outcome of a poll that was sent at the given time.
 func (c *Core) PollCompleted(to Instance, sent time.Time, list PollResponse, err error) {
-	s := c.servers[to.ID]
+	if verdict.ReasonOf(err) == ReasonFenced {
+		c.fence(to.ID)
+		return
+	}
+	s := c.serverOf(to)
 	if s == nil {
 		return
 	}
@@ -94,9 +91,23 @@
 		c.poll(s)
 		return
 	}
-	s.ackedEnd, s.failedPolls, s.over = s.ackInFlight, 0, false
+	if !list.AckWithheld {
+		s.ackedEnd = s.ackInFlight
+	}
+	s.failedPolls, s.over = 0, false
 	c.detectRestart(s, list)
+	c.applyAnswer(s, sent, list)
+	if s.storedEnd == s.processedEnd {
+		c.poll(s)
+	}
+}
+
+// applyAnswer applies a server's answer to a poll that was sent at the given time.
+func (c *Core) applyAnswer(s *server, sent time.Time, list PollResponse) {
 	s.updateClock(list.ClockMS, c.now)
+	if !sent.Before(c.resumedAt) {
+		s.updateAlive(list.ClockMS, sent, c.now)
+	}
 	c.processEnds(s, list.Ended)
 	c.reconcileRuns(s, sent, list.Running)
 	c.settleExposures(s)
@@ -108,22 +119,15 @@
 		c.placementNeeded = true
 	}
 	s.polledAt = c.now
-	if s.storedEnd == s.processedEnd {
-		c.poll(s)
-	}
 }
 
 func (c *Core) pollFailed(s *server, err error) {
-	if verdict.ReasonOf(err) == ReasonFenced {
-		c.fence(s)
-		return
-	}
 	if s.unresponsiveSince.IsZero() {
 		s.unresponsiveSince = c.now
 		c.noteSilence(s, err)
 		c.log.Log(events.ServerUnresponsive, "server", s.info.ID, "attempts", len(s.attempts), "reason", string(verdict.ReasonOf(err)), "error", err.Error())
 	}
-	if verdict.ReasonOf(err) == ReasonWrongInstance {
+	if verdict.ReasonOf(err) == ReasonWrongInstance && !s.over {
 		c.instanceEnded(s)
 	}
 	if !s.listed && c.now.After(s.leaseExpiry()) {
@@ -134,47 +138,55 @@
 	c.pollAfter(s, min(resendDelay(s.failedPolls), maxPollRetryDelay))
 }
 
-// detectRestart handles a server that restarted under the same ID. Attempts on
-// the previous instance that were confirmed and are not listed are lost.
+// detectRestart begins another session if another instance has answered under the
+// same ID than the last one.
 func (c *Core) detectRestart(s *server, list PollResponse) {
 	if list.StartedAtMS == 0 || list.StartedAtMS == s.startedAtMS {
 		return
 	}
 	if s.startedAtMS != 0 {
-		c.log.Log(events.ServerRestarted, "server", s.info.ID, "born", list.StartedAtMS, "before", s.startedAtMS, "attempts", len(s.attempts))
-		givenUp := c.attributeCrash(s, lossRestarted)
-		s.processedEnd, s.storedEnd, s.ackedEnd = 0, 0, 0
-		s.leaseDeadlineMS = list.ClockMS + c.maxLeaseSent.Milliseconds()
-		listed := make(map[runKey]bool)
-		for _, r := range list.Running {
-			listed[runKey{r.Task, r.Run}] = true
+		c.serverRestarted(s, list)
+	}
+	s.startedAtMS = list.StartedAtMS
+}
+
+// serverRestarted handles a server that restarted under the same ID. Attempts on
+// the previous instance that were confirmed and are not listed are lost. Starts in
+// flight may still reach the new instance.
+func (c *Core) serverRestarted(s *server, list PollResponse) {
+	c.log.Log(events.ServerRestarted, "server", s.info.ID, "born", list.StartedAtMS, "before", s.startedAtMS, "attempts", len(s.attempts),
+		"processedEnd", s.processedEnd, "storedEnd", s.storedEnd)
+	givenUp := c.attributeCrash(s, lossRestarted)
+	listed := make(map[runKey]bool)
+	for _, r := range list.Running {
+		listed[runKey{r.Task, r.Run}] = true
+	}
+	for key, a := range s.attempts {
+		if a.state != startSent && !listed[key] {
+			c.markLost(a, lossRestarted)
 		}
-		for key, a := range s.attempts {
-			switch {
-			case listed[key]:
-			case a.state != startSent:
-				c.markLost(a, lossRestarted)
-			case a.task.history().Suspect():
-				// The order must not reach the new instance outside a trial.
-				c.stop(a)
-			}
+	}
+	s.session = c.newSession()
+	s.leaseDeadlineMS = list.ClockMS + c.maxLeaseSent.Milliseconds()
+	for key, a := range s.attempts {
+		if a.state == startSent && !listed[key] && a.task.history().Suspect() {
+			// The order must not reach the new instance outside a trial.
+			c.stop(a)
 		}
-		c.giveUp(givenUp)
 	}
-	s.startedAtMS = list.StartedAtMS
+	c.giveUp(givenUp)
 }
 
-// instanceEnded releases the attempts on an instance that is gone.
+// instanceEnded releases the attempts on an instance that is gone. Which one
+// follows is not known yet.
 func (c *Core) instanceEnded(s *server) {
 	givenUp := c.attributeCrash(s, lossInstanceOver)
 	for _, a := range s.attempts {
 		c.markLost(a, lossInstanceOver)
 	}
 	c.giveUp(givenUp)
+	s.session = c.newSession()
 	s.over = true
-	s.synced = false
-	s.processedEnd, s.storedEnd, s.ackedEnd, s.startedAtMS = 0, 0, 0, 0
-	s.leaseDeadlineMS = s.clockMS
 	c.poll(s)
 }
 
@@ -188,7 +200,7 @@
 		c.handleEnd(s, e)
 	}
 	if s.processedEnd > s.storedEnd {
-		c.pendingAcks[s] = s.processedEnd
+		c.pendingAcks[s] = true
 	}
 	if s.failures >= quarantineThreshold {
 		failures := s.failures
@@ -196,7 +208,8 @@
 	}
 }
 
-// reconcileRuns compares the runs that the server lists with its attempts.
+// reconcileRuns compares the runs that the server lists with its attempts. One that
+// is listed neither as running nor as ended is lost.
 func (c *Core) reconcileRuns(s *server, sent time.Time, list []ActiveRun) {
 	listed := make(map[runKey]bool, len(list))
 	s.unknownRuns = 0
@@ -219,7 +232,7 @@
 
 func (c *Core) confirmRun(a *attempt, r ActiveRun) {
 	if a.state == startSent {
-		c.startConfirmed(a, 0)
+		c.startConfirmed(a)
 	}
 	if r.Checkpoint != "" {
 		c.saveCheckpoint(a.task, r.Checkpoint)
@@ -235,14 +248,14 @@
 	if t == nil {
 		s.unknownRuns++
 		c.emit(StopTask{To: s.instance(), Order: Order{Task: r.Task, Run: r.Run, Epoch: c.epoch}})
-		c.log.Log(events.RunOrphaned, "task", r.Task.String(), "run", r.Run, "server", s.info.ID)
+		c.log.Log(events.RunOrphaned, "task", r.Task.String(), "run", r.Run, "server", s.info.ID, "born", s.startedAtMS)
 		return
 	}
 	a := &attempt{task: t, run: r.Run, server: s, state: running, sentAt: c.now, answeredAt: c.now, need: t.step.spec.Reserved()}
 	s.reserve(a)
 	t.step.attemptsPerServer[s]++
 	t.run = max(t.run, r.Run)
-	c.log.Log(events.RunAdopted, "task", r.Task.String(), "run", r.Run, "server", s.info.ID)
+	c.log.Log(events.RunAdopted, "task", r.Task.String(), "run", r.Run, "server", s.info.ID, "born", s.startedAtMS)
 	if t.done || t.attempt != nil || t.step.job().ending != "" {
 		c.stop(a)
 		return
@@ -279,13 +292,14 @@
 	}
 	if s == nil {
 		c.endReplacedInstance(info)
-		s = newServer(info)
+		s = newServer(info, c.newSession())
 		c.servers[info.ID] = s
 		c.log.Log(events.ServerListed, "server", info.ID, "service", info.Service, "zone", info.Zone, "cpu", info.Capacity.CPU)
 	}
 	shrunk := !s.info.Capacity.Fits(info.Capacity)
 	s.resize(info.Capacity)
-	instanceChanged := s.info.Address != info.Address || info.StartedAtMS != 0 && s.startedAtMS != 0 && info.StartedAtMS != s.startedAtMS
+	moved := s.info.Address != info.Address
+	reborn := info.StartedAtMS != s.info.StartedAtMS && info.StartedAtMS != 0 && s.startedAtMS != 0 && info.StartedAtMS != s.startedAtMS
 	if info.Draining && !s.info.Draining {
 		c.log.Log(events.ServerDraining, "server", info.ID, "attempts", len(s.attempts), "remainingMS", info.Remaining.Milliseconds())
 	}
@@ -304,7 +318,7 @@
 			c.poll(s)
 		})
 	}
-	if instanceChanged {
+	if moved || reborn {
 		s.synced = false
 	}
 	c.poll(s)
--- a/internal/scheduler/quarantine_test.go
+++ b/internal/scheduler/quarantine_test.go
@@ -36,7 +36,7 @@
 // A server on which every run fails must be quarantined for longer each time.
 // Failures of one submission count once.
 func TestServer_QuarantineGrowsWithFailures(t *testing.T) {
-	s := newServer(ServerInfo{ID: "s0"})
+	s := newServer(ServerInfo{ID: "s0"}, &session{})
 	now := time.Unix(0, 0)
 	for range 10 {
 		s.recordFailure(id1)
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -134,11 +134,10 @@
 	if err := workload.Decode(value, &kept); err != nil {
 		return err
 	}
-	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address})
+	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address}, c.newSession())
 	s.stored, s.inherited = true, true
 	// An earlier owner may have sent a full lease just before now.
 	s.leaseDeadlineMS = c.maxLeaseSent.Milliseconds()
-	s.clockAt = c.now
 	c.servers[id] = s
 	return nil
 }
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -16,6 +16,8 @@
 // stays reserved until the server lists its end, its instance is gone, or its
 // lease has expired beyond doubt.
 type server struct {
+	// session is what is known of the current instance.
+	*session
 	info ServerInfo
 	// listed is set while the platform's list contains the server.
 	listed bool
@@ -23,29 +25,9 @@
 	stored bool
 	// inherited is set if an earlier owner recorded the server.
 	inherited bool
-	// synced is set once the server has listed its runs to this epoch. From
-	// then on it refuses the orders of earlier owners.
-	synced bool
-	// startedAtMS identifies the instance that this record describes.
-	startedAtMS int64
-	// clockMS is a reading of the server's clock in milliseconds, taken at
-	// clockAt or later.
-	clockMS int64
-	clockAt time.Time
-	// leaseDeadlineMS is the latest lease deadline sent, on the server's clock.
-	leaseDeadlineMS int64
 	// free is the capacity that no attempt has reserved.
 	free     workload.Resources
 	attempts map[runKey]*attempt
-	// unknownRuns counts listed runs whose submission has ended. Their size is
-	// unknown, so nothing is placed on the server meanwhile.
-	unknownRuns int
-	// processedEnd is the number of the last end that the Core has handled;
-	// storedEnd is the last one whose effect is in the log.
-	processedEnd, storedEnd uint64
-	// ackInFlight is the end that the current poll acknowledges; ackedEnd is
-	// the last one that the server is known to have received.
-	ackInFlight, ackedEnd uint64
 	// departsAt is the earliest time at which a draining server may shut down;
 	// zero if it gave none.
 	departsAt time.Time
@@ -53,14 +35,9 @@
 	polledAt time.Time
 	// failedPolls counts the polls since the last one that was answered.
 	failedPolls int
-	// polling is set while a poll is in flight or scheduled.
-	polling bool
 	// unresponsiveSince is when the server stopped answering polls; zero while
 	// it answers.
 	unresponsiveSince time.Time
-	// over is set once the instance is known to have ended, until another one
-	// answers under the same ID.
-	over bool
 	// trial is the trial under way on the server, or nil. Nothing else is started
 	// there meanwhile.
 	trial *trial
@@ -78,11 +55,13 @@
 	quarantines   int
 }
 
-func newServer(info ServerInfo) *server {
-	return &server{info: info, free: info.Capacity, attempts: make(map[runKey]*attempt)}
+func newServer(info ServerInfo, first *session) *server {
+	return &server{session: first, info: info, free: info.Capacity, attempts: make(map[runKey]*attempt)}
 }
 
-func (s *server) instance() Instance { return Instance{ID: s.info.ID, Address: s.info.Address} }
+func (s *server) instance() Instance {
+	return Instance{ID: s.info.ID, Address: s.info.Address, Session: s.number}
+}
 
 // usable reports whether tasks may be placed on the server now.
 func (s *server) usable(now time.Time) bool {
@@ -98,26 +77,6 @@
 	return s.unresponsiveSince
 }
 
-// minClockMS returns a lower bound of the server's clock at now.
-func (s *server) minClockMS(now time.Time) int64 {
-	elapsed := now.Sub(s.clockAt)
-	return s.clockMS + int64(float64(elapsed.Milliseconds())/maxClockDrift)
-}
-
-// updateClock records a reading of the server's clock.
-func (s *server) updateClock(clock int64, now time.Time) {
-	if clock <= 0 {
-		return
-	}
-	s.clockMS, s.clockAt = clock, now
-}
-
-// leaseExpiry returns when all leases ever sent to the server have expired.
-func (s *server) leaseExpiry() time.Time {
-	left := time.Duration(s.leaseDeadlineMS-s.clockMS) * time.Millisecond
-	return s.clockAt.Add(time.Duration(float64(left)*maxClockDrift) + leaseExpirySlack)
-}
-
 // recordFailure counts a failed run. Several failures of one submission count
 // once, since the submission may be at fault.
 func (s *server) recordFailure(submission string) {
--- /dev/null
+++ b/internal/scheduler/session.go
@@ -0,0 +1,131 @@
+package scheduler
+
+import "time"
+
+// session is what the Core knows of one instance of a backend server, from the
+// time that the Core learns of it. It is replaced as a whole when another
+// instance follows under the same ID, so that nothing learned of one instance is
+// applied to the next. Orders, polls and deferred work name the session for which
+// they were made; what comes back for an earlier session is not applied.
+type session struct {
+	// number is unique within the Core.
+	number uint64
+	// startedAtMS is when the instance started, in Unix milliseconds; 0 until it
+	// has answered.
+	startedAtMS int64
+	// synced is set once the instance has listed its runs to this epoch. From
+	// then on it refuses the orders of earlier owners.
+	synced bool
+	// over is set once the previous instance is known to have ended, until
+	// another one answers.
+	over bool
+	// polling is set while a poll is in flight or scheduled.
+	polling bool
+	// clockMS is a reading of the instance's clock in milliseconds, taken at
+	// clockAt or later.
+	clockMS int64
+	clockAt time.Time
+	// answeredClockMS is the clock at the last answer to a poll, which was given
+	// at aliveAt or later.
+	answeredClockMS int64
+	aliveAt         time.Time
+	// leaseDeadlineMS is the latest lease deadline sent, on the instance's clock.
+	leaseDeadlineMS int64
+	// unknownRuns counts listed runs whose submission has ended. Their size is
+	// unknown, so nothing is placed on the server meanwhile.
+	unknownRuns int
+	// processedEnd is the number of the last end that the Core has handled;
+	// storedEnd is the last one whose effect is in the log.
+	processedEnd, storedEnd uint64
+	// ackInFlight is the end that the current poll acknowledges; ackedEnd is
+	// the last one that the instance is known to have received.
+	ackInFlight, ackedEnd uint64
+}
+
+func (c *Core) newSession() *session {
+	c.lastSession++
+	return &session{number: c.lastSession, clockAt: c.now}
+}
+
+// minClockMS returns a lower bound of the instance's clock at now.
+func (s *session) minClockMS(now time.Time) int64 {
+	elapsed := now.Sub(s.clockAt)
+	return s.clockMS + int64(float64(elapsed.Milliseconds())/maxClockDrift)
+}
+
+// updateClock records a reading of the instance's clock. Answers may overtake each
+// other, so an earlier reading than the last one is out of date.
+func (s *session) updateClock(clock int64, now time.Time) {
+	if clock <= 0 || clock < s.clockMS {
+		return
+	}
+	s.clockMS, s.clockAt = clock, now
+}
+
+// updateAlive records the answer to a poll that was sent at the given time. The
+// instance was up when it answered: after the poll was sent, and as long after the
+// answer before as its clock has advanced.
+func (s *session) updateAlive(clock int64, sent, now time.Time) {
+	at := sent
+	if !s.aliveAt.IsZero() && s.answeredClockMS > 0 && clock > s.answeredClockMS {
+		advanced := time.Duration(float64(msDuration(clock-s.answeredClockMS)) / maxClockDrift)
+		at = latest(at, s.aliveAt.Add(advanced))
+	}
+	if at.After(now) {
+		at = now
+	}
+	s.aliveAt, s.answeredClockMS = at, clock
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// leaseExpiry returns when all leases ever sent to the instance have expired. They
+// have if it is over.
+func (s *session) leaseExpiry() time.Time {
+	if s.over {
+		return s.clockAt
+	}
+	left := time.Duration(s.leaseDeadlineMS-s.clockMS) * time.Millisecond
+	return s.clockAt.Add(time.Duration(float64(left)*maxClockDrift) + leaseExpirySlack)
+}
+
+// ackValidUntil returns until when an acknowledgement may be sent. End numbers
+// start again in a new instance, which would drop ends that nobody has read if it
+// got an acknowledgement meant for the instance before. Another instance cannot
+// follow sooner than ReuseAfter after this one was up; half of that is left for
+// the delivery.
+func (c *Core) ackValidUntil(s *server) time.Time {
+	return s.aliveAt.Add(c.bounds.ReuseAfter / 2)
+}
+
+// serverOf returns the server whose current session an order or a poll was made
+// for. It returns nil if the server is gone or another instance has followed.
+func (c *Core) serverOf(to Instance) *server {
+	s := c.servers[to.ID]
+	if s == nil || s.number != to.Session {
+		return nil
+	}
+	return s
+}
+
+// maxClockStep is the largest difference between the progress of the monotonic and
+// the wall clock that is not taken for a suspension of this machine.
+const maxClockStep = 200 * time.Millisecond
+
+// checkSuspended detects that this machine was suspended: its monotonic clock does
+// not count that time. What was known before of servers being up is too old then.
+func (c *Core) checkSuspended(now time.Time, wall int64) {
+	missed := msDuration(wall-c.wall) - now.Sub(c.now)
+	if missed < maxClockStep {
+		return
+	}
+	c.resumedAt = now
+	for _, s := range c.servers {
+		s.aliveAt = time.Time{}
+	}
+}
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -37,11 +37,15 @@
 	task   *task
 	server *server
 	run    int
+	// to is the instance on which the trial was to begin.
+	to Instance
 }
 
 // includes reports whether the attempt is a run of the trial. A nil trial has none.
 func (tr *trial) includes(a *attempt) bool {
-	return tr != nil && slices.Contains(tr.members, trialMember{a.task, a.server, a.run})
+	return tr != nil && slices.ContainsFunc(tr.members, func(m trialMember) bool {
+		return m.task == a.task && m.server == a.server && m.run == a.run
+	})
 }
 
 // mayTry reports whether a trial of the step may begin or go on being filled.
@@ -126,7 +130,7 @@
 func (c *Core) beginTrial(st *step, tasks []*task, servers []*server, run int) {
 	tr := &trial{step: st}
 	for i, t := range tasks {
-		m := trialMember{task: t, server: servers[i], run: cmp.Or(run, t.run+1)}
+		m := trialMember{task: t, server: servers[i], run: cmp.Or(run, t.run+1), to: servers[i].instance()}
 		tr.members = append(tr.members, m)
 		tr.runTime = max(tr.runTime, t.history().TrialTime())
 		m.server.trial = tr
@@ -208,7 +212,7 @@
 	st := m.task.step
 	_, ticketed := c.ticketFor(st, m.server)
 	return ticketed && m.task.needsPlacement() && st.job().ending == "" && c.mayStart(st) &&
-		c.servers[m.server.info.ID] == m.server && m.server.usable(c.now)
+		c.serverOf(m.to) == m.server && m.server.usable(c.now)
 }
 
 // endTrial ends a trial, whatever its outcome.
@@ -335,6 +339,6 @@
 		st.trial = &trial{step: st, startedAt: c.now, runTime: t.history().TrialTime()}
 		c.trials++
 	}
-	st.trial.members = append(st.trial.members, trialMember{t, a.server, a.run})
+	st.trial.members = append(st.trial.members, trialMember{t, a.server, a.run, a.server.instance()})
 	a.server.trial = st.trial
 }
