A full page of ends says nothing of the runs that are not on it

Cause: a server lists 500 ends at a time. Each answer was taken for the whole list: a run that was neither running nor on it counted as lost, the server as recovered, and one that leaves as empty.

The page moves on with acknowledgements, which a new owner sends before it knows the rest. While nothing can be stored it stands, and the runs that are not on it are held: their leases go on, and they are lost only if these expire.

Same cause elsewhere: ReadAll took an empty page that announces others for the end of the partition; it fails now.

--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -128,7 +128,11 @@
 	// 0 if the answer does not say.
 	StartedAtMS int64
 	Running     []ActiveRun
-	Ended       []RunEnd
+	// Ended is ordered by number.
+	Ended []RunEnd
+	// MoreEnds is set if the server may hold ends beyond those in Ended. Running
+	// lists all runs in progress nevertheless.
+	MoreEnds bool
 	// AckWithheld is set if the request was sent without its acknowledgement,
 	// which had become too old.
 	AckWithheld bool
--- a/internal/scheduler/crashworld_test.go
+++ b/internal/scheduler/crashworld_test.go
@@ -44,6 +44,8 @@
 	gangs   map[string]int
 	// sameID lets a machine come back under the ID that it had.
 	sameID bool
+	// pageEnds is the most ends that an answer lists; 0 means all.
+	pageEnds int
 	// ledger records what the servers did; it may be nil.
 	ledger *runLedger
 }
@@ -380,6 +382,9 @@
 		return
 	}
 	list := PollResponse{ClockMS: w.lifeClock(l), StartedAtMS: l.bornMS, Ended: slices.Clone(l.ends)}
+	if w.pageEnds > 0 && len(list.Ended) >= w.pageEnds {
+		list.Ended, list.MoreEnds = list.Ended[:w.pageEnds], true
+	}
 	for key := range l.runs {
 		list.Running = append(list.Running, ActiveRun{Task: key.task, Run: key.run})
 	}
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -41,7 +41,7 @@
 // start anything: each was answered, and unanswered ones were stopped. The
 // server has received the acknowledgement of all its ends.
 func (s *server) isEmpty() bool {
-	return s.synced && len(s.attempts) == 0 && s.unknownRuns == 0 && s.ackedEnd >= s.processedEnd
+	return s.synced && s.endsComplete && len(s.attempts) == 0 && s.unknownRuns == 0 && s.ackedEnd >= s.processedEnd
 }
 
 // poll polls a server unless a poll is in flight or none is needed.
@@ -59,7 +59,7 @@
 	s.ackInFlight = max(request.AckedEnd, s.ackedEnd)
 	if s.synced {
 		request.LeaseDeadlineMS = c.extendLease(s)
-		if s.storedEnd == s.processedEnd && (len(s.attempts) > 0 || s.unknownRuns > 0) {
+		if s.endsComplete && s.storedEnd == s.processedEnd && (len(s.attempts) > 0 || s.unknownRuns > 0) {
 			request.Wait = min(pollWait, c.trialTimeLeft(s))
 		}
 	}
@@ -108,6 +108,7 @@
 	if !sent.Before(c.resumedAt) {
 		s.updateAlive(list.ClockMS, sent, c.now)
 	}
+	s.endsComplete = !list.MoreEnds
 	c.processEnds(s, list.Ended)
 	c.reconcileRuns(s, sent, list.Running)
 	c.settleExposures(s)
@@ -209,7 +210,7 @@
 }
 
 // reconcileRuns compares the runs that the server lists with its attempts. One that
-// is listed neither as running nor as ended is lost.
+// is listed neither as running nor as ended is lost, but only if all ends are listed.
 func (c *Core) reconcileRuns(s *server, sent time.Time, list []ActiveRun) {
 	listed := make(map[runKey]bool, len(list))
 	s.unknownRuns = 0
@@ -222,6 +223,9 @@
 		}
 		c.adoptRun(s, r)
 	}
+	if !s.endsComplete {
+		return
+	}
 	for key, a := range s.attempts {
 		if !listed[key] && !a.answeredAt.IsZero() && a.answeredAt.Before(sent) {
 			c.startHadNoEffect(a.task, a.run)
@@ -421,7 +425,7 @@
 		return
 	}
 	for _, s := range c.servers {
-		if s.stored && !s.synced && s.leaseDeadlineMS > 0 && c.now.Before(s.leaseExpiry()) {
+		if s.stored && !(s.synced && s.endsComplete) && s.leaseDeadlineMS > 0 && c.now.Before(s.leaseExpiry()) {
 			return
 		}
 	}
--- a/internal/scheduler/restartworld_test.go
+++ b/internal/scheduler/restartworld_test.go
@@ -113,11 +113,11 @@
 	return most
 }
 
-// restartRound is one seeded round of restarts under the same ID, outages of the log
-// and changes of the owner.
-func restartRound(t *testing.T, seed uint64) {
+// restartRound is one seeded round of restarts under the same ID, outages of the log,
+// changes of the owner, and more ends on a server than one answer lists.
+func restartRound(t *testing.T, seed uint64, pageEnds int) {
 	t.Helper()
-	w := newCrashWorldOf(t, 4, seed, func(w *crashWorld) { w.sameID, w.ledger = true, newRunLedger() })
+	w := newCrashWorldOf(t, 4, seed, func(w *crashWorld) { w.sameID, w.pageEnds, w.ledger = true, pageEnds, newRunLedger() })
 	w.runTime = func(id workload.TaskID) time.Duration { return time.Duration(300+id.Index*40) * time.Millisecond }
 	ids := []string{}
 	var logBack time.Time
@@ -172,6 +172,14 @@
 // would run again.
 func TestCore_EndsSurviveRestartsUnderTheSameID(t *testing.T) {
 	for seed := range *crashSeeds * 10 {
-		restartRound(t, *crashSeed+uint64(seed))
+		restartRound(t, *crashSeed+uint64(seed), 0)
+	}
+}
+
+// The same where a server has more ends than one answer lists: a run that is not on the
+// page may have ended.
+func TestCore_EndsSurviveShortPages(t *testing.T) {
+	for seed := range *crashSeeds * 10 {
+		restartRound(t, *crashSeed+uint64(seed), 3)
 	}
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -16,6 +16,9 @@
 	// synced is set once the instance has listed its runs to this epoch. From
 	// then on it refuses the orders of earlier owners.
 	synced bool
+	// endsComplete is set if the last answer listed every end that the instance
+	// holds. Otherwise a run that is not listed may have ended.
+	endsComplete bool
 	// over is set once the previous instance is known to have ended, until
 	// another one answers.
 	over bool
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -116,9 +116,12 @@
 	end = page.End
 	for {
 		records = append(records, page.Records...)
-		if !page.More || len(page.Records) == 0 {
+		if !page.More {
 			return records, end, nil
 		}
+		if len(page.Records) == 0 {
+			return nil, 0, verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "an empty page of partition %v says that more follow", id)
+		}
 		page, err = latestPage(ctx, log, id, page.Records[len(page.Records)-1].Key)
 		if err != nil {
 			return nil, 0, err
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -351,3 +351,18 @@
 		}
 	})
 }
+
+// emptyPageLog answers each read with a page that is empty and says that more follow.
+type emptyPageLog struct{ memoryLog }
+
+func (*emptyPageLog) ReadLatest(context.Context, partition.ID, string) (partition.Page, error) {
+	return partition.Page{More: true}, nil
+}
+
+// A page is not the whole list. One that is empty and says that more follow must not be
+// taken for the end, or an owner would begin without what its predecessors stored.
+func TestReadAll_FailsOnAnEmptyPageBeforeOthers(t *testing.T) {
+	if records, _, err := partition.ReadAll(t.Context(), &emptyPageLog{}, testPartition); err == nil {
+		t.Errorf("records %v and no error after a page that announced others", records)
+	}
+}
