Start nothing on an instance whose entry has not come

Cause: the same as that of the acknowledgements: capacity and labels come from the platform's entry, which is that of the instance before until the store has heard the next one, and placement did not compare the two.

Fix: a server is used only while the entry's birth is that of the instance that answers, and an unanswered start is not repeated there otherwise.

The deployments of internal/host listed servers with a birth that was not the one they answered with; they now list the true one, and set the bound ReuseAfter, as every platform does.

--- a/internal/host/crash_test.go
+++ b/internal/host/crash_test.go
@@ -35,10 +35,10 @@
 		server := standin.NewServer(fmt.Sprintf("i-%d", i), 30*time.Millisecond)
 		s.servers = append(s.servers, server)
 		address := s.serve(server)
-		s.list(server.ID, address, 4000, time.Now().UnixMilli())
+		s.list(server.ID, address, 4000, server.Born())
 		server.CrashOn(id+".0.0.1", 300*time.Millisecond, func(before, after string) {
 			s.store.Put("keyed.servers", 0, before, nil)
-			s.list(after, address, 4000, time.Now().UnixMilli())
+			s.list(after, address, 4000, server.Born())
 		})
 	}
 	_, address := s.start()
@@ -65,7 +65,7 @@
 	s := newDeployment(t, 0)
 	server := standin.NewServer("i-0", 100*time.Millisecond)
 	serverAddress := s.serve(server)
-	const born = 1
+	born := server.Born()
 	s.list(server.ID, serverAddress, 4000, born)
 	_, address := s.start()
 	const wide = `{"spec":"x","steps":[{"count":100,"cpu":1000,"mem_mb":100,"estimated_ms":100}]}`
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -34,7 +34,7 @@
 	for i := range servers {
 		server := standin.NewServer(fmt.Sprintf("i-%d", i), 30*time.Millisecond)
 		s.servers = append(s.servers, server)
-		entry := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":4000,"mem_mb":8000},"labels":["a","r1"],"born":1}`, s.serve(server))
+		entry := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":4000,"mem_mb":8000},"labels":["a","r1"],"born":%d}`, s.serve(server), server.Born())
 		s.store.Put("keyed.servers", 0, server.ID, []byte(entry))
 	}
 	s.configure(1, "/q/")
@@ -60,7 +60,7 @@
 	s.t.Helper()
 	settings := platform.Settings{
 		Name: "n", IP: "127.0.0.1", CallerAddress: freeAddress(s.t), ReadinessAddress: freeAddress(s.t), StoreAddress: s.address, StorePartitions: 4, MinMemberTTL: time.Second,
-		Bounds: platform.Bounds{MaxLease: 6 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, Grace: 6 * time.Second},
+		Bounds: platform.Bounds{MaxLease: 6 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, Grace: 6 * time.Second, ReuseAfter: 2 * time.Second},
 	}
 	_, port, _ := net.SplitHostPort(freeAddress(s.t))
 	if _, err := fmt.Sscan(port, &settings.Ports[0]); err != nil {
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -164,7 +164,7 @@
 // start any more. Once the stop is confirmed, a delayed copy of the start has
 // no effect.
 func (c *Core) startUnanswered(a *attempt) {
-	if a.server.info.Draining || !a.server.listed || a.server.overcommitted() || !c.mayStart(a.task.step) {
+	if a.server.info.Draining || !a.server.listed || !a.server.entryCurrent() || a.server.overcommitted() || !c.mayStart(a.task.step) {
 		c.stop(a)
 	} else {
 		c.sendStart(a)
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -164,6 +164,16 @@
 	h.do(func(c *Core) { c.PollCompleted(poll.To, sent, list, nil) })
 }
 
+// relist changes the entry of a server to that of another instance.
+func (h *harness) relist(server string, startedAtMS int64) {
+	for i := range h.servers {
+		if h.servers[i].ID == server {
+			h.servers[i].StartedAtMS = startedAtMS
+		}
+	}
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+}
+
 // clock returns the clock of all servers in milliseconds.
 func (h *harness) clock() int64 { return h.wall - 1_699_999_000_000 }
 
@@ -429,6 +439,7 @@
 	start := h.runOne(id1, 1000)
 	h.answerPoll("s0", PollResponse{Running: []ActiveRun{runOf(start)}})
 	h.answerPoll("s0", PollResponse{StartedAtMS: 2000})
+	h.relist("s0", 2000)
 	starts := h.takeStarts()
 	if len(starts) != 1 || starts[0].Order.Run != 2 {
 		t.Fatalf("starts %+v, want run 2 after the server restarted", starts)
--- a/internal/scheduler/recovery_test.go
+++ b/internal/scheduler/recovery_test.go
@@ -175,6 +175,7 @@
 		h.takeOver()
 		for _, s := range h.servers {
 			h.answerPoll(s.ID, PollResponse{StartedAtMS: int64(2000 * h.epoch)})
+			h.relist(s.ID, int64(2000*h.epoch))
 		}
 		h.advance(time.Second)
 		starts := h.takeStarts()
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -65,7 +65,14 @@
 
 // usable reports whether tasks may be placed on the server now.
 func (s *server) usable(now time.Time) bool {
-	return s.listed && s.synced && !s.info.Draining && s.unknownRuns == 0 && s.unresponsiveSince.IsZero() && now.After(s.avoidUntil)
+	return s.listed && s.synced && s.entryCurrent() && !s.info.Draining && s.unknownRuns == 0 && s.unresponsiveSince.IsZero() && now.After(s.avoidUntil)
+}
+
+// entryCurrent reports whether the platform's entry describes the instance that
+// answers. The next instance may have another kind and another capacity, and its
+// entry may come later than its answers, or earlier.
+func (s *server) entryCurrent() bool {
+	return s.info.StartedAtMS == 0 || s.startedAtMS == 0 || s.info.StartedAtMS == s.startedAtMS
 }
 
 // lastSeenAlive returns when the server stopped responding, or now while it
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -24,8 +24,7 @@
 	if got := h.core.servers["s0"].storedEnd; got != 0 {
 		t.Errorf("stored end %d of an instance that has listed none, want 0", got)
 	}
-	h.servers[0].StartedAtMS = 5000
-	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.relist("s0", 5000)
 	h.runOne(id2, 1000)
 	if got := h.polls["s0"].Request.AckedEnd; got != 0 {
 		t.Errorf("end %d acknowledged to an instance that has listed none", got)
@@ -139,3 +138,40 @@
 		t.Errorf("acknowledged through end %d after an answer since, want 1", got)
 	}
 }
+
+// A server may come back under its ID as another kind and with another capacity, while its
+// entry is still that of the instance before. A task that requires the former kind must not
+// start there, nor may one that has only been ordered be ordered again.
+func TestCore_StartsNothingOnAnInstanceWithoutItsEntry(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		labels []string
+		starts int
+	}{
+		{"the same kind", []string{"a", "r0"}, 1},
+		{"another kind", []string{"b", "r0"}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.answerAllPolls()
+			h.submit(id2, oneTask(1000))
+			ordered := h.takeStarts()[0]
+			h.advance(300 * time.Millisecond)
+			h.answerPoll("s0", PollResponse{StartedAtMS: 2000, ClockMS: 100})
+			h.do(func(c *Core) {
+				c.StartCompleted(ordered.To, ordered.Order, 0, verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer"))
+			})
+			picky := oneTask(1000)
+			picky.Label = "a"
+			h.submit(id1, picky)
+			if starts := h.takeStarts(); len(starts) != 0 {
+				t.Fatalf("%s started on an instance whose entry has not come", starts[0].Order.Task)
+			}
+			h.servers[0].Labels = tc.labels
+			h.relist("s0", 2000)
+			if n := len(h.takeStarts()); n != tc.starts {
+				t.Errorf("%d starts of a task for kind a after the entry came, want %d", n, tc.starts)
+			}
+		})
+	}
+}
