--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -80,8 +80,8 @@
 	}
 	OwnerClaimed = Event{
 		Number: 6030, Level: slog.LevelInfo, Name: "owner_claimed",
-		Fields:  []string{"partition", "epoch", "records", "took"},
-		Meaning: "This daemon became the owner of a partition. The field took is in milliseconds.",
+		Fields:  []string{"partition", "epoch", "offset", "before", "records", "took"},
+		Meaning: "This daemon became the owner of a partition. Its claim stands in the log at offset; before is the daemon that claimed it last. No two daemons log the same partition and epoch. The field took is in milliseconds.",
 	}
 	OwnerRecovered = Event{
 		Number: 6031, Level: slog.LevelInfo, Name: "owner_recovered",
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -134,15 +134,17 @@
 	if err != nil {
 		return errors.Wrap(err, "read partition")
 	}
-	epoch := LastClaim(records).Epoch + 1
+	before := LastClaim(records)
+	epoch := before.Epoch + 1
 	claim := ClaimRecord(workload.PartitionOwner{Epoch: epoch, Daemon: e.o.Daemon, LeaseMS: e.o.Bounds.lease().Milliseconds()})
 	written := func(writeID uint64) { e.push(storedEvent{writeID}) }
 	e.writer, err = partition.Claim(ctx, e.o.Log, e.o.Partition, epoch, end, claim, e.o.Now, written)
 	if err != nil {
-		return errors.Wrap(err, "claim partition")
+		return errors.Wrapf(err, "claim partition %d after epoch %d of %q", e.o.Partition.Part, before.Epoch, before.Daemon)
 	}
 	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
-	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
+	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "offset", end, "before", before.Daemon,
+		"records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
 	return nil
 }
 
