A claim begins at a sequence number of its own, so that an epoch has one owner

Cause, reproduced: daemons that read the partition at one end choose the same epoch, and every claim was sent as sequence 0 of it. The store answers a repeat of one of the last five appends with its first response, so the second claim was answered 200 though nothing was stored. Both own the partition, with one fencing token that no server refuses; each one's appends may be taken for repeats of the other's, so that "stored" was said of what is stored nowhere.

Evidence: TestEngine_TwoClaimsAtOneEnd, two schedulers over the stand-in store whose claims are held until both have read: before, both own epoch 2 and start the inherited task, on two servers.

Fix: a claim's first sequence number is random; a higher epoch may start at any. The second claim of an epoch is then out of sequence and fails, a daemon that restarts does not meet its own former claim, and the retry of a claim whose answer was lost still is a repeat. Weighed: an epoch made of a counter and the daemon's address and boot (the fencing token and the run numbers grow with it), and reading back who stands at the offset (a call more in each take-over, and history that may be trimmed). A claim without a sequence fences nobody.

--- a/partition/writer.go
+++ b/partition/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	// producer is the same for all owners, so that the log compares their
 	// epochs.
 	producer = "owner"
+	// maxFirstSequence bounds the random sequence number of a claim. Two daemons
+	// choose the same one with a probability of about 1e-12.
+	maxFirstSequence = 1 << 40
 )
 
 // ErrFenced ends a Writer because a later owner has written.
@@ -62,18 +66,24 @@
 }
 
 // Claim appends the record claim at the offset end under epoch, and returns the
-// partition's Writer. It fails with ReasonOffsetMismatch if anything was
-// appended since end was read.
+// partition's Writer. It fails with ReasonOffsetMismatch, ReasonOutOfSequence or
+// ReasonFenced if anything was appended since end was read.
+//
+// Daemons that read the partition at the same end choose the same epoch. The log
+// answers a repeated append of an epoch with its first response, and tells repeats
+// by their sequence number, so that each claim begins at a number of its own: the
+// second claim of an epoch is then out of sequence.
 func Claim(ctx context.Context, log Log, id ID, epoch, end uint64, claim Record, now func() time.Time, written func(writeID uint64)) (*Writer, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	first := rand.Uint64N(maxFirstSequence)
 	_, _, err := retryHedged(ctx, minHang, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, log.Append(ctx, id, Fence{producer, epoch, 0, &end}, []Record{claim})
+		return struct{}{}, log.Append(ctx, id, Fence{producer, epoch, first, &end}, []Record{claim})
 	})
 	if err != nil {
-		return nil, err
+		return nil, errors.WithMessagef(err, "claim at offset %d under epoch %d from sequence %d", end, epoch, first)
 	}
-	return &Writer{log: log, id: id, epoch: epoch, onStored: written, wake: make(chan struct{}, 1), now: now, nextSequence: 1}, nil
+	return &Writer{log: log, id: id, epoch: epoch, onStored: written, wake: make(chan struct{}, 1), now: now, nextSequence: first + 1}, nil
 }
 
 // Enqueue queues records for the next append. Write IDs must rise with each
