What the log does not accept fails by itself and delays nobody

What callers saw: one entry of another writer whose ID has 255 bytes stopped the owner of its partition: submissions that were accepted before were never completed, later ones never answered (not after 8 s, and never).

Cause: the record about that server needs a key of 256 bytes, one more than the log allows. The append was refused for good, was taken for a passing failure and sent again for ever, and every write of the partition waited behind it.

Fix, by the class: - The adapter says what the store cannot hold (a key, a record over the settings' record_bytes, or an answer of 400 or 413) with a reason of its own, "rejected". - The writer sends the writes of a rejected append one by one, drops the one at fault and goes on under the same sequence number. - Its submission is refused as invalid, with the bound in the message, and before anything is written where the size is known; its server is not used; what only waited for earlier writes goes on. write_rejected names record and bound. - Progress longer than a record is stored in parts; beyond 1 MiB its checkpoints are left out. - An entry with an address that no call can be made to, an ID that no record or header can carry, or a capacity or labels out of bounds names no server. It is logged once, not at each heartbeat, and gets no poll, shard or rack.

Tests, failing before: OddEntriesHarmNothing through the whole host ("not completed after 8 s"); RejectedWriteFailsByItself, RejectsWhatItCannotHold, RejectsOddEntries, RejectedWriteRefusesItsSubmission, ServerWhoseRecordIsRejected- IsNotUsed, RefusesASubmissionThatTheLogCannotHold and LongProgressIsStoredInParts name what did not exist.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -105,6 +105,12 @@
 		Meaning: "A record could not be decoded and was skipped.",
 		Action:  "Report it; a submission may be missing.",
 	}
+	WriteRejected = Event{
+		Number: 6058, Level: slog.LevelError, Name: "write_rejected",
+		Fields:  []string{"write", "epoch", "error"},
+		Meaning: "The store does not accept a record, nor would it accept it again. That write was dropped; others go on. A submission that waited for it was refused, and a server is not used.",
+		Action:  "The error names the record and the bound. If it is the progress of a submission, cancel that submission.",
+	}
 	StoreLost = Event{
 		Number: 6035, Level: slog.LevelWarn, Name: "store_lost",
 		Fields:  []string{"call", "error"},
@@ -192,7 +198,7 @@
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
-	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, StoreLost, StoreRecovered,
+	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
 	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -110,8 +110,10 @@
 
 func (h *Host) newStore(client *http.Client, s platform.Settings, peers *peer.Peers) *relay.Relay {
 	h.health = &storeHealth{now: time.Now, events: h.o.Events, set: h.base.Metrics}
+	direct := platform.NewStore(client, s.StoreAddress, group, tenure.Topic)
+	direct.LimitRecords(s.MaxRecordBytes)
 	return relay.New(relay.Options{
-		Direct: platform.NewStore(client, s.StoreAddress, group, tenure.Topic), Peers: peers, Now: time.Now,
+		Direct: direct, Peers: peers, Now: time.Now,
 		Metrics: h.base.Metrics, Events: h.o.Events,
 	})
 }
@@ -196,6 +198,7 @@
 		Log: h.store, Partition: id, Daemon: h.base.Self.Name,
 		Bounds: scheduler.Bounds{
 			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusRetention: b.StatusRetention, ReuseAfter: b.ReuseAfter,
+			MaxRecordBytes: h.o.Settings.MaxRecordBytes,
 		},
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -24,17 +24,20 @@
 	store   *standin.Store
 	address string
 	servers []*standin.Server
+	// addresses holds the addresses of the servers by ID.
+	addresses map[string]string
 	// ready is the readiness address of the daemon started last.
 	ready string
 }
 
 func newDeployment(t *testing.T, servers int) *deployment {
-	s := &deployment{t: t, store: standin.NewStore(4)}
+	s := &deployment{t: t, store: standin.NewStore(4), addresses: make(map[string]string)}
 	s.address = s.serve(s.store)
 	for i := range servers {
 		server := standin.NewServer(fmt.Sprintf("i-%d", i), 30*time.Millisecond)
 		s.servers = append(s.servers, server)
-		entry := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":4000,"mem_mb":8000},"labels":["a","r1"],"born":%d}`, s.serve(server), server.Born())
+		s.addresses[server.ID] = s.serve(server)
+		entry := fmt.Sprintf(soundEntry, s.addresses[server.ID], server.Born())
 		s.store.Put("keyed.servers", 0, server.ID, []byte(entry))
 	}
 	s.configure(1, "/q/")
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -20,13 +21,15 @@
 	listBatchDelay = 200 * time.Millisecond
 	// layoutInterval is the time between two checks for racks without a shard.
 	layoutInterval = 500 * time.Millisecond
+	// maxUnusable bounds the entries that are logged as unusable.
+	maxUnusable = 1000
 )
 
 // watchServers follows the platform's list of backend servers until ctx ends, and
 // calls onChange with those of the partition after each change.
 func (h *Host) watchServers(ctx context.Context, id partition.ID, onChange func([]scheduler.ServerInfo)) error {
 	list := &serverList{
-		host: h, partition: id.Part, onChange: onChange, entries: make(map[string]scheduler.ServerInfo),
+		host: h, partition: id.Part, onChange: onChange, entries: make(map[string]scheduler.ServerInfo), unusable: make(map[string]string),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -48,6 +51,9 @@
 	mu      sync.Mutex
 	loaded  bool
 	entries map[string]scheduler.ServerInfo
+	// unusable holds, by ID, the errors of entries that name no server, so that
+	// each is logged once.
+	unusable map[string]string
 }
 
 // apply applies records to the list. If snapshot is set, they replace the list.
@@ -56,6 +62,7 @@
 	defer l.mu.Unlock()
 	if snapshot {
 		clear(l.entries)
+		l.forgetUnlisted(records)
 	}
 	for _, r := range records {
 		l.applyRecord(r)
@@ -66,20 +73,40 @@
 	}
 }
 
+// forgetUnlisted forgets the unusable entries that are not among the records.
+func (l *serverList) forgetUnlisted(records []partition.Record) {
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.Key] = true
+	}
+	maps.DeleteFunc(l.unusable, func(id, _ string) bool { return !listed[id] })
+}
+
 func (l *serverList) applyRecord(r partition.Record) {
 	if r.Value == nil {
 		delete(l.entries, r.Key)
+		delete(l.unusable, r.Key)
 		return
 	}
 	info, err := platform.DecodeServer(r)
 	if err != nil {
 		delete(l.entries, r.Key)
-		l.host.o.Events.Log(events.ServerEntryUnreadable, "server", r.Key, "error", err.Error())
+		l.recordUnusable(r.Key, err.Error())
 		return
 	}
+	delete(l.unusable, r.Key)
 	l.entries[r.Key] = info
 }
 
+// recordUnusable logs an entry that names no server, unless it was logged before.
+func (l *serverList) recordUnusable(id, reason string) {
+	if l.unusable[id] == reason || len(l.unusable) >= maxUnusable && l.unusable[id] == "" {
+		return
+	}
+	l.unusable[id] = reason
+	l.host.o.Events.Log(events.ServerEntryUnreadable, "server", id, "error", reason)
+}
+
 // notify calls onChange with the servers of the partition's shards. The caller holds
 // l.mu.
 func (l *serverList) notify() {
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -81,6 +81,9 @@
 	OutcomeRefused
 	// OutcomeUnavailable means the same, because nothing can be stored now.
 	OutcomeUnavailable
+	// OutcomeInvalid means that the submission was not accepted, never runs and
+	// would not be accepted again.
+	OutcomeInvalid
 )
 
 // Reply is the answer to a call by a caller.
@@ -91,6 +94,7 @@
 	// RetryAfterMS is the delay before a refused caller should retry, in
 	// milliseconds.
 	RetryAfterMS int64 `json:"retryAfterMS,omitempty"`
-	// Reason says why a call was refused.
+	// Reason says why a call was refused, and Detail which bound it exceeds.
 	Reason string `json:"reason,omitempty"`
+	Detail string `json:"detail,omitempty"`
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -32,6 +32,9 @@
 	// ReuseAfter is the shortest time between the end of a server instance and
 	// the start of another one under the same ID.
 	ReuseAfter time.Duration
+	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
+	// if that is not known.
+	MaxRecordBytes int
 }
 
 // Core holds the state of one partition's submissions and its backend servers.
@@ -119,10 +122,15 @@
 	openTasks map[int]int
 }
 
+// storedCallback waits for a write. One that belongs to the write has a function
+// for the case that the log rejects it; others only wait for what was written
+// before them.
 type storedCallback struct {
-	writeID uint64
-	since   time.Time
-	do      func()
+	writeID  uint64
+	since    time.Time
+	do       func()
+	own      bool
+	rejected func(error)
 }
 
 // NewCore returns a Core restored from the partition's records, which its
@@ -191,17 +199,21 @@
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
 
 // write stores records and calls then once they are in the log.
-func (c *Core) write(records []partition.Record, then func()) {
+func (c *Core) write(records []partition.Record, then func()) { c.writeOr(records, then, nil) }
+
+// writeOr stores records and calls then once they are in the log, or rejected if
+// the log does not accept them. Either may be nil.
+func (c *Core) writeOr(records []partition.Record, then func(), rejected func(error)) {
 	c.lastWriteID++
 	c.emit(Store{WriteID: c.lastWriteID, Records: records})
-	if then != nil {
-		c.afterStored(then)
+	if then != nil || rejected != nil {
+		c.onStored = append(c.onStored, storedCallback{writeID: c.lastWriteID, since: c.now, do: then, own: true, rejected: rejected})
 	}
 }
 
 // afterStored calls do once all writes so far are in the log.
 func (c *Core) afterStored(do func()) {
-	c.onStored = append(c.onStored, storedCallback{c.lastWriteID, c.now, do})
+	c.onStored = append(c.onStored, storedCallback{writeID: c.lastWriteID, since: c.now, do: do})
 }
 
 // WritesStored reports that all writes up to writeID are in the log.
@@ -209,8 +221,28 @@
 	for len(c.onStored) > 0 && c.onStored[0].writeID <= writeID {
 		do := c.onStored[0].do
 		c.onStored = c.onStored[1:]
-		do()
+		if do != nil {
+			do()
+		}
+	}
+}
+
+// WriteRejected reports that the log does not accept a write, nor would accept it
+// again. All earlier writes are in the log. What waits for them goes on.
+func (c *Core) WriteRejected(writeID uint64, err error) {
+	c.metric.writesRejected.Inc()
+	c.log.Log(events.WriteRejected, "write", writeID, "epoch", c.epoch, "error", err.Error())
+	for i := range c.onStored {
+		w := &c.onStored[i]
+		if w.writeID != writeID || !w.own {
+			continue
+		}
+		w.do = nil
+		if rejected := w.rejected; rejected != nil {
+			w.do = func() { rejected(err) }
+		}
 	}
+	c.WritesStored(writeID)
 }
 
 // flush stores the progress of changed jobs. It acknowledges ends to servers
@@ -219,7 +251,7 @@
 	for _, j := range c.dirty {
 		j.dirty = false
 		if j.ending == "" && j.stored {
-			c.write([]partition.Record{progressRecord(j)}, nil)
+			c.write(c.progressRecords(j), nil)
 		}
 	}
 	c.dirty = c.dirty[:0]
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -142,6 +142,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "claim partition %d after epoch %d of %q", e.o.Partition.Part, before.Epoch, before.Daemon)
 	}
+	e.writer.OnRejected(func(writeID uint64, err error) { e.push(rejectedEvent{writeID, err}) })
 	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
 	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "offset", end, "before", before.Daemon,
 		"records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
@@ -260,6 +261,13 @@
 
 func (ev storedEvent) apply(c *Core) { c.WritesStored(ev.writeID) }
 
+type rejectedEvent struct {
+	writeID uint64
+	err     error
+}
+
+func (ev rejectedEvent) apply(c *Core) { c.WriteRejected(ev.writeID, ev.err) }
+
 type serversEvent struct{ list []ServerInfo }
 
 func (ev serversEvent) apply(c *Core) { c.SetServers(ev.list) }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -19,6 +19,8 @@
 	// if that write was withdrawn.
 	acceptWriteID uint64
 	withdrawn     bool
+	// progressParts is the number of records that hold the job's progress.
+	progressParts int
 	// inherited marks a submission that an earlier owner accepted, whose runs
 	// may still be in progress.
 	inherited bool
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,7 @@
 	startsWithdrawn   *metrics.Counter
 	runsLost          *metrics.Counter
 	serversCrashed    *metrics.Counter
+	writesRejected    *metrics.Counter
 	tasksGivenUp      *metrics.Counter
 	storeTime         *metrics.Histogram
 	firstStartTime    *metrics.Histogram
@@ -34,6 +35,7 @@
 		runsLost:          set.NewCounter("currantwinch_runs_lost_total"),
 		tasksGivenUp:      set.NewCounter("currantwinch_tasks_given_up_total"),
 		serversCrashed:    set.NewCounter("currantwinch_servers_crashed_total"),
+		writesRejected:    set.NewCounter("currantwinch_writes_rejected_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
 		completionTime:    set.NewHistogram("currantwinch_submission_seconds"),
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -315,12 +315,8 @@
 	if shrunk {
 		c.withdrawUnconfirmed(s)
 	}
-	if !s.stored {
-		kept := workload.ServerRecord{Service: info.Service, Address: info.Address}
-		c.write([]partition.Record{recordOf(keyServer, info.ID, kept)}, func() {
-			s.stored = true
-			c.poll(s)
-		})
+	if !s.recorded {
+		c.recordServer(s)
 	}
 	if moved || reborn {
 		s.synced = false
@@ -328,6 +324,19 @@
 	c.poll(s)
 }
 
+// recordServer stores that the server may have runs of this partition. It is used
+// only once that is stored, and never if the log does not accept the record.
+func (c *Core) recordServer(s *server) {
+	s.recorded = true
+	kept := workload.ServerRecord{Service: s.info.Service, Address: s.info.Address}
+	c.writeOr([]partition.Record{recordOf(keyServer, s.info.ID, kept)}, func() {
+		s.stored = true
+		if c.servers[s.info.ID] == s {
+			c.poll(s)
+		}
+	}, func(error) { s.rejected = true })
+}
+
 // removeServer drops a server that the platform no longer uses and that holds
 // nothing.
 func (c *Core) removeServer(s *server) {
@@ -336,7 +345,9 @@
 	}
 	delete(c.servers, s.info.ID)
 	delete(c.exposed, s.info.ID)
-	c.write([]partition.Record{tombstone(keyServer, s.info.ID)}, nil)
+	if s.stored {
+		c.write([]partition.Record{tombstone(keyServer, s.info.ID)}, nil)
+	}
 	c.log.Log(events.ServerRemoved, "server", s.info.ID)
 	c.placementNeeded = true
 }
@@ -383,6 +394,9 @@
 // isRemovable reports whether a server that gets no more tasks holds nothing.
 // Its record must go, since the next owner would wait for the server.
 func (c *Core) isRemovable(s *server) bool {
+	if s.rejected && !s.listed {
+		return true
+	}
 	if !c.listRead || !s.stored || s.listed && !s.info.Draining {
 		return false
 	}
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -29,10 +29,6 @@
 	return partition.Record{Key: string(kind) + id}
 }
 
-func progressRecord(j *job) partition.Record {
-	return recordOf(keyProgress, j.sub.ID, j.progress())
-}
-
 // ClaimRecord returns the first record of an owner.
 func ClaimRecord(t workload.PartitionOwner) partition.Record { return recordOf(keyOwner, "", t) }
 
@@ -78,12 +74,14 @@
 			c.log.Log(events.RecordUnreadable, "key", r.Key, "offset", r.Offset, "error", err.Error())
 			continue
 		}
-		if j := c.jobs[r.Key[1:]]; j != nil {
+		id, part, ok := progressPart(r.Key[1:])
+		if j := c.jobs[id]; ok && j != nil {
 			j.restore(p)
-			c.loadExposures(j)
+			j.progressParts = max(j.progressParts, part+1)
 		}
 	}
 	for _, j := range c.jobs {
+		c.loadExposures(j)
 		j.skipRunsThrough(maxInheritedRun(c.epoch))
 		c.admit(j)
 	}
@@ -135,7 +133,7 @@
 		return err
 	}
 	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address}, c.newSession())
-	s.stored, s.inherited = true, true
+	s.recorded, s.stored, s.inherited = true, true, true
 	// An earlier owner may have sent a full lease just before now.
 	s.leaseDeadlineMS = c.maxLeaseSent.Milliseconds()
 	c.servers[id] = s
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -21,8 +21,11 @@
 	info ServerInfo
 	// listed is set while the platform's list contains the server.
 	listed bool
-	// stored is set once the server has a record in the partition.
-	stored bool
+	// recorded is set once the server's record was written, and stored once that
+	// is in the log.
+	recorded, stored bool
+	// rejected is set if the log does not accept the server's record.
+	rejected bool
 	// inherited is set if an earlier owner recorded the server.
 	inherited bool
 	// free is the capacity that no attempt has reserved.
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
@@ -35,6 +36,11 @@
 		c.refuse(sub, r, reply)
 		return
 	}
+	accepted := recordOf(keyAccepted, sub.ID, sub)
+	if n := recordBytes(accepted); c.bounds.MaxRecordBytes > 0 && n > c.bounds.MaxRecordBytes {
+		c.refuse(sub, tooLarge(fmt.Sprintf("a record of %d bytes, at most %d", n, c.bounds.MaxRecordBytes)), reply)
+		return
+	}
 	j := newJob(sub, c.now)
 	c.assignQueue(j)
 	if r, refused := c.checkBacklog(j); refused {
@@ -43,11 +49,11 @@
 	}
 	j.waiters = []func(Reply){reply}
 	c.jobs[sub.ID] = j
-	c.write([]partition.Record{recordOf(keyAccepted, sub.ID, sub)}, func() {
+	c.writeOr([]partition.Record{accepted}, func() {
 		if !j.withdrawn {
 			c.submissionStored(j)
 		}
-	})
+	}, func(err error) { c.withdraw(j, tooLarge(err.Error())) })
 	j.acceptWriteID = c.lastWriteID
 	c.admit(j)
 }
@@ -72,17 +78,33 @@
 		withdrawn[id] = true
 	}
 	c.reattachCallbacks(withdrawn)
-	for id, j := range c.jobs {
+	for _, j := range c.jobs {
 		if j.stored || !withdrawn[j.acceptWriteID] {
 			continue
 		}
-		// The final state keeps the steps from being placed.
-		j.withdrawn, j.ending = true, workload.StatusCancelled
-		delete(c.jobs, id)
-		for _, reply := range j.waiters {
-			c.refuse(j.sub, storeUnavailable(storeDelay), reply)
-		}
+		c.withdraw(j, storeUnavailable(storeDelay))
+	}
+}
+
+// tooLarge returns the reply to a submission that the log cannot hold.
+func tooLarge(detail string) Reply {
+	return Reply{Outcome: OutcomeInvalid, Reason: "submission_too_large", Detail: detail}
+}
+
+// withdraw refuses a submission that is certainly not in the log. It never runs.
+func (c *Core) withdraw(j *job, r Reply) {
+	if j.withdrawn {
+		return
 	}
+	// The final state keeps the steps from being placed.
+	j.withdrawn, j.ending = true, workload.StatusCancelled
+	if c.jobs[j.sub.ID] == j {
+		delete(c.jobs, j.sub.ID)
+	}
+	for _, reply := range j.waiters {
+		c.refuse(j.sub, r, reply)
+	}
+	j.waiters = nil
 }
 
 // reattachCallbacks lets callbacks that wait for a withdrawn write run once the
@@ -226,8 +248,8 @@
 	j.ending = status
 	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue}
 	id := j.sub.ID
-	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id), tombstone(keyProgress, id)}
-	c.write(records, func() {
+	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
+	c.write(append(records, j.progressTombstones(0)...), func() {
 		delete(c.jobs, id)
 		c.finalStates[id] = f
 		c.finalOrder = append(c.finalOrder, id)
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -7,7 +7,6 @@
 
 	"github.com/currantwinch/currantwinch/crashloop"
 	"github.com/currantwinch/currantwinch/internal/events"
-	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
@@ -139,7 +138,7 @@
 	st.trial = tr
 	c.trials++
 	c.log.Log(events.TrialBegun, "step", st.id().StepName(), "tasks", len(tasks), "server", servers[0].info.ID, "lasts", tr.runTime.Milliseconds())
-	c.write([]partition.Record{progressRecord(st.job())}, func() { c.startTrial(tr) })
+	c.writeOr(c.progressRecords(st.job()), func() { c.startTrial(tr) }, func(error) { c.endTrial(tr) })
 }
 
 // startTrial sends the starts of a trial that is stored, once its servers have no run
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -26,6 +26,9 @@
 	ReasonTruncated verdict.Reason = "log_truncated"
 	// ReasonUnavailable: the log is busy or down and did nothing.
 	ReasonUnavailable verdict.Reason = "log_refused"
+	// ReasonRejected: the log does not accept the call, nor would it accept it
+	// again: a record or a key is too long.
+	ReasonRejected verdict.Reason = "log_rejected"
 	// ReasonNoAnswer: it is unknown whether the call took effect.
 	ReasonNoAnswer verdict.Reason = "log_no_answer"
 )
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -366,3 +367,50 @@
 		t.Errorf("records %v and no error after a page that announced others", records)
 	}
 }
+
+// rejectingLog does not accept records with a certain key.
+type rejectingLog struct {
+	memoryLog
+	rejected string
+}
+
+func (l *rejectingLog) Append(ctx context.Context, id partition.ID, fence partition.Fence, records []partition.Record) error {
+	if slices.ContainsFunc(records, func(r partition.Record) bool { return r.Key == l.rejected }) {
+		return verdict.New(verdict.NotRun, partition.ReasonRejected, "key too long")
+	}
+	return l.memoryLog.Append(ctx, id, fence, records)
+}
+
+// A record that the log does not accept was sent again for ever, and every write of the
+// partition waited behind it. It must fail by itself, in whichever batch it is.
+func TestWriter_RejectedWriteFailsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &rejectingLog{rejected: "w4"}
+		var stored, rejected []uint64
+		w, err := partition.Claim(t.Context(), log, testPartition, 3, 0, record("o", "me"), time.Now, func(id uint64) { stored = append(stored, id) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.OnRejected(func(id uint64, err error) { rejected = append(rejected, id) })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		for id := uint64(1); id <= 9; id++ {
+			w.Enqueue(id, []partition.Record{record("w"+strconv.FormatUint(id, 10), "x")})
+			if id == 1 {
+				synctest.Wait()
+			}
+		}
+		time.Sleep(2 * time.Second)
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if !slices.Equal(rejected, []uint64{4}) || len(stored) == 0 || stored[len(stored)-1] != 9 {
+			t.Errorf("rejected %v, stored through %v, want 4 and 9", rejected, stored)
+		}
+		if len(log.records) != 9 {
+			t.Errorf("%d records in the log, want the claim and 8 writes", len(log.records))
+		}
+	})
+}
--- a/partition/retry.go
+++ b/partition/retry.go
@@ -91,7 +91,7 @@
 // retry would not change.
 func IsPermanent(err error) bool {
 	switch verdict.ReasonOf(err) {
-	case ReasonFenced, ReasonOutOfSequence, ReasonOffsetMismatch, ReasonTruncated:
+	case ReasonFenced, ReasonOutOfSequence, ReasonOffsetMismatch, ReasonTruncated, ReasonRejected:
 		return true
 	}
 	return false
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/pkg/errors"
 )
 
@@ -49,14 +50,19 @@
 	log   Log
 	id    ID
 	epoch uint64
-	// onStored is called with the ID of the last write in each append.
-	onStored func(writeID uint64)
+	// onStored is called with the ID of the last write in each append, and
+	// onRejected with that of a write that the log does not accept.
+	onStored   func(writeID uint64)
+	onRejected func(writeID uint64, err error)
 
 	mu     sync.Mutex
 	queued []write
 	// sending is the number of writes at the head of queued that were sent and
 	// may be in the log.
-	sending      int
+	sending int
+	// alone is the number of writes at the head of queued that are sent one by
+	// one, since the log has rejected one of them.
+	alone        int
 	oldest       time.Time
 	wake         chan struct{}
 	now          func() time.Time
@@ -83,9 +89,14 @@
 	if err != nil {
 		return nil, errors.WithMessagef(err, "claim at offset %d under epoch %d from sequence %d", end, epoch, first)
 	}
-	return &Writer{log: log, id: id, epoch: epoch, onStored: written, wake: make(chan struct{}, 1), now: now, nextSequence: first + 1}, nil
+	ignore := func(uint64, error) {}
+	return &Writer{log: log, id: id, epoch: epoch, onStored: written, onRejected: ignore, wake: make(chan struct{}, 1), now: now, nextSequence: first + 1}, nil
 }
 
+// OnRejected sets the function that is called with the ID of each write that the
+// log does not accept and would not accept again. It must precede Run.
+func (w *Writer) OnRejected(rejected func(writeID uint64, err error)) { w.onRejected = rejected }
+
 // Enqueue queues records for the next append. Write IDs must rise with each
 // call.
 func (w *Writer) Enqueue(writeID uint64, records []Record) {
@@ -149,7 +160,12 @@
 				break
 			}
 			started := w.now()
-			if err := w.append(ctx, records); err != nil {
+			err := w.append(ctx, records)
+			if verdict.ReasonOf(err) == ReasonRejected {
+				w.reject(n, writeID, err)
+				continue
+			}
+			if err != nil {
 				return err
 			}
 			w.dropWrites(n)
@@ -161,6 +177,17 @@
 	}
 }
 
+// reject handles an append that the log does not accept. None of its writes is
+// stored. They are sent one by one then, so that only the one at fault is dropped.
+func (w *Writer) reject(n int, writeID uint64, err error) {
+	if n > 1 {
+		w.alone = n
+		return
+	}
+	w.dropWrites(1)
+	w.onRejected(writeID, err)
+}
+
 // nextBatch returns the records of the first n writes, as many as fit in one
 // append.
 func (w *Writer) nextBatch() (records []Record, writeID uint64, n int) {
@@ -171,13 +198,14 @@
 		for _, r := range next.records {
 			size += len(r.Key) + len(r.Value)
 		}
-		if n > 0 && (size > maxBatchBytes || len(records)+len(next.records) > maxBatchRecords) {
+		if n > 0 && (w.alone > 0 || size > maxBatchBytes || len(records)+len(next.records) > maxBatchRecords) {
 			break
 		}
 		records = append(records, next.records...)
 		writeID = next.writeID
 		n++
 	}
+	w.alone = max(w.alone-1, 0)
 	w.sending = n
 	return records, writeID, n
 }
@@ -204,8 +232,8 @@
 		w.latency = decayedLatency(w.latency, took)
 		return nil
 	}
-	if IsPermanent(err) {
+	if verdict.ReasonOf(err) != ReasonRejected && IsPermanent(err) {
 		return ErrFenced
 	}
-	return errors.Wrap(err, "append")
+	return errors.WithMessage(err, "append")
 }
