--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -26,7 +26,6 @@
 	config, err := platform.DecodeConfiguration(records)
 	if err != nil {
 		h.o.Events.Log(events.ConfigurationUnreadable, "offset", lastOffset(records), "error", err.Error())
-		return
 	}
 	if config == nil {
 		return
