An entry ends no server that answers, and an idle silent server is polled rarely

What callers would see: an entry of another writer with the address of a sound server and a later birth ended that server's instance by its word alone; its runs were taken for lost and started a second time beside themselves. The entry counts only where the former server does not respond, which is the case that it was meant for (CountsOnlyCertainCrashes keeps it).

Such an entry, or one whose address nobody listens on, was polled every 0.4 s for ever. After twenty polls without an answer a server without runs is polled every 2 s (PollsAnIdleSilentServerRarely: 0.4 s before).

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -249,10 +249,11 @@
 }
 
 // endReplacedInstance ends the instance that was at the address of a newly listed
-// server before. A machine runs one server at a time.
+// server before, if it does not respond. A machine runs one server at a time, but an
+// entry may name the address of another server that is well.
 func (c *Core) endReplacedInstance(info ServerInfo) {
 	for _, s := range c.servers {
-		if s.info.Address == info.Address && s.info.ID != info.ID && !s.over && s.info.StartedAtMS > 0 && s.info.StartedAtMS < info.StartedAtMS {
+		if s.info.Address == info.Address && s.info.ID != info.ID && !s.over && !s.unresponsiveSince.IsZero() && s.info.StartedAtMS > 0 && s.info.StartedAtMS < info.StartedAtMS {
 			c.instanceEnded(s)
 		}
 	}
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -18,6 +18,10 @@
 	// maxPollRetryDelay bounds the delay before an unanswered poll is sent again.
 	// It must be short compared to the lease of the runs on the server.
 	maxPollRetryDelay = 400 * time.Millisecond
+	// maxQuickPolls is the number of unanswered polls in a row after which a server
+	// without runs is polled every maxIdlePollDelay.
+	maxQuickPolls    = 20
+	maxIdlePollDelay = 2 * time.Second
 	// evacuationLead is the time before a draining server's departure at which
 	// its checkpointing tasks are stopped. It covers the stop, its grace period
 	// and the poll that lists the checkpoint, each repeated once.
@@ -136,7 +140,16 @@
 		return
 	}
 	s.failedPolls++
-	c.pollAfter(s, min(resendDelay(s.failedPolls), maxPollRetryDelay))
+	c.pollAfter(s, c.pollRetryDelay(s))
+}
+
+// pollRetryDelay returns the delay before a server that did not answer is polled
+// again. One on which nothing can depend is polled rarely: its entry may be wrong.
+func (c *Core) pollRetryDelay(s *server) time.Duration {
+	if s.failedPolls > maxQuickPolls && c.recovered && len(s.attempts) == 0 && s.unknownRuns == 0 {
+		return maxIdlePollDelay
+	}
+	return min(resendDelay(s.failedPolls), maxPollRetryDelay)
 }
 
 // detectRestart begins another session if another instance has answered under the
@@ -320,6 +333,7 @@
 	}
 	if moved || reborn {
 		s.synced = false
+		s.failedPolls = 0
 	}
 	c.poll(s)
 }
--- a/internal/scheduler/rejected_test.go
+++ b/internal/scheduler/rejected_test.go
@@ -123,3 +123,45 @@
 		}
 	}
 }
+
+// An entry may name the address of a server that is well. It must not end the runs there,
+// which would run twice.
+func TestCore_EntryWithTheAddressOfASoundServerEndsNothing(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	start := h.runOne(id1, 1000)
+	odd := h.servers[0]
+	odd.ID, odd.StartedAtMS = "odd", 9000
+	h.servers = append(h.servers, odd)
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	h.answerPoll("s0", PollResponse{Running: []ActiveRun{runOf(start)}})
+	if again := h.takeStarts(); len(again) != 0 {
+		t.Errorf("%s started again while its server answers", again[0].Order.Task)
+	}
+}
+
+// A server that never answers, and on which nothing depends, must not be polled several
+// times a second for ever.
+func TestCore_PollsAnIdleSilentServerRarely(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	odd := h.servers[0]
+	odd.ID, odd.Address = "odd", "10.0.0.99:80"
+	h.servers = append(h.servers, odd)
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	polls := 0
+	var last PollServer
+	for range 60 {
+		if poll, ok := h.polls["odd"]; ok {
+			delete(h.polls, "odd")
+			polls, last = polls+1, poll
+			h.do(func(c *Core) {
+				c.PollCompleted(poll.To, h.now, PollResponse{}, verdict.New(verdict.NotRun, ReasonNoAnswer, "connection refused"))
+			})
+		}
+		h.advance(time.Second)
+	}
+	if last.Delay < maxIdlePollDelay {
+		t.Errorf("polled again after %s for the %dth time, want %s", last.Delay, polls, maxIdlePollDelay)
+	}
+}
