An owner without the store learns of its successor, and renews no lease without contact

What callers would see: two runs of one task at once, ordered by two daemons under two epochs.

Cause: the next owner fences the earlier one server by server, by its first poll, and counts one lease from its claim for a server that it cannot reach. The earlier owner renewed leases there for as long as it lasted; nothing told it and nothing bounded it.

Fix: the claim record names the daemons of up to three owners before; the new owner calls them, again until one lease is over, and a scheduler of an earlier epoch ends at that call. Where no call arrives, leases are renewed only up to one lease after the last answer of the store or of another daemon. While the store is away for all, the other daemons' answers keep that up, so that an outage ends no run.

Not covered: several daemons on one side of a cut, without the store, with the server. Weighed: polling through a daemon that reaches the server (which one does is not known, and orders have to follow), evidence in place of the lease (none comes), and counting from the store alone (each outage would cost its length in leases).

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -105,6 +105,11 @@
 		Meaning: "A record could not be decoded and was skipped.",
 		Action:  "Report it; a submission may be missing.",
 	}
+	OwnerSuperseded = Event{
+		Number: 6059, Level: slog.LevelInfo, Name: "owner_superseded",
+		Fields:  []string{"partition", "epoch", "later"},
+		Meaning: "Another daemon told this one that it owns the partition under a later epoch; this daemon gives it up.",
+	}
 	WriteRejected = Event{
 		Number: 6058, Level: slog.LevelError, Name: "write_rejected",
 		Fields:  []string{"write", "epoch", "error"},
@@ -198,7 +203,7 @@
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
-	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
+	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
 	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank,
--- a/internal/host/claim_test.go
+++ b/internal/host/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -27,14 +28,42 @@
 	return nil, 0, func(error) {}
 }
 
+// cutTransport reaches no address that is cut.
+type cutTransport struct {
+	http.RoundTripper
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+func (c *cutTransport) set(address string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[address] = cut
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *cutTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.mu.Lock()
+	cut := c.cut[r.URL.Host]
+	c.mu.Unlock()
+	if cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return c.RoundTripper.RoundTrip(r)
+}
+
 // newTestEngine returns the scheduler of a daemon that sees the given servers.
 func (s *deployment) newTestEngine(daemon string, servers ...scheduler.ServerInfo) *scheduler.Engine {
-	client := platform.NewHTTPClient()
+	return scheduler.NewEngine(s.engineOptions(daemon, platform.NewHTTPClient(), servers...))
+}
+
+func (s *deployment) engineOptions(daemon string, client *http.Client, servers ...scheduler.ServerInfo) scheduler.EngineOptions {
 	config := &routing.Configuration{
 		Version: 1, Services: map[string]routing.Service{"pool": {Name: "pool"}},
 		Queues: []routing.Queue{{Name: "r", Service: "pool", MaxFailedRuns: 2, Stretch: 2}},
 	}
-	return scheduler.NewEngine(scheduler.EngineOptions{
+	return scheduler.EngineOptions{
 		Log: platform.NewStore(client, s.address, "g", "keyed.submissions"), Partition: partition.ID{Topic: "keyed.submissions"}, Daemon: daemon,
 		Bounds:  scheduler.Bounds{MaxLease: 6 * time.Second, StatusRetention: time.Minute, ReuseAfter: 2 * time.Second},
 		Servers: platform.NewServerClient(client), Policy: noPolicy{}, Config: func() *routing.Configuration { return config },
@@ -45,7 +74,7 @@
 			return nil
 		},
 		Events: events.Discard(), Metrics: scheduler.NewMetrics(metrics.NewSet()), Now: time.Now, Wall: func() int64 { return time.Now().UnixMilli() },
-	})
+	}
 }
 
 // runningEngine is an Engine that runs until stop.
@@ -81,13 +110,10 @@
 	}
 }
 
-// While partitions are dealt anew, two daemons may read one at the same end, and claim it
-// with the same epoch. Only one of them may own it: both would order the first run of an
-// inherited task, under one fencing token that no server refuses.
-func TestEngine_TwoClaimsAtOneEnd(t *testing.T) {
-	s := newDeployment(t, 0)
+// addSlowServers adds servers whose runs take a minute, and returns their entries.
+func (s *deployment) addSlowServers(n int) []scheduler.ServerInfo {
 	var seen []scheduler.ServerInfo
-	for i := range 2 {
+	for i := range n {
 		server := standin.NewServer(fmt.Sprintf("i-%d", i), time.Minute)
 		s.servers = append(s.servers, server)
 		seen = append(seen, scheduler.ServerInfo{
@@ -95,14 +121,31 @@
 			Labels: []string{"a", "r1"}, StartedAtMS: server.Born(),
 		})
 	}
-	first := run(t, s.newTestEngine("first"))
+	return seen
+}
+
+// slowTask is the task that submitSlowTask submits.
+const slowTask = id + ".0.0.0"
+
+func (r runningEngine) submitSlowTask(t *testing.T) {
+	t.Helper()
 	sub := &workload.Submission{
 		ID: id, Queue: "r", Service: "pool", Spec: "x", Accepted: time.Now().UnixMilli(),
 		Steps: []workload.Step{{Count: 1, Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Estimate: time.Minute}},
 	}
-	if _, err := first.Submit(t.Context(), sub); err != nil {
+	if _, err := r.Submit(t.Context(), sub); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// While partitions are dealt anew, two daemons may read one at the same end, and claim it
+// with the same epoch. Only one of them may own it: both would order the first run of an
+// inherited task, under one fencing token that no server refuses.
+func TestEngine_TwoClaimsAtOneEnd(t *testing.T) {
+	s := newDeployment(t, 0)
+	seen := s.addSlowServers(2)
+	first := run(t, s.newTestEngine("first"))
+	first.submitSlowTask(t)
 	first.stop()
 
 	// No claim is carried out before both daemons have read the partition.
@@ -120,7 +163,7 @@
 	second, third := run(t, s.newTestEngine("second", seen[0])), run(t, s.newTestEngine("third", seen[1]))
 	defer second.stop()
 	defer third.stop()
-	started := func() int { return s.servers[0].Starts()[id+".0.0.0"] + s.servers[1].Starts()[id+".0.0.0"] }
+	started := func() int { return s.servers[0].Starts()[slowTask] + s.servers[1].Starts()[slowTask] }
 	s.await("claimed", func() bool { return second.decided() && third.decided() })
 	owners := 0
 	for _, e := range []runningEngine{second, third} {
@@ -133,3 +176,60 @@
 		t.Errorf("%d daemons own the partition, with epochs %d and %d, and started its task %d times", owners, second.Epoch(), third.Epoch(), started())
 	}
 }
+
+// An owner that loses the store goes on with its servers. The next owner counts one lease
+// from its claim for a server that it cannot reach, and then starts the task elsewhere. The
+// earlier owner, which reaches that server, must not renew the lease beyond that.
+func TestEngine_EarlierOwnerWithoutTheStore(t *testing.T) {
+	const lease = 2 * time.Second
+	for _, tc := range []struct {
+		name string
+		// told lets the next owner reach the earlier one.
+		told bool
+	}{
+		{"the next owner reaches the earlier one", true},
+		{"the earlier owner hears of no daemon", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newDeployment(t, 0)
+			seen := s.addSlowServers(2)
+			links := [2]*cutTransport{}
+			options := [2]scheduler.EngineOptions{}
+			for i, name := range []string{"first", "second"} {
+				client := platform.NewHTTPClient()
+				links[i] = &cutTransport{RoundTripper: client.Transport, cut: make(map[string]bool)}
+				options[i] = s.engineOptions(name, &http.Client{Transport: links[i]}, seen[:i+1]...)
+				options[i].Bounds.MaxLease = lease
+			}
+			var lost atomic.Pointer[time.Time]
+			options[0].LastContact = func() time.Time {
+				if at := lost.Load(); at != nil && !tc.told {
+					return *at
+				}
+				return time.Now()
+			}
+			first := run(t, scheduler.NewEngine(options[0]))
+			defer first.stop()
+			first.submitSlowTask(t)
+			s.await("started", func() bool { return s.servers[0].Runs(slowTask) })
+
+			now := time.Now()
+			lost.Store(&now)
+			links[0].set(s.address, true)
+			links[1].set(seen[0].Address, true)
+			options[1].NotifySuperseded = func(_ context.Context, daemon string, epoch uint64) error {
+				if daemon != "first" || !tc.told {
+					return context.DeadlineExceeded
+				}
+				first.Superseded(epoch)
+				return nil
+			}
+			second := run(t, scheduler.NewEngine(options[1]))
+			defer second.stop()
+			s.await("started again", func() bool { return s.servers[1].Runs(slowTask) })
+			if s.servers[0].Runs(slowTask) {
+				t.Error("the task runs on two servers at once")
+			}
+		})
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -153,9 +153,9 @@
 	return partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.reporter("join"), func() { h.tenures.TriggerReconcile() }, capacities.ShouldYield)
 }
 
-func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, s platform.Settings) *tenure.Manager {
+func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, peers *peer.Peers, s platform.Settings) *tenure.Manager {
 	return tenure.New(tenure.Options{
-		Member: member, PartitionCount: s.StorePartitions, Config: h.config.Load, Layout: shards.Layout, New: h.newEngine, Events: h.o.Events,
+		Member: member, PartitionCount: s.StorePartitions, Config: h.config.Load, Layout: shards.Layout, New: h.newEngine, Peers: peers, Events: h.o.Events,
 	})
 }
 
@@ -201,6 +201,9 @@
 			MaxRecordBytes: h.o.Settings.MaxRecordBytes,
 		},
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
+		LastContact: h.store.LastContact, NotifySuperseded: func(ctx context.Context, daemon string, epoch uint64) error {
+			return h.tenures.NotifySuperseded(ctx, daemon, id, epoch)
+		},
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
 			return h.watchServers(ctx, id, onChange)
 		},
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -40,14 +40,30 @@
 // extendLease returns a lease deadline for an order, in milliseconds of the
 // server's clock. It extends the leases only if they are renewable.
 func (c *Core) extendLease(s *server) int64 {
-	if !c.renewable(s) {
+	lease := c.leaseLeft()
+	if !c.renewable(s) || lease <= 0 {
 		return s.leaseDeadlineMS
 	}
-	until := s.minClockMS(c.now) + c.bounds.lease().Milliseconds()
+	until := s.minClockMS(c.now) + lease.Milliseconds()
 	s.leaseDeadlineMS = max(s.leaseDeadlineMS, until)
 	return until
 }
 
+// leaseLeft returns the longest lease that may be sent now. A later owner waits for
+// one lease from its claim, which this daemon learns of by contact with the store or
+// with other daemons. Without contact no lease may outlast that wait.
+func (c *Core) leaseLeft() time.Duration {
+	lease := c.bounds.lease()
+	if c.lastContact.IsZero() {
+		return lease
+	}
+	return lease - time.Duration(float64(max(c.now.Sub(c.lastContact), 0))*maxClockDrift)
+}
+
+// SetLastContact sets when this daemon last heard from the store or from another
+// daemon.
+func (c *Core) SetLastContact(at time.Time) { c.lastContact = at }
+
 // lease returns the lease that the Core sends. A longer lease outlasts longer
 // outages; a shorter one makes the capacity of lost runs available sooner.
 func (b Bounds) lease() time.Duration { return min(b.MaxLease, maxLease) }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -55,6 +55,9 @@
 	lastSession uint64
 	// resumedAt is when this machine was last found to have been suspended.
 	resumedAt time.Time
+	// lastContact is when this daemon last heard from the store or from another
+	// daemon; zero if that is not known.
+	lastContact time.Time
 
 	// maxLeaseSent is the longest lease that this or an earlier owner may have
 	// sent.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -70,6 +70,12 @@
 	// LeaseValid reports whether this daemon's group lease is valid, so that no
 	// other daemon can own the partition.
 	LeaseValid func() bool
+	// LastContact returns when the store or another daemon last answered this one;
+	// nil if that is not known. Leases are renewed only for their length from then.
+	LastContact func() time.Time
+	// NotifySuperseded tells another daemon that this one owns the partition under
+	// an epoch; nil if other daemons cannot be called.
+	NotifySuperseded func(ctx context.Context, daemon string, epoch uint64) error
 	// Watch follows the platform's server list until its context ends, and
 	// passes the complete list at each change.
 	Watch   func(ctx context.Context, whole func([]ServerInfo)) error
@@ -91,6 +97,8 @@
 	claimed chan struct{}
 	done    chan struct{}
 	ctx     context.Context
+	// superseded holds the epoch of a later owner once that is known.
+	superseded chan uint64
 }
 
 // event is an input of the Core.
@@ -98,7 +106,7 @@
 
 // NewEngine returns an Engine. It owns nothing before Run.
 func NewEngine(o EngineOptions) *Engine {
-	e := &Engine{o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{})}
+	e := &Engine{o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{}), superseded: make(chan uint64, 1)}
 	e.orders = newOrderSender(e)
 	return e
 }
@@ -136,7 +144,8 @@
 	}
 	before := LastClaim(records)
 	epoch := before.Epoch + 1
-	claim := ClaimRecord(workload.PartitionOwner{Epoch: epoch, Daemon: e.o.Daemon, LeaseMS: e.o.Bounds.lease().Milliseconds()})
+	earlier := e.earlierOwners(before)
+	claim := ClaimRecord(workload.PartitionOwner{Epoch: epoch, Daemon: e.o.Daemon, LeaseMS: e.o.Bounds.lease().Milliseconds(), Earlier: earlier})
 	written := func(writeID uint64) { e.push(storedEvent{writeID}) }
 	e.writer, err = partition.Claim(ctx, e.o.Log, e.o.Partition, epoch, end, claim, e.o.Now, written)
 	if err != nil {
@@ -146,6 +155,9 @@
 	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
 	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "offset", end, "before", before.Daemon,
 		"records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
+	for _, daemon := range earlier {
+		go e.notifySuperseded(ctx, daemon, epoch, e.core.maxLeaseSent)
+	}
 	return nil
 }
 
@@ -169,6 +181,11 @@
 			e.setTime()
 		case <-ctx.Done():
 			return context.Cause(ctx)
+		case later := <-e.superseded:
+			if later > e.core.epoch {
+				e.o.Events.Log(events.OwnerSuperseded, "partition", e.o.Partition.Part, "epoch", e.core.epoch, "later", later)
+				return partition.ErrFenced
+			}
 		case ev := <-e.events.C():
 			e.setTime()
 			ev.apply(e.core)
@@ -222,7 +239,13 @@
 	}
 }
 
-func (e *Engine) setTime() { e.core.SetTime(e.o.Now(), e.o.Wall()) }
+func (e *Engine) setTime() {
+	now := e.o.Now()
+	e.core.SetTime(now, e.o.Wall())
+	if e.o.LastContact != nil {
+		e.core.SetLastContact(e.o.LastContact())
+	}
+}
 
 func (e *Engine) push(ev event) { e.events.Push(e.ctx, ev) }
 
--- a/internal/tenure/manager.go
+++ b/internal/tenure/manager.go
@@ -11,6 +11,7 @@
 
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/routing"
@@ -47,6 +48,7 @@
 	Layout func(service string) (shard.Layout, bool)
 	// New creates a scheduler for a partition.
 	New    func(id partition.ID) *scheduler.Engine
+	Peers  roles.Peers
 	Events *events.Logger
 }
 
@@ -66,9 +68,12 @@
 	done   chan struct{}
 }
 
-// New returns a Manager that runs no scheduler yet.
+// New returns a Manager that runs no scheduler yet, and registers its method with the
+// peers.
 func New(o Options) *Manager {
-	return &Manager{o: o, reconcile: make(chan struct{}, 1), running: make(map[partition.ID]*runningEngine)}
+	t := &Manager{o: o, reconcile: make(chan struct{}, 1), running: make(map[partition.ID]*runningEngine)}
+	o.Peers.Handle(methodSuperseded, roles.TypedHandler(reasonBadCall, t.handleSuperseded))
+	return t
 }
 
 // TriggerReconcile makes Run compare the assigned partitions with the running
--- a/workload/record.go
+++ b/workload/record.go
@@ -77,6 +77,8 @@
 	// LeaseMS is the maximum lease duration that the owner grants, in
 	// milliseconds.
 	LeaseMS int64 `cbor:"3,keyasint,omitempty"`
+	// Earlier are the daemons of the owners before, the last one first.
+	Earlier []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns v in CBOR. The error is that of the CBOR encoder.
