"Not found" is an answer of an owner whose right is proved at that moment

Cause: "not found" rested on the group's lease. The group may assign all partitions anew at once, without any request, so that a lease says nothing of the next moment.

Fix: before such an answer the owner reads the log from the end of its own appends. A later owner's claim would stand there. No claim: it owned the partition during the call. No answer, or a claim: not run, and the caller is sent on or told to come back. The cost is one read for all such answers that wait at one time, and none for known submissions. The owner counts its own records, so that it needs no further call to know the end.

FormerOwnerDoesNotAnswerNotFound fails before, cut off or not (outcome not found); ConfirmsOwnershipUntilALaterClaim covers the writer.

--- a/internal/host/claim_test.go
+++ b/internal/host/claim_test.go
@@ -233,3 +233,33 @@
 		})
 	}
 }
+
+// The group may assign a partition to another daemon at any time, without any request. An
+// owner that has not heard of it must not answer that a submission does not exist, which
+// the next owner has accepted: a cancel would count as acknowledged, and the work run on.
+func TestEngine_FormerOwnerDoesNotAnswerNotFound(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut off from the store %t", cut), func(t *testing.T) {
+			s := newDeployment(t, 0)
+			client := platform.NewHTTPClient()
+			link := &cutTransport{RoundTripper: client.Transport, cut: make(map[string]bool)}
+			former := run(t, scheduler.NewEngine(s.engineOptions("former", &http.Client{Transport: link})))
+			defer former.stop()
+			if r, err := former.Status(t.Context(), id); err != nil || r.Outcome != scheduler.OutcomeNotFound {
+				t.Fatalf("%+v, %v before the partition was reassigned, want not found", r, err)
+			}
+			next := run(t, s.newTestEngine("next"))
+			defer next.stop()
+			next.submitSlowTask(t)
+			link.set(s.address, cut)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			if r, err := former.Cancel(ctx, id); err == nil {
+				t.Errorf("%+v to a cancel at the former owner, want an error", r)
+			}
+			if r, err := next.Status(t.Context(), id); err != nil || r.Outcome != scheduler.OutcomeDone {
+				t.Errorf("%+v, %v at the next owner, want a status", r, err)
+			}
+		})
+	}
+}
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -34,12 +36,14 @@
 
 // Cancel cancels a submission and returns once that is stored.
 func (e *Engine) Cancel(ctx context.Context, id string) (Reply, error) {
-	return e.confirmNotFound(e.call(ctx, func(c *Core, reply func(Reply)) { c.Cancel(id, reply) }))
+	r, err := e.call(ctx, func(c *Core, reply func(Reply)) { c.Cancel(id, reply) })
+	return e.confirmNotFound(ctx, r, err)
 }
 
 // Status returns a submission's state.
 func (e *Engine) Status(ctx context.Context, id string) (Reply, error) {
-	return e.confirmNotFound(e.call(ctx, func(c *Core, reply func(Reply)) { c.Status(id, reply) }))
+	r, err := e.call(ctx, func(c *Core, reply func(Reply)) { c.Status(id, reply) })
+	return e.confirmNotFound(ctx, r, err)
 }
 
 // Pending returns how many of a queue's submissions have not started.
@@ -47,13 +51,24 @@
 	return e.call(ctx, func(c *Core, reply func(Reply)) { c.Pending(queue, reply) })
 }
 
-// confirmNotFound passes OutcomeNotFound on only while the group lease is
-// valid. Another daemon may have accepted the submission otherwise.
-func (e *Engine) confirmNotFound(r Reply, err error) (Reply, error) {
-	if err == nil && r.Outcome == OutcomeNotFound && !e.o.LeaseValid() {
+// confirmNotFound passes OutcomeNotFound on only if this daemon owned the partition
+// when it gave that reply. Another daemon may have accepted the submission otherwise:
+// the group may assign the partition to it at any time, lease or not.
+func (e *Engine) confirmNotFound(ctx context.Context, r Reply, err error) (Reply, error) {
+	if err != nil || r.Outcome != OutcomeNotFound {
+		return r, err
+	}
+	if !e.o.LeaseValid() {
 		return Reply{}, verdict.New(verdict.NotRun, ReasonNotOwner, "not sure to own the partition")
 	}
-	return r, err
+	err = e.writer.ConfirmOwnership(ctx)
+	if errors.Is(err, partition.ErrFenced) {
+		e.Superseded(e.core.epoch + 1)
+	}
+	if err != nil {
+		return Reply{}, verdict.Wrap(err, verdict.NotRun, ReasonNotOwner)
+	}
+	return r, nil
 }
 
 // awaitClaim waits until the partition is claimed.
--- a/partition/claim_test.go
+++ b/partition/claim_test.go
@@ -276,3 +276,26 @@
 		})
 	}
 }
+
+// The ownership is confirmed while only the owner's own records follow its claim, and not
+// once a later owner's claim does.
+func TestWriter_ConfirmsOwnershipUntilALaterClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{}
+		w, written, stop := runWriter(t, log)
+		for id := uint64(1); id <= 3; id++ {
+			if err := w.ConfirmOwnership(t.Context()); err != nil {
+				t.Fatalf("after %d appends: %v", id-1, err)
+			}
+			w.Enqueue(id, []partition.Record{record("k", strconv.FormatUint(id, 10))})
+			<-written
+		}
+		stop()
+		if _, err := partition.Claim(t.Context(), log, testPartition, 4, 4, record("o", "next"), time.Now, func(uint64) {}); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.ConfirmOwnership(t.Context()); err != partition.ErrFenced {
+			t.Errorf("%v after a later claim, want ErrFenced", err)
+		}
+	})
+}
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -55,7 +55,13 @@
 	onStored   func(writeID uint64)
 	onRejected func(writeID uint64, err error)
 
-	mu     sync.Mutex
+	// claimKey is the key of the record with which owners claim the partition.
+	claimKey  string
+	ownership confirmer
+
+	mu sync.Mutex
+	// end is the offset after this owner's last append that was answered.
+	end    uint64
 	queued []write
 	// sending is the number of writes at the head of queued that were sent and
 	// may be in the log.
@@ -90,7 +96,9 @@
 		return nil, errors.WithMessagef(err, "claim at offset %d under epoch %d from sequence %d", end, epoch, first)
 	}
 	ignore := func(uint64, error) {}
-	return &Writer{log: log, id: id, epoch: epoch, onStored: written, onRejected: ignore, wake: make(chan struct{}, 1), now: now, nextSequence: first + 1}, nil
+	w := &Writer{log: log, id: id, epoch: epoch, claimKey: claim.Key, end: end + 1, onStored: written, onRejected: ignore, wake: make(chan struct{}, 1), now: now, nextSequence: first + 1}
+	w.ownership.confirm = w.findLaterClaim
+	return w, nil
 }
 
 // OnRejected sets the function that is called with the ID of each write that the
@@ -169,6 +177,7 @@
 				return err
 			}
 			w.dropWrites(n)
+			w.advance(len(records))
 			w.onStored(writeID)
 			if rest := linger - w.now().Sub(started); rest > 0 && !duty.Sleep(ctx, rest) {
 				return nil
@@ -210,6 +219,13 @@
 	return records, writeID, n
 }
 
+// advance records that an append of n records was answered.
+func (w *Writer) advance(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.end += uint64(n)
+}
+
 // dropWrites drops the first n writes, which are in the log.
 func (w *Writer) dropWrites(n int) {
 	w.mu.Lock()
