Owners that follow each other wait once for a server that does not answer

Cause: each new owner counts one lease from its own claim for a server that does not answer, since the owner before may have sent one just then. An owner that the server never answered has sent it none, and nothing said so.

Fix: an owner that waits records every 0.5 s which inherited servers it has not heard from, and for how long nobody can have sent them a lease. The next owner takes that off, if the record is of the last owner. A server on that record that answers after all gets no lease and no start before the record no longer names it. No wall clock is compared. Cost: two appends a second while an owner waits, none else, and the record goes with the wait.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -59,6 +59,13 @@
 	// daemon; zero if that is not known.
 	lastContact time.Time
 
+	// waitedBefore is how long earlier owners waited in vain for servers, by ID.
+	waitedBefore map[string]time.Duration
+	// unheardStored is set if a record names servers as unheard, and unheardAt is
+	// when it was last written.
+	unheardStored bool
+	unheardAt     time.Time
+
 	// maxLeaseSent is the longest lease that this or an earlier owner may have
 	// sent.
 	maxLeaseSent time.Duration
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -74,6 +74,8 @@
 	}
 	h.starts, h.stops, h.stores, h.requests = nil, nil, nil, nil
 	h.polls = make(map[string]PollServer)
+	claim := ClaimRecord(workload.PartitionOwner{Epoch: h.epoch, Daemon: "d"})
+	h.log[claim.Key] = claim
 	h.core = NewCore(h.epoch, h.bounds, records, events.Discard(), NewMetrics(metrics.NewSet()), h.now, h.wall)
 	h.core.Configure(h.config)
 	h.core.SetServers(h.servers)
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -99,6 +99,9 @@
 		s.ackedEnd = s.ackInFlight
 	}
 	s.failedPolls, s.over = 0, false
+	if !c.mayLease(s) {
+		return
+	}
 	c.detectRestart(s, list)
 	c.applyAnswer(s, sent, list)
 	if s.storedEnd == s.processedEnd {
@@ -377,6 +380,7 @@
 	for _, s := range c.servers {
 		c.checkServer(s)
 	}
+	c.recordUnheard()
 	c.startDeferredTrials()
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
@@ -14,6 +16,7 @@
 	keyOwner    = 'o'
 	keyProgress = 'p'
 	keyServer   = 's'
+	keyUnheard  = 'u'
 )
 
 func recordOf(kind byte, id string, v any) partition.Record {
@@ -48,6 +51,8 @@
 
 // load restores the state from the records of earlier owners.
 func (c *Core) load(records []partition.Record) {
+	c.waitedBefore = c.loadUnheard(records)
+	c.unheardStored = len(c.waitedBefore) > 0
 	for _, r := range records {
 		if len(r.Key) == 0 || r.Value == nil {
 			continue
@@ -135,7 +140,9 @@
 	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address}, c.newSession())
 	s.recorded, s.stored, s.inherited = true, true, true
 	// An earlier owner may have sent a full lease just before now.
-	s.leaseDeadlineMS = c.maxLeaseSent.Milliseconds()
+	s.waitedBefore = c.waitedBefore[id]
+	left := c.maxLeaseSent - time.Duration(float64(s.waitedBefore)/maxClockDrift)
+	s.leaseDeadlineMS = max(left, time.Millisecond).Milliseconds()
 	c.servers[id] = s
 	return nil
 }
--- a/internal/scheduler/rejected_test.go
+++ b/internal/scheduler/rejected_test.go
@@ -67,8 +67,8 @@
 		h.do(func(c *Core) { c.SetServers(h.servers) })
 		h.advance(time.Second)
 	}
-	if len(h.polls) != 0 || len(h.log) != 0 {
-		t.Errorf("polls %v and records %v for a server without a record, want none", h.polls, h.log)
+	if _, stored := h.log[string(keyServer)+"odd"]; stored || len(h.polls) != 0 || len(h.stores) != 0 {
+		t.Errorf("polls %v and writes %v for a server without a record, want none", h.polls, h.stores)
 	}
 	h.servers = nil
 	h.do(func(c *Core) { c.SetServers(h.servers) })
--- /dev/null
+++ b/internal/scheduler/unheard.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// unheardInterval is the time between two records of the servers that an owner has not
+// heard from.
+const unheardInterval = 500 * time.Millisecond
+
+// An owner waits for one lease for each inherited server that does not answer, before it
+// starts the tasks that may run there. It sends such a server no lease. So that owners that
+// follow each other wait only once in all, each records the servers that it has not heard
+// from, with the time waited since the last lease can have been sent. A server on that
+// record gets leases again only once the record no longer names it.
+
+// recordUnheard stores which inherited servers have not answered this owner, while it
+// waits for any.
+func (c *Core) recordUnheard() {
+	if c.recovered && !c.unheardStored || c.now.Sub(c.unheardAt) < unheardInterval {
+		return
+	}
+	c.writeUnheard()
+}
+
+// writeUnheard stores the servers that are unheard now. Those that the record named before
+// and that have answered since may get leases once it is stored.
+func (c *Core) writeUnheard() {
+	c.unheardAt = c.now
+	var answered []*server
+	list := workload.UnheardServers{Epoch: c.epoch, WaitedMS: make(map[string]int64)}
+	for id, s := range c.servers {
+		switch {
+		case s.heard && s.declaredUnheard:
+			answered = append(answered, s)
+		case s.inherited && !s.heard && !c.recovered:
+			s.declaredUnheard = true
+			list.WaitedMS[id] = (s.waitedBefore + c.now.Sub(c.started)).Milliseconds()
+		}
+	}
+	if len(list.WaitedMS) == 0 && !c.unheardStored {
+		return
+	}
+	c.unheardStored = len(list.WaitedMS) > 0
+	record := tombstone(keyUnheard, "")
+	if c.unheardStored {
+		record = recordOf(keyUnheard, "", list)
+	}
+	c.write([]partition.Record{record}, func() {
+		for _, s := range answered {
+			s.declaredUnheard = false
+			if c.servers[s.info.ID] == s {
+				c.poll(s)
+			}
+		}
+	})
+}
+
+// mayLease reports whether a server that has answered may be used, and starts what is
+// needed if not: a record that names it as unheard must be replaced first.
+func (c *Core) mayLease(s *server) bool {
+	first := !s.heard
+	s.heard = true
+	if !s.declaredUnheard {
+		return true
+	}
+	if first {
+		c.writeUnheard()
+	}
+	return false
+}
+
+// loadUnheard returns for how long earlier owners have waited for each server in vain
+// since the last lease can have been sent there.
+func (c *Core) loadUnheard(records []partition.Record) map[string]time.Duration {
+	waited := make(map[string]time.Duration)
+	for _, r := range records {
+		if len(r.Key) != 1 || r.Key[0] != keyUnheard || r.Value == nil {
+			continue
+		}
+		var list workload.UnheardServers
+		if err := workload.Decode(r.Value, &list); err != nil {
+			c.log.Log(events.RecordUnreadable, "key", r.Key, "offset", r.Offset, "error", err.Error())
+			continue
+		}
+		if list.Epoch != LastClaim(records).Epoch {
+			// The last owner may have sent leases to all of them.
+			continue
+		}
+		for id, ms := range list.WaitedMS {
+			waited[id] = max(msDuration(ms), 0)
+		}
+	}
+	return waited
+}
--- a/workload/record.go
+++ b/workload/record.go
@@ -68,6 +68,15 @@
 	Address string `cbor:"2,keyasint"`
 }
 
+// UnheardServers is the stored record of the servers that have not answered an owner.
+type UnheardServers struct {
+	// Epoch is the owner's.
+	Epoch uint64 `cbor:"1,keyasint"`
+	// WaitedMS is, by server ID, the time since the last lease can have been sent to
+	// the server, in milliseconds.
+	WaitedMS map[string]int64 `cbor:"2,keyasint"`
+}
+
 // PartitionOwner is the stored record of a partition's owner.
 type PartitionOwner struct {
 	// Epoch increases with each owner. It is the fencing token of all commands
