The model of claims reads its log under the lock

The test's own read was at fault, not the writer. All reads go through stored(), which locks; the checks are as they were. Five runs under the race detector pass.

--- a/partition/claim_test.go
+++ b/partition/claim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -33,6 +34,14 @@
 	lossy float64
 }
 
+// stored returns the records in the log. Calls whose callers have given up may still be
+// carried out.
+func (l *replayLog) stored() []partition.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.records)
+}
+
 func (l *replayLog) delay() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -155,8 +164,8 @@
 		wg.Wait()
 		n := 0
 		owners.Range(func(any, any) bool { n++; return true })
-		if n != 1 || len(log.records) != 1 {
-			t.Errorf("%d owners with %d claims in the log, want one of each", n, len(log.records))
+		if claims := log.stored(); n != 1 || len(claims) != 1 {
+			t.Errorf("%d owners with %d claims in the log, want one of each", n, len(claims))
 		}
 	})
 }
@@ -181,8 +190,8 @@
 		defer cancel()
 		go func() { _ = w.Run(ctx) }()
 		w.Enqueue(7, []partition.Record{record("k", "v")})
-		if id := <-stored; id != 7 || len(log.records) != 2 {
-			t.Errorf("write %d stored, %d records, want 7 and 2", id, len(log.records))
+		if id, records := <-stored, log.stored(); id != 7 || len(records) != 2 {
+			t.Errorf("write %d stored, %d records, want 7 and 2", id, len(records))
 		}
 	})
 }
@@ -251,7 +260,7 @@
 		}
 	}
 	inLog := make(map[string]int)
-	for _, r := range log.records {
+	for _, r := range log.stored() {
 		inLog[r.Key]++
 	}
 	for key := range acknowledged {
