--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -132,14 +132,15 @@
 	openTasks map[int]int
 }
 
-// storedCallback waits for a write. One that belongs to the write has a function
-// for the case that the log rejects it; others only wait for what was written
-// before them.
+// storedCallback waits until a write and all before it are in the log.
 type storedCallback struct {
-	writeID  uint64
-	since    time.Time
-	do       func()
-	own      bool
+	writeID uint64
+	since   time.Time
+	do      func()
+	// own is set if the callback is about this very write, so that it must not run
+	// if the log rejects the write. Others only wait for what was written before.
+	own bool
+	// rejected, if set, runs in place of do then.
 	rejected func(error)
 }
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -155,8 +155,8 @@
 	return min(resendDelay(s.failedPolls), maxPollRetryDelay)
 }
 
-// detectRestart begins another session if another instance has answered under the
-// same ID than the last one.
+// detectRestart begins another session if the instance that answered is not the one
+// that this owner knew under the ID.
 func (c *Core) detectRestart(s *server, list PollResponse) {
 	if list.StartedAtMS == 0 || list.StartedAtMS == s.startedAtMS {
 		return
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -24,12 +24,13 @@
 	// recorded is set once the server's record was written, and stored once that
 	// is in the log.
 	recorded, stored bool
-	// heard is set once the server has answered this owner. waitedBefore is how long
-	// earlier owners waited for it in vain, and declaredUnheard is set while a record
-	// may say that this one does.
-	heard           bool
+	// heard is set once the server has answered this owner.
+	heard bool
+	// declaredUnheard is set while a stored record may say that the server has not
+	// answered this owner. It gets no lease then: the next owner would not wait for it.
 	declaredUnheard bool
-	waitedBefore    time.Duration
+	// waitedBefore is how long earlier owners waited in vain for the server.
+	waitedBefore time.Duration
 	// rejected is set if the log does not accept the server's record.
 	rejected bool
 	// inherited is set if an earlier owner recorded the server.
