A server that answers after its owner has waited for it is used again

A server that was silent while a new owner waited for its lease, and answered after that wait, got no task for as long as that owner lasted.

Cause: the owner marks such a server as named by the record of unheard servers, and gives it no lease until a later record does not name it. The last record, which names nobody, released only servers that had answered by then. For one that answers later there is no further record to write, so its mark stayed.

TestCore_ServerThatAnswersAfterTheWaitIsUsed fails before this change.

Why this works: whatever the new record does not name is released once it is stored, whether it has answered or not. The rule that no lease is sent before that is unchanged (ServerHeardAfterAllGetsNoLeaseBeforeThatIsStored).

--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -28,18 +28,19 @@
 }
 
 // writeUnheard stores the servers that are unheard now. Those that the record named before
-// and that have answered since may get leases once it is stored.
+// and no longer does may get leases once it is stored: they have answered since, or this
+// owner waits for none any more.
 func (c *Core) writeUnheard() {
 	c.unheardAt = c.now
-	var answered []*server
+	var released []*server
 	list := workload.UnheardServers{Epoch: c.epoch, WaitedMS: make(map[string]int64)}
 	for id, s := range c.servers {
 		switch {
-		case s.heard && s.declaredUnheard:
-			answered = append(answered, s)
 		case s.inherited && !s.heard && !c.recovered:
 			s.declaredUnheard = true
 			list.WaitedMS[id] = (s.waitedBefore + c.now.Sub(c.started)).Milliseconds()
+		case s.declaredUnheard:
+			released = append(released, s)
 		}
 	}
 	if len(list.WaitedMS) == 0 && !c.unheardStored {
@@ -51,7 +52,7 @@
 		record = recordOf(keyUnheard, "", list)
 	}
 	c.write([]partition.Record{record}, func() {
-		for _, s := range answered {
+		for _, s := range released {
 			s.declaredUnheard = false
 			if c.servers[s.info.ID] == s {
 				c.poll(s)
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -72,3 +72,26 @@
 	}
 	t.Errorf("no start in %s", waited)
 }
+
+// A server is silent until its owner has waited for it long enough, and answers then. It must
+// be used again: the record that names it as unheard is gone.
+func TestCore_ServerThatAnswersAfterTheWaitIsUsed(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	h.takeOver()
+	for range 12 {
+		h.advance(time.Second)
+	}
+	if !h.core.recovered {
+		t.Fatal("the owner still waits after 12 s for leases of at most 10 s")
+	}
+	h.answerPoll("s0", PollResponse{})
+	h.submit(id1, oneTask(1000))
+	for range 4 {
+		h.answerAllPolls()
+		h.advance(300 * time.Millisecond)
+	}
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts on a server that answers again, want 1", n)
+	}
+}
