A submission that its shard cannot run is handed over to one that can

Cause: a submission belongs to a shard by its ID and a rack by its size, and an owner sees the servers of its own racks only. A label is one case; sizes, accelerators, width of a gang, denied servers, lost racks and plain load are others. Ruled out: placement (submissions of the other shard run), and runs that are not released (those accepted after the loss do not run either).

Change: an owner that sees a submission wait with nothing running asks the owners of the other shards for room, and hands it over. One record, written only when nothing of it runs, is the moment of change; the submission is sent after that until the other partition has stored it, and a forward stays, by which calls from any daemon find it.

Not covered: a gang that no shard can hold alone, and long-running tasks of which some run here while others fit only elsewhere.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -59,9 +59,12 @@
 	ID         string               `json:"id,omitempty"`
 	Queue      string               `json:"queue,omitempty"`
 	Submission *workload.Submission `json:"submission,omitempty"`
+	// Handover is the number of the handover by which the last partition that passed
+	// the call on gave the submission away; 0 if none did.
+	Handover int `json:"handover,omitempty"`
 }
 
-func (c call) partition() partition.ID { return partition.ID{Topic: tenure.Topic, Part: c.Part} }
+func (c call) partition() partition.ID { return partitionID(c.Part) }
 
 // Options configures a Router.
 type Options struct {
@@ -72,17 +75,23 @@
 	Now            func() time.Time
 	// Layout returns a service's shard layout, or false if it is not known.
 	Layout func(service string) (shard.Layout, bool)
+	// Daemons lists the other daemons.
+	Daemons func() []string
 	// Isolated reports whether neither the store nor another daemon answers
 	// this one.
 	Isolated func() bool
 }
 
 // Router routes calls to the owners of partitions.
-type Router struct{ o Options }
+type Router struct {
+	o        Options
+	versions *versions
+}
 
 // New returns a Router and registers its methods with the peers.
 func New(o Options) *Router {
-	e := &Router{o}
+	e := &Router{o, newVersions(o.Peers, o.Now)}
+	e.handleShardCalls()
 	for _, method := range []string{methodSubmit, methodStatus, methodCancel, methodPending} {
 		o.Peers.Handle(method, e.handle(method))
 	}
@@ -217,8 +226,21 @@
 	return r, err
 }
 
-// callLocal passes a call to this daemon's scheduler.
+// callLocal passes a call to this daemon's scheduler, and on to the partition that has
+// taken the submission over.
 func (e *Router) callLocal(ctx context.Context, id partition.ID, method string, c call) (scheduler.Reply, error) {
+	r, err := e.callEngine(ctx, id, method, c)
+	switch {
+	case err != nil || r.Outcome != scheduler.OutcomeForwarded:
+		return r, err
+	case r.Number <= c.Handover:
+		// The partition gave the submission away earlier, and has not got it back yet.
+		return scheduler.Reply{Outcome: scheduler.OutcomeNotFound}, nil
+	}
+	return e.follow(ctx, method, c, r)
+}
+
+func (e *Router) callEngine(ctx context.Context, id partition.ID, method string, c call) (scheduler.Reply, error) {
 	engine, ok := e.o.Tenures.Engine(id)
 	if !ok {
 		return scheduler.Reply{}, verdict.New(verdict.NotRun, scheduler.ReasonNotOwner, "partition %d is not this daemon's", id.Part)
--- a/internal/entry/router_test.go
+++ b/internal/entry/router_test.go
@@ -17,7 +17,7 @@
 	}{{0, true}, {800 * time.Millisecond, true}, {time.Hour, false}} {
 		synctest.Test(t, func(t *testing.T) {
 			began := time.Now()
-			e := &Router{Options{Now: time.Now, Layout: func(string) (shard.Layout, bool) {
+			e := &Router{o: Options{Now: time.Now, Layout: func(string) (shard.Layout, bool) {
 				return shard.Layout{Shards: 1}, time.Since(began) >= c.known
 			}}}
 			_, ok := e.awaitLayout(t.Context(), "pool")
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -25,6 +25,28 @@
 		Fields:  []string{"id", "queue", "status", "age"},
 		Meaning: "The final state of a submission was stored and is returned to callers from now on.",
 	}
+	SubmissionHandedOver = Event{
+		Number: 6060, Level: slog.LevelInfo, Name: "submission_handed_over",
+		Fields:  []string{"id", "queue", "to", "number", "why", "waited"},
+		Meaning: "This shard cannot run a submission, or is full, and hands it over to the shard of the partition to, which has room. The field number counts the submission's handovers; waited is how long nothing of it has run, in milliseconds.",
+		Action:  "None. If many submissions are incapable, the servers that they need are in few racks: spread them.",
+	}
+	SubmissionTakenOver = Event{
+		Number: 6061, Level: slog.LevelInfo, Name: "submission_taken_over",
+		Fields:  []string{"id", "queue", "from", "number"},
+		Meaning: "A submission that the shard of the partition from handed over is stored here and runs here from now on.",
+	}
+	HandoverDelayed = Event{
+		Number: 6062, Level: slog.LevelWarn, Name: "handover_delayed",
+		Fields:  []string{"id", "to", "number", "error"},
+		Meaning: "The owner of the other partition has not confirmed a handover. It is sent again until it is confirmed; the submission runs nowhere until then.",
+		Action:  "If it lasts, find out why the partition has no owner that reaches the store.",
+	}
+	ForwardCheckFailed = Event{
+		Number: 6063, Level: slog.LevelInfo, Name: "forward_check_failed",
+		Fields:  []string{"to", "submissions", "error"},
+		Meaning: "The owner of another partition did not say which of the submissions handed over to it long ago it still knows. It is asked again.",
+	}
 	TaskPlaced = Event{
 		Number: 6005, Level: slog.LevelInfo, Name: "task_placed",
 		Fields:  []string{"task", "run", "server", "waited", "free", "clockAge"},
@@ -201,6 +223,7 @@
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded,
+	SubmissionHandedOver, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -160,7 +160,7 @@
 }
 
 func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Manager, peers *peer.Peers, shards *shard.Manager, s platform.Settings) *entry.Router {
-	return entry.New(entry.Options{Member: member, Isolated: store.Isolated, Layout: shards.Layout, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now})
+	return entry.New(entry.Options{Member: member, Isolated: store.Isolated, Layout: shards.Layout, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now, Daemons: h.otherDaemons})
 }
 
 func (h *Host) newPolicyClients(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.PolicyClients {
@@ -201,7 +201,7 @@
 			MaxRecordBytes: h.o.Settings.MaxRecordBytes,
 		},
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
-		LastContact: h.store.LastContact, NotifySuperseded: func(ctx context.Context, daemon string, epoch uint64) error {
+		Shards: h.entry.ShardsOf(id), LastContact: h.store.LastContact, NotifySuperseded: func(ctx context.Context, daemon string, epoch uint64) error {
 			return h.tenures.NotifySuperseded(ctx, daemon, id, epoch)
 		},
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
@@ -211,6 +211,9 @@
 	})
 }
 
+// otherDaemons lists the other known daemons.
+func (h *Host) otherDaemons() []string { return h.policyClients.OtherDaemons() }
+
 func wallClockMS() int64 { return time.Now().UnixMilli() }
 
 // serve opens the listeners for callers and for readiness probes, metrics and state
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -56,6 +56,23 @@
 	Records []partition.Record
 }
 
+// AskRoom asks the owners of the service's other shards whether they have room.
+type AskRoom struct{ Question RoomQuestion }
+
+// SendHandover hands a submission over to the owner of another partition.
+type SendHandover struct {
+	To       int
+	Handover Handover
+	// Delay is the time before it is sent.
+	Delay time.Duration
+}
+
+// QueryHeld asks the owner of another partition which submissions it knows.
+type QueryHeld struct {
+	Partition int
+	IDs       []string
+}
+
 // SendReply answers a caller.
 type SendReply struct {
 	Reply  func(Reply)
@@ -66,6 +83,9 @@
 func (StopTask) action()             {}
 func (PollServer) action()           {}
 func (RequestAuthorization) action() {}
+func (AskRoom) action()              {}
+func (SendHandover) action()         {}
+func (QueryHeld) action()            {}
 func (Store) action()                {}
 func (SendReply) action()            {}
 
@@ -84,6 +104,9 @@
 	// OutcomeInvalid means that the submission was not accepted, never runs and
 	// would not be accepted again.
 	OutcomeInvalid
+	// OutcomeForwarded means that another partition holds the submission, or is about
+	// to. It does not reach callers.
+	OutcomeForwarded
 )
 
 // Reply is the answer to a call by a caller.
@@ -91,6 +114,12 @@
 	Outcome Outcome         `json:"outcome"`
 	Status  workload.Status `json:"status,omitempty"`
 	Pending int             `json:"pending,omitempty"`
+	// Partition is the one that holds a forwarded submission, by the handover with that
+	// Number. Delivered is set once it has confirmed that; until then Status is the last
+	// state here.
+	Partition int  `json:"partition,omitempty"`
+	Number    int  `json:"number,omitempty"`
+	Delivered bool `json:"delivered,omitempty"`
 	// RetryAfterMS is the delay before a refused caller should retry, in
 	// milliseconds.
 	RetryAfterMS int64 `json:"retryAfterMS,omitempty"`
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -30,6 +30,7 @@
 	t.run, t.attempt = max(t.run, run), a
 	t.step.attemptsPerServer[s]++
 	s.reserve(a)
+	t.step.job().stuckSince = time.Time{}
 	c.sendStart(a)
 	c.startRoom--
 	c.metric.startsSent.Inc()
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -31,6 +31,8 @@
 	ReasonUnhealthy verdict.Reason = "server_unhealthy"
 	// ReasonBadOrder: the server could not parse the order.
 	ReasonBadOrder verdict.Reason = "server_bad_order"
+	// ReasonBadAnswer: an answer contradicts the question.
+	ReasonBadAnswer verdict.Reason = "bad_answer"
 	// ReasonNoAnswer: it is unknown whether the order was received.
 	ReasonNoAnswer verdict.Reason = "server_silent"
 )
@@ -160,6 +162,18 @@
 	Forward(ctx context.Context, daemon string, starts []StartTask) []StartResult
 }
 
+// Shards reaches the owners of the other shards of a service. The verdict of an error
+// says whether the call may have had an effect.
+type Shards interface {
+	// Ask returns the answers of the owners that answered. It returns none while
+	// submissions cannot be handed over.
+	Ask(ctx context.Context, question RoomQuestion) []RoomAnswer
+	// HandOver returns nil once the owner of the partition holds the submission.
+	HandOver(ctx context.Context, partition int, h Handover) error
+	// Held returns, for each submission, whether the owner of the partition knows it.
+	Held(ctx context.Context, partition int, ids []string) ([]bool, error)
+}
+
 // StartResult is the outcome of a forwarded start.
 type StartResult struct {
 	// ClockMS is the server's clock.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -82,6 +82,23 @@
 	// queued holds the steps with tasks to place.
 	queued []*step
 
+	// departures holds the submissions that are being handed over to other partitions,
+	// and forwards says which partition has taken over those that were.
+	departures map[string]*departure
+	forwards   map[string]workload.Forward
+	// forwardsCheckedAt is when the forwards were last checked, by the wall clock.
+	forwardsCheckedAt int64
+	// handoverConfirmed holds the ended submissions of which the partition that handed
+	// them over is known to have completed that. unconfirmedFinals are those whose
+	// retention is over and of which that is not known.
+	handoverConfirmed map[string]bool
+	unconfirmedFinals []string
+	// roomAsked is set while a question to other shards is open, which was asked at
+	// roomAskedAt. roomCursor is where the next one begins among the stuck jobs.
+	roomAsked   bool
+	roomAskedAt time.Time
+	roomCursor  int
+
 	actions     []Action
 	lastWriteID uint64
 	// onStored holds callbacks, in order, that run once a write is in the log.
@@ -150,6 +167,7 @@
 	c := &Core{
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
+		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), handoverConfirmed: make(map[string]bool),
 		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -37,6 +37,8 @@
 	stops    []StopTask
 	polls    map[string]PollServer
 	requests []RequestAuthorization
+	// shardCalls holds the calls to the owners of other shards.
+	shardCalls []Action
 	// firstStart is for the tests that keep a start for later.
 	firstStart StartTask
 	// holdStores keeps writes out of the log until storeAll.
@@ -72,7 +74,7 @@
 	for _, r := range h.log {
 		records = append(records, r)
 	}
-	h.starts, h.stops, h.stores, h.requests = nil, nil, nil, nil
+	h.starts, h.stops, h.stores, h.requests, h.shardCalls = nil, nil, nil, nil, nil
 	h.polls = make(map[string]PollServer)
 	claim := ClaimRecord(workload.PartitionOwner{Epoch: h.epoch, Daemon: "d"})
 	h.log[claim.Key] = claim
@@ -80,6 +82,7 @@
 	h.core.Configure(h.config)
 	h.core.SetServers(h.servers)
 	h.core.PollAll()
+	h.core.ResumeHandovers()
 	h.finish()
 }
 
@@ -112,6 +115,8 @@
 			h.polls[a.To.ID] = a
 		case RequestAuthorization:
 			h.requests = append(h.requests, a)
+		case AskRoom, SendHandover, QueryHeld:
+			h.shardCalls = append(h.shardCalls, a)
 		}
 	}
 	if !h.holdStores && len(h.stores) > 0 {
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -21,6 +21,8 @@
 	PendingWrites int          `json:"unstoredWrites"`
 	OpenRequests  int          `json:"openQuestions"`
 	Trials        int          `json:"trials"`
+	Departures    int          `json:"departures"`
+	Forwards      int          `json:"forwards"`
 	Servers       []ServerDump `json:"servers"`
 }
 
@@ -44,6 +46,7 @@
 	d := Dump{
 		Epoch: c.epoch, Recovered: c.recovered, Jobs: len(c.jobs), Ended: len(c.finalStates), Queued: len(c.queued),
 		Scheduled: len(c.scheduled), PendingWrites: len(c.onStored), OpenRequests: c.openRequests, Trials: c.trials,
+		Departures: len(c.departures), Forwards: len(c.forwards),
 	}
 	for _, s := range c.servers {
 		row := ServerDump{
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -65,6 +65,8 @@
 	// nil.
 	Forwarder StartForwarder
 	Policy    PolicyClients
+	// Shards reaches the owners of the other shards; nil if there are none.
+	Shards Shards
 	// Config returns the configuration in force, or nil.
 	Config func() *routing.Configuration
 	// LeaseValid reports whether this daemon's group lease is valid, so that no
@@ -106,6 +108,9 @@
 
 // NewEngine returns an Engine. It owns nothing before Run.
 func NewEngine(o EngineOptions) *Engine {
+	if o.Shards == nil {
+		o.Shards = noShards{}
+	}
 	e := &Engine{o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{}), superseded: make(chan uint64, 1)}
 	e.orders = newOrderSender(e)
 	return e
@@ -170,6 +175,7 @@
 		e.core.Configure(config)
 	}
 	e.core.PollAll()
+	e.core.ResumeHandovers()
 	e.execute(e.core.Finish(true))
 	pacer := newPacer(e.o.Now)
 	defer pacer.stop()
@@ -263,6 +269,12 @@
 			orders = append(orders, a)
 		case RequestAuthorization:
 			go e.authorize(a)
+		case AskRoom:
+			go e.askRoom(a)
+		case SendHandover:
+			go e.handOver(a)
+		case QueryHeld:
+			go e.queryHeld(a)
 		}
 	}
 	e.orders.add(orders)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -44,6 +44,12 @@
 	runs *runTimes
 	// dirty is set while changed progress is not stored.
 	dirty bool
+	// live counts the attempts of the job's tasks, also those that are being stopped.
+	live int
+	// stuckSince is since when tasks wait and nothing runs; zero if that is not so.
+	stuckSince time.Time
+	// handoverRejected is set if the log does not accept the record of a handover.
+	handoverRejected bool
 }
 
 // occurrence is one execution of all steps.
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -19,6 +19,7 @@
 	serversCrashed    *metrics.Counter
 	writesRejected    *metrics.Counter
 	tasksGivenUp      *metrics.Counter
+	takenOver         *metrics.Counter
 	storeTime         *metrics.Histogram
 	firstStartTime    *metrics.Histogram
 	completionTime    *metrics.Histogram
@@ -34,6 +35,7 @@
 		startsWithdrawn:   set.NewCounter("currantwinch_starts_withdrawn_total"),
 		runsLost:          set.NewCounter("currantwinch_runs_lost_total"),
 		tasksGivenUp:      set.NewCounter("currantwinch_tasks_given_up_total"),
+		takenOver:         set.NewCounter("currantwinch_submissions_taken_over_total"),
 		serversCrashed:    set.NewCounter("currantwinch_servers_crashed_total"),
 		writesRejected:    set.NewCounter("currantwinch_writes_rejected_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
@@ -56,6 +58,10 @@
 	m.completionTime.Update(age.Seconds())
 }
 
+func (m *Metrics) handedOver(reason handoverReason) {
+	m.count("currantwinch_submissions_handed_over_total", "why", string(reason))
+}
+
 func (m *Metrics) runEnded(kind workload.EndKind) {
 	m.count("currantwinch_runs_ended_total", "end", kind.String())
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -384,6 +384,8 @@
 	c.startDeferredTrials()
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
+	c.seekRoom()
+	c.checkForwards()
 	c.expireFinalStates()
 	if len(c.queued) > 0 {
 		c.placementNeeded = true
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -13,6 +13,8 @@
 const (
 	keyAccepted = 'a'
 	keyFinal    = 'f'
+	keyHandover = 'h'
+	keyForward  = 'm'
 	keyOwner    = 'o'
 	keyProgress = 'p'
 	keyServer   = 's'
@@ -65,6 +67,10 @@
 			err = c.loadFinal(r.Key[1:], r.Value)
 		case keyServer:
 			err = c.loadServer(r.Key[1:], r.Value)
+		case keyHandover:
+			err = c.loadHandover(r.Value)
+		case keyForward:
+			err = c.loadForward(r.Key[1:], r.Value)
 		}
 		if err != nil {
 			c.log.Log(events.RecordUnreadable, "key", r.Key, "offset", r.Offset, "error", err.Error())
@@ -80,14 +86,18 @@
 			continue
 		}
 		id, part, ok := progressPart(r.Key[1:])
-		if j := c.jobs[id]; ok && j != nil {
+		j := c.jobs[id]
+		if d := c.departures[id]; d != nil {
+			j = d.job
+		}
+		if ok && j != nil {
 			j.restore(p)
 			j.progressParts = max(j.progressParts, part+1)
 		}
 	}
 	for _, j := range c.jobs {
 		c.loadExposures(j)
-		j.skipRunsThrough(maxInheritedRun(c.epoch))
+		j.skipRunsThrough(j.inheritedRun(c.epoch))
 		c.admit(j)
 	}
 }
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -166,6 +166,7 @@
 // reserve adds an attempt to the server and reserves its capacity.
 func (s *server) reserve(a *attempt) {
 	s.attempts[a.key()] = a
+	a.task.step.job().live++
 	s.free = s.free.Minus(a.need)
 }
 
@@ -175,6 +176,7 @@
 		return
 	}
 	delete(s.attempts, a.key())
+	a.task.step.job().live--
 	s.free = s.free.Plus(a.need)
 }
 
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -24,6 +24,10 @@
 		c.reply(reply, Reply{})
 		return
 	}
+	if _, elsewhere := c.forwarded(sub.ID); elsewhere {
+		c.reply(reply, Reply{})
+		return
+	}
 	if j := c.jobs[sub.ID]; j != nil {
 		if j.stored {
 			c.reply(reply, Reply{})
@@ -195,14 +199,27 @@
 	}
 	j := c.jobs[id]
 	if j == nil {
-		c.reply(reply, Reply{Outcome: OutcomeNotFound})
+		c.reply(reply, c.elsewhere(id))
 		return
 	}
-	status := workload.StatusQueued
+	c.reply(reply, Reply{Status: j.status()})
+}
+
+// elsewhere returns the reply to a call about a submission that this partition does not
+// hold.
+func (c *Core) elsewhere(id string) Reply {
+	if r, ok := c.forwarded(id); ok {
+		return r
+	}
+	return Reply{Outcome: OutcomeNotFound}
+}
+
+// status returns the state of a submission that has not ended.
+func (j *job) status() workload.Status {
 	if j.started {
-		status = workload.StatusRunning
+		return workload.StatusRunning
 	}
-	c.reply(reply, Reply{Status: status})
+	return workload.StatusQueued
 }
 
 // Cancel cancels a submission and replies once that is stored.
@@ -213,7 +230,7 @@
 	}
 	j := c.jobs[id]
 	if j == nil {
-		c.reply(reply, Reply{Outcome: OutcomeNotFound})
+		c.reply(reply, c.elsewhere(id))
 		return
 	}
 	if j.ending == "" {
@@ -246,7 +263,7 @@
 // and stops its running tasks.
 func (c *Core) finishJob(j *job, status workload.Status) {
 	j.ending = status
-	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue}
+	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue, Transferred: j.sub.Transfer != nil}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
 	c.write(append(records, j.progressTombstones(0)...), func() {
@@ -278,11 +295,21 @@
 	kept := c.bounds.StatusRetention.Milliseconds()
 	for len(c.finalOrder) > 0 {
 		id := c.finalOrder[0]
-		if f, ok := c.finalStates[id]; ok && c.wall-f.Ended < kept {
+		f, ok := c.finalStates[id]
+		if ok && c.wall-f.Ended < kept {
 			return
 		}
 		c.finalOrder = c.finalOrder[1:]
-		delete(c.finalStates, id)
-		c.write([]partition.Record{tombstone(keyFinal, id)}, nil)
+		if ok && !c.mayDropFinal(id, f) {
+			c.unconfirmedFinals = append(c.unconfirmedFinals, id)
+			continue
+		}
+		c.dropFinal(id)
 	}
 }
+
+func (c *Core) dropFinal(id string) {
+	delete(c.finalStates, id)
+	delete(c.handoverConfirmed, id)
+	c.write([]partition.Record{tombstone(keyFinal, id)}, nil)
+}
--- a/workload/record.go
+++ b/workload/record.go
@@ -60,6 +60,8 @@
 	// Ended is in Unix milliseconds.
 	Ended int64  `cbor:"2,keyasint"`
 	Queue string `cbor:"3,keyasint,omitempty"`
+	// Transferred is set if the submission was taken over from another partition.
+	Transferred bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ServerRecord is the stored record of a backend server that may run tasks.
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -130,6 +130,9 @@
 	Repeat int `cbor:"8,keyasint,omitempty"`
 	// Accepted is when the submission was received, in Unix milliseconds.
 	Accepted int64 `cbor:"9,keyasint"`
+	// Transfer is set if the partition that holds the submission took it over from
+	// another one.
+	Transfer *Transfer `cbor:"10,keyasint,omitempty"`
 }
 
 // Occurrences returns the number of times that the steps run.
