A server that answers a new owner at once waits for no record

The first record was written on the first tick, 50 ms after the claim, when most servers had not answered yet. Each that answered later had to wait until a second record, without its name, was stored.

Change: the first record is written after unheardInterval (0.5 s). A server that answers by then is on no record and needs none: nobody can have read that it may be skipped. Owners that last for less than that leave no record, so that the next one waits from its own claim, as it did before.

Evidence: TestCore_ServersThatAnswerAtOnceWaitForNoRecord fails before. The tests of owners in a row (EachNextOwnerDoesNotWaitForTheLeaseAnew, OwnersInARowWaitForOneLease) pass.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -62,7 +62,7 @@
 	// waitedBefore is how long earlier owners waited in vain for servers, by ID.
 	waitedBefore map[string]time.Duration
 	// unheardStored is set if a record names servers as unheard, and unheardAt is
-	// when it was last written.
+	// when it was last written, or when this owner began.
 	unheardStored bool
 	unheardAt     time.Time
 
@@ -165,7 +165,7 @@
 // earlier owners wrote. Epoch must be higher than theirs.
 func NewCore(epoch uint64, bounds Bounds, records []partition.Record, log *events.Logger, metric *Metrics, now time.Time, wall int64) *Core {
 	c := &Core{
-		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now,
+		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), handoverConfirmed: make(map[string]bool),
 		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -9,7 +9,8 @@
 )
 
 // unheardInterval is the time between two records of the servers that an owner has not
-// heard from.
+// heard from, and before the first one. Most servers have answered by then, and one that
+// was never named needs no record before it may get leases.
 const unheardInterval = 500 * time.Millisecond
 
 // An owner waits for one lease for each inherited server that does not answer, before it
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -95,3 +95,27 @@
 		t.Errorf("%d starts on a server that answers again, want 1", n)
 	}
 }
+
+// Servers that answer a new owner within unheardInterval must not wait for records, which
+// would delay each change of owner by two of them.
+func TestCore_ServersThatAnswerAtOnceWaitForNoRecord(t *testing.T) {
+	h := newHarness(t, 4)
+	h.answerAllPolls()
+	start := h.runOne(id1, 1000)
+	h.holdStores = true
+	h.takeOver()
+	for i, s := range h.servers {
+		h.advance(100 * time.Millisecond)
+		list := PollResponse{}
+		if s.ID == start.To.ID {
+			list.Running = []ActiveRun{runOf(start)}
+		}
+		h.answerPoll(s.ID, list)
+		if !h.core.servers[s.ID].synced {
+			t.Errorf("server %d, which answered after %d ms, is not used", i, 100*(i+1))
+		}
+	}
+	if !h.core.recovered {
+		t.Error("not recovered after all servers have answered, although no record was stored")
+	}
+}
