The command line says why a daemon refused it, also if the alert overtakes the request

What operators saw: once, `currantwinch status` without a certificate ended with "use of closed network connection" (may have run) where "certificate required" is expected: TestScripts/tls, beside load, on.

Cause, by reading: in TLS 1.3 a client's handshake is complete before the server has seen its certificate. The alert comes while the request is being written. If the transport's reader gets it first, it closes the connection, and the writer's own error, that the connection is closed, is the one returned.

Change: the command line's connections remember the alert, and a write that fails after it returns the alert, which IsCertificateRejection knows: certainly not run.

Not shown: a run of the old code that fails in that way again. An attempt to reproduce it under load was ended without a result.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return nil, asUsage(err, "TLS")
 		}
-		transport.TLSClientConfig, scheme = config, "https"
+		transport.DialTLSContext, scheme = certs.DialTLS(config), "https"
 	}
 	client := &http.Client{Transport: transport}
 	return &env{
