--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -110,6 +110,12 @@
 	return answer, err
 }
 
+// Several implements scheduler.Shards.
+func (s *Shards) Several(service string) bool {
+	layout, ok := s.router.o.Layout(service)
+	return ok && layout.Shards > 1
+}
+
 // Ask implements scheduler.Shards.
 func (s *Shards) Ask(ctx context.Context, q scheduler.RoomQuestion) []scheduler.RoomAnswer {
 	e := s.router
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -165,6 +165,8 @@
 // Shards reaches the owners of the other shards of a service. The verdict of an error
 // says whether the call may have had an effect.
 type Shards interface {
+	// Several reports whether a service has several shards. It does no I/O.
+	Several(service string) bool
 	// Ask returns the answers of the owners that answered. It returns none while
 	// submissions cannot be handed over.
 	Ask(ctx context.Context, question RoomQuestion) []RoomAnswer
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -93,6 +93,8 @@
 	// retention is over and of which that is not known.
 	handoverConfirmed map[string]bool
 	unconfirmedFinals []string
+	// sharded reports whether a service has several shards; nil if that is not known.
+	sharded func(service string) bool
 	// roomAsked is set while a question to other shards is open, which was asked at
 	// roomAskedAt. roomCursor is where the next one begins among the stuck jobs.
 	roomAsked   bool
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -83,6 +83,7 @@
 	h.core.SetServers(h.servers)
 	h.core.PollAll()
 	h.core.ResumeHandovers()
+	h.core.SetSharded(func(string) bool { return true })
 	h.finish()
 }
 
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -203,6 +203,7 @@
 				e.core.Configure(now)
 			}
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
+			e.core.SetSharded(e.o.Shards.Several)
 			e.orders.observe()
 			e.core.Tick()
 			e.withdrawUnstored()
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -27,6 +27,8 @@
 	From int `json:"from"`
 	// MaxRun is a run number that no run so far exceeds.
 	MaxRun int `json:"maxRun"`
+	// Started is set if a task has started.
+	Started bool `json:"started"`
 }
 
 // departure is a submission that this partition has begun to hand over.
@@ -84,7 +86,9 @@
 // handOver begins to hand a job without attempts over to another partition.
 func (c *Core) handOver(j *job, to int, reason handoverReason) {
 	c.concludeExposures(j)
-	d := &departure{job: j, record: workload.Handover{Submission: *j.sub, To: to, Number: j.handoverNumber() + 1, MaxRun: j.maxRun()}}
+	d := &departure{job: j, record: workload.Handover{
+		Submission: *j.sub, To: to, Number: j.handoverNumber() + 1, MaxRun: j.maxRun(), Started: j.started,
+	}}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyHandover, id, d.record), tombstone(keyAccepted, id)}
 	if p := j.progress(); j.progressParts > 0 || len(p.Steps)+len(p.Tasks) > 0 {
@@ -116,7 +120,7 @@
 		delay = min(minHandoverDelay<<min(d.copies-1, 10), maxHandoverDelay)
 	}
 	c.emit(SendHandover{To: d.record.To, Delay: delay, Handover: Handover{
-		Submission: d.record.Submission, Progress: d.job.progress(), Number: d.record.Number, MaxRun: d.record.MaxRun,
+		Submission: d.record.Submission, Progress: d.job.progress(), Number: d.record.Number, MaxRun: d.record.MaxRun, Started: d.record.Started,
 	}})
 	d.copies++
 }
@@ -193,7 +197,7 @@
 		return err
 	}
 	j := newJob(&h.Submission, c.now)
-	j.stored, j.ending = true, statusDeparting
+	j.stored, j.started, j.ending = true, h.Started, statusDeparting
 	c.departures[h.Submission.ID] = &departure{job: j, record: h}
 	return nil
 }
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -221,7 +221,7 @@
 // without effect, whether the submission runs there, has ended or has been handed on.
 func TestShards_LateCopyOfAHandoverHasNoEffect(t *testing.T) {
 	handover := Handover{
-		Number: 1, MaxRun: 5,
+		Number: 1, MaxRun: 5, Started: true,
 		Submission: workload.Submission{ID: id1, Queue: testQueue, Service: testService, Spec: "x", Steps: []workload.Step{oneTask(1000)}},
 	}
 	take := func(h *harness) (confirmed bool) {
@@ -234,6 +234,9 @@
 		if !take(h) {
 			t.Fatal("the handover was not confirmed")
 		}
+		if got := h.status(id1); got != workload.StatusRunning {
+			t.Errorf("status %q of a submission that had begun before, want running", got)
+		}
 		start := h.takeStarts()[0]
 		if start.Order.Run != 6 {
 			t.Errorf("started as run %d, want 6: run 5 was used before", start.Order.Run)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -113,7 +113,7 @@
 }
 
 func newJob(sub *workload.Submission, now time.Time) *job {
-	j := &job{sub: sub, accepted: now}
+	j := &job{sub: sub, accepted: now, started: sub.Transfer != nil && sub.Transfer.Started}
 	for k := range sub.Occurrences() {
 		j.occurrences = append(j.occurrences, newOccurrence(j, k))
 	}
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -26,6 +26,8 @@
 	// maxHandoversPerAnswer the submissions that leave on its answers.
 	maxNeedsPerQuestion   = 32
 	maxHandoversPerAnswer = 32
+	// maxStuckJobs bounds the submissions that are looked at for one question.
+	maxStuckJobs = 64
 	// spareFactor: another shard takes a submission because of load only if it has room
 	// for so many times its waiting tasks. Some of it is taken before they arrive.
 	spareFactor = 2
@@ -95,21 +97,25 @@
 	return a
 }
 
-// fit returns whether this shard can run the needs of a submission. Denied, if not nil,
-// reports whether a step may not run on a server, by the step's index among the needs.
-func (c *Core) fit(service string, needs []Need, denied func(need int, s *server) bool) Fit {
+// fit returns whether this shard can run the needs of a submission. Own holds the steps
+// that have these needs, if the submission is this shard's; nil otherwise.
+func (c *Core) fit(service string, needs []Need, own []*step) Fit {
 	worst := FitNow
 	for i, n := range needs {
+		var st *step
+		if own != nil {
+			st = own[i]
+		}
 		now, later := 0, 0
 		for _, s := range c.servers {
-			if s.info.Service != service || !s.hasLabel(n.Label) || denied != nil && denied(i, s) {
+			if s.info.Service != service || !s.hasLabel(n.Label) || st != nil && st.authorization.denied[s.instanceKey()] {
 				continue
 			}
 			if s.capable(c.now) {
 				later += n.slots(s.info.Capacity)
 			}
 			if s.stored && s.trial == nil && s.usable(c.now) {
-				now += n.slots(s.free.Minus(c.heldForGangs[s]))
+				now += n.slots(c.freeFor(st, s))
 			}
 		}
 		worst = min(worst, n.fit(now, later))
@@ -117,6 +123,15 @@
 	return worst
 }
 
+// freeFor returns the free capacity of a server for a step, which is nil if it belongs to
+// another shard. What is held for gangs may be held for that very step.
+func (c *Core) freeFor(st *step, s *server) workload.Resources {
+	if st != nil && st.spec.Gang {
+		return s.free
+	}
+	return s.free.Minus(c.heldForGangs[s])
+}
+
 // fit judges a need by how many of its tasks fit now, and on empty servers.
 func (n Need) fit(now, later int) Fit {
 	enough := 1
@@ -156,13 +171,17 @@
 	own Fit
 }
 
+// SetSharded sets the function that reports whether a service has several shards.
+func (c *Core) SetSharded(sharded func(service string) bool) { c.sharded = sharded }
+
 // seekRoom asks the service's other shards about the jobs that this one cannot run, at
 // intervals of roomInterval.
 func (c *Core) seekRoom() {
-	if !c.recovered || !c.listRead || c.config == nil || c.roomAsked || c.now.Sub(c.roomAskedAt) < roomInterval || len(c.departures) >= maxDepartures {
+	if !c.recovered || !c.listRead || c.config == nil || c.sharded == nil || c.roomAsked || c.now.Sub(c.roomAskedAt) < roomInterval || len(c.departures) >= maxDepartures {
 		return
 	}
 	c.roomAskedAt = c.now
+	c.roomCursor += maxStuckJobs
 	c.markStuck()
 	byService := make(map[string]*RoomQuestion)
 	asked := make(map[string]bool)
@@ -201,24 +220,24 @@
 	}
 }
 
-// stuckJobs lists the jobs that have waited long enough, in placement order. Where there
-// are many, each call begins after those of the call before.
+// stuckJobs lists the jobs of sharded services that have waited long enough, in placement
+// order. Where there are more than maxStuckJobs, each question is about others.
 func (c *Core) stuckJobs() []*job {
 	var out []*job
 	seen := make(map[*job]bool)
 	for _, st := range c.queued {
 		j := st.job()
-		if seen[j] || j.ending != "" || j.stuckSince.IsZero() || c.now.Sub(j.stuckSince) < j.stuckTime() || j.handoverRejected || !c.mayStart(st) {
+		if seen[j] || j.ending != "" || !c.sharded(j.sub.Service) || j.stuckSince.IsZero() || c.now.Sub(j.stuckSince) < j.stuckTime() || j.handoverRejected || !c.mayStart(st) {
 			continue
 		}
 		seen[j] = true
 		out = append(out, j)
 	}
-	if len(out) <= maxNeedsPerQuestion {
+	if len(out) <= maxStuckJobs {
 		return out
 	}
-	c.roomCursor = (c.roomCursor + maxNeedsPerQuestion) % len(out)
-	return append(out[c.roomCursor:len(out):len(out)], out[:c.roomCursor]...)
+	c.roomCursor %= len(out)
+	return append(out[c.roomCursor:len(out):len(out)], out[:c.roomCursor]...)[:maxStuckJobs]
 }
 
 // stuckTime returns how long the job waits before other shards are asked.
@@ -227,7 +246,8 @@
 }
 
 // assess returns the needs of a job's waiting steps and whether this shard can run them.
-// It reports false for a job that waits for something else, such as a trial.
+// It reports false for a job that waits for something else: a trial, or tickets for
+// capacity that is reserved.
 func (c *Core) assess(j *job) (stuckJob, bool) {
 	s := stuckJob{job: j}
 	var steps []*step
@@ -236,7 +256,7 @@
 			if !st.ready() || st.unplacedTasks() == 0 {
 				continue
 			}
-			if st.trial != nil {
+			if st.trial != nil || st.reserved != nil {
 				return s, false
 			}
 			steps = append(steps, st)
@@ -246,7 +266,7 @@
 	if len(steps) == 0 || j.live > 0 {
 		return s, false
 	}
-	s.own = c.fit(j.sub.Service, s.needs, func(i int, srv *server) bool { return steps[i].authorization.denied[srv.instanceKey()] })
+	s.own = c.fit(j.sub.Service, s.needs, steps)
 	return s, true
 }
 
--- a/internal/scheduler/shards.go
+++ b/internal/scheduler/shards.go
@@ -132,6 +132,8 @@
 // noShards stands for the other shards of a service that has one.
 type noShards struct{}
 
+func (noShards) Several(string) bool { return false }
+
 func (noShards) Ask(context.Context, RoomQuestion) []RoomAnswer { return nil }
 
 func (noShards) HandOver(context.Context, int, Handover) error {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -43,7 +43,7 @@
 		return
 	}
 	sub := h.Submission
-	sub.Transfer = &workload.Transfer{Number: h.Number, From: h.From, Epoch: c.epoch, MaxRun: h.MaxRun}
+	sub.Transfer = &workload.Transfer{Number: h.Number, From: h.From, Epoch: c.epoch, MaxRun: h.MaxRun, Started: h.Started}
 	j := newJob(&sub, c.now)
 	if age := c.wall - sub.Accepted; age > 0 {
 		j.accepted = c.now.Add(-msDuration(age))
--- a/workload/handover.go
+++ b/workload/handover.go
@@ -11,6 +11,8 @@
 	Epoch uint64 `cbor:"3,keyasint"`
 	// MaxRun is a run number that no run before the handover exceeds.
 	MaxRun int `cbor:"4,keyasint,omitempty"`
+	// Started is set if a task had started before the handover.
+	Started bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Handover is the stored record of a submission that its partition hands over to
@@ -23,6 +25,8 @@
 	Number int `cbor:"3,keyasint"`
 	// MaxRun is a run number that no run so far exceeds.
 	MaxRun int `cbor:"4,keyasint,omitempty"`
+	// Started is set if a task has started.
+	Started bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Forward is the stored record of a submission that another partition has taken over.
