--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -315,3 +315,27 @@
 		t.Errorf("starts %+v of the next owner, want one with a run of at least %d", starts, first+runsPerEpoch)
 	}
 }
+
+// Two of a submission's long-running tasks lose their servers, and the shard has no other
+// server of their kind. The two others go on. Those that lost theirs must run in the shard
+// that has such servers, within the 9 s that callers wait for them.
+func TestShards_LongRunningTaskRunsElsewhereBesideOthersThatGoOn(t *testing.T) {
+	w := newShardWorld(t, 2, 1, []string{"b", "b"}, 2)
+	w.runTime = time.Hour
+	lasting := labelled("b", 4)
+	lasting.LongRunning, lasting.MaxPerServer, lasting.Need.CPU = true, 2, 2000
+	id := fmt.Sprintf("%016x", 0)
+	w.submitTo(w.shards[0], id, lasting)
+	w.run(3 * time.Second)
+	w.servers[0].goneAt = w.now
+	w.run(w.shards[0].bounds.lease() + 9*time.Second)
+	running := 0
+	for _, v := range w.servers {
+		if v.goneAt.IsZero() {
+			running += len(v.runs)
+		}
+	}
+	if running != 4 {
+		t.Errorf("%d of 4 tasks run 9 s after the leases of the lost server, beside room for 8, want all", running)
+	}
+}
