A daemon that yields to larger ones does not join the group first

What callers saw: in a rolling restart the partition changes its owner several times, and each change costs half a second and more.

Change: a member looks up the holders before its first join and asks them for their capacity, for at most 0.3 s. One that the group still lists as a holder joins at once, and so does one that finds no holder.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -82,6 +82,24 @@
 	return c.yielding
 }
 
+// Learn queries the capacities of the holders and returns once they have answered or ctx
+// ends. A daemon that has just started calls it before its first ShouldYield.
+func (c *Capacities) Learn(ctx context.Context, holders []string) {
+	var wg sync.WaitGroup
+	for _, name := range holders {
+		if name == c.self {
+			continue
+		}
+		wg.Go(func() {
+			var got capacity
+			if err := c.peers.Call(ctx, name, methodCapacity, capacity{c.own}, &got); err == nil {
+				c.record(name, got.CPU)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // query queries a daemon's capacity in the background, unless a query is in
 // flight.
 func (c *Capacities) query(name string) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,7 +150,9 @@
 	})
 	// A daemon that was killed and restarts within its member TTL has its partitions
 	// immediately. Epochs distinguish the runs of the daemon.
-	return partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.reporter("join"), func() { h.tenures.TriggerReconcile() }, capacities.ShouldYield)
+	m := partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.reporter("join"), func() { h.tenures.TriggerReconcile() }, capacities.ShouldYield)
+	m.LearnFirst(capacities.Learn)
+	return m
 }
 
 func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, peers *peer.Peers, s platform.Settings) *tenure.Manager {
--- a/partition/member.go
+++ b/partition/member.go
@@ -27,6 +27,9 @@
 	// yieldedPollInterval is the time between lookups of a member that yields,
 	// since each costs the store as much as a join.
 	yieldedPollInterval = 2500 * time.Millisecond
+	// learnTimeout limits how long a member that has just started finds out about the
+	// holders. They are a member's reason to wait, and it must not wait for dead ones.
+	learnTimeout = 300 * time.Millisecond
 	// minLookupInterval is the least time between two lookups of the holders by
 	// Refresh.
 	minLookupInterval = 80 * time.Millisecond
@@ -47,6 +50,8 @@
 	// shouldYield reports whether this member should leave the partitions to
 	// others, given the current holders.
 	shouldYield func(holders []string) bool
+	// learn, if set, finds out what shouldYield needs to know of the holders.
+	learn func(ctx context.Context, holders []string)
 
 	// joinNow makes Run join at once.
 	joinNow chan struct{}
@@ -74,9 +79,14 @@
 	}
 }
 
+// LearnFirst sets a function that finds out what shouldYield needs to know of the
+// holders. It is called once, before the first join. It must precede Run.
+func (m *Member) LearnFirst(learn func(ctx context.Context, holders []string)) { m.learn = learn }
+
 // Run joins repeatedly until ctx ends. While shouldYield reports true it stays
 // out of the group.
 func (m *Member) Run(ctx context.Context) error {
+	m.learnHolders(ctx)
 	for n := 0; ; n++ {
 		pause := m.minTTL / joinsPerTTL
 		switch {
@@ -96,6 +106,24 @@
 	}
 }
 
+// learnHolders looks up the holders before the first join, and learns what decides
+// whether this member yields to them. The group may assign all partitions anew at each
+// join and each leave, so that a member that yields must not join first. A member that
+// the group still lists as a holder joins at once.
+func (m *Member) learnHolders(ctx context.Context) {
+	if m.learn == nil {
+		return
+	}
+	m.lookUpHolders(ctx)
+	holders := m.Holders()
+	if len(holders) == 0 || slices.Contains(holders, m.name) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, learnTimeout)
+	defer cancel()
+	m.learn(ctx, holders)
+}
+
 // yield leaves the group for now and looks up the holders.
 func (m *Member) yield(ctx context.Context) {
 	m.mu.Lock()
--- a/partition/member_test.go
+++ b/partition/member_test.go
@@ -155,3 +155,64 @@
 		stop()
 	})
 }
+
+// heldGroup is a group whose partitions other members hold.
+type heldGroup struct {
+	slowGroup
+	leaves int
+}
+
+func (g *heldGroup) Holders(context.Context) ([]partition.Holder, error) {
+	return []partition.Holder{{ID: testPartition, Member: "larger"}}, nil
+}
+
+func (g *heldGroup) Leave(context.Context, string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaves++
+	return nil
+}
+
+// The group may assign all partitions anew at each join and each leave. A member that has
+// just started and yields to the holders must do neither.
+func TestMember_YieldsBeforeItsFirstJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &heldGroup{}
+		var known atomic.Bool
+		m := partition.NewMember(g, "m", time.Second, time.Now, func(error) {}, func() {}, func([]string) bool { return known.Load() })
+		m.LearnFirst(func(_ context.Context, holders []string) {
+			time.Sleep(50 * time.Millisecond)
+			known.Store(len(holders) == 1)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		cancel()
+		<-done
+		if g.joins != 0 || g.leaves != 0 {
+			t.Errorf("%d joins and %d leaves of a member that yields from its start, want none", g.joins, g.leaves)
+		}
+	})
+}
+
+// A member that has just started must join soon although no holder answers it.
+func TestMember_JoinsAlthoughNoHolderAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &heldGroup{}
+		m := partition.NewMember(g, "m", time.Second, time.Now, func(error) {}, func() {}, never)
+		m.LearnFirst(func(ctx context.Context, _ []string) { <-ctx.Done() })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		time.Sleep(400 * time.Millisecond)
+		g.mu.Lock()
+		joins := g.joins
+		g.mu.Unlock()
+		if joins == 0 {
+			t.Error("no join 0.4 s after the start")
+		}
+		cancel()
+		<-done
+	})
+}
