Shards: the wait before a handover is bounded, and an answer names its own shard

Found by reading the handover as a newcomer: - After 37 handovers the doubled wait overflowed and was negative, so that a submission that policies deny everywhere would have been passed on at each question. WaitBeforeEachHandoverIsBounded fails before. - The partition of an answer came from the daemon that answers.

--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -138,6 +138,7 @@
 				// An owner that does not answer has no room. It is asked again.
 				return
 			}
+			a.Partition = part
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, a)
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -339,3 +339,17 @@
 		t.Errorf("%d of 4 tasks run 9 s after the leases of the lost server, beside room for 8, want all", running)
 	}
 }
+
+// A submission may be passed on many times where policies deny the servers of each shard in
+// turn. Each time it must wait, for no longer than callers do.
+func TestShards_WaitBeforeEachHandoverIsBounded(t *testing.T) {
+	last := time.Duration(0)
+	for number := range 200 {
+		j := &job{sub: &workload.Submission{Transfer: &workload.Transfer{Number: number}}}
+		wait := j.stuckTime()
+		if wait < max(last, stuckTime) || wait > 4*time.Second {
+			t.Fatalf("waits %s before handover %d, after %s before the one before", wait, number+1, last)
+		}
+		last = wait
+	}
+}
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -1,33 +1,12 @@
 package scheduler
 
 import (
-	"fmt"
-	"slices"
 	"time"
 
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// A submission belongs to a shard by its ID and a rack by the number of its servers, so
-// that a shard may lack what a submission needs while another one has it at rest. The
-// owner of a shard in which a submission waits with nothing running asks the owners of
-// the service's other shards, at the moment of use, whether they have room for it.
-
 const (
-	// stuckTime is how long a submission waits with nothing running before other shards
-	// are asked. It doubles with each handover after the first freeHandovers, up to
-	// maxStuckTime, so that a submission that no shard can run is not passed on for ever.
-	stuckTime     = time.Second
-	maxStuckTime  = 4 * time.Second
-	freeHandovers = 3
-	// roomInterval is the time between two questions.
-	roomInterval = 500 * time.Millisecond
-	// maxNeedsPerQuestion bounds the different needs that one question names, and
-	// maxHandoversPerAnswer the submissions that leave on its answers.
-	maxNeedsPerQuestion   = 32
-	maxHandoversPerAnswer = 32
-	// maxStuckJobs bounds the submissions that are looked at for one question.
-	maxStuckJobs = 64
 	// spareFactor: another shard takes a submission because of load only if it has room
 	// for so many times its waiting tasks. Some of it is taken before they arrive.
 	spareFactor = 2
@@ -66,23 +45,14 @@
 
 // RoomAnswer answers a RoomQuestion.
 type RoomAnswer struct {
-	Partition int `json:"partition"`
+	// Partition is the one that was asked. The daemon that asks sets it.
+	Partition int `json:"-"`
 	// Fits holds one entry for each submission of the question.
 	Fits []Fit `json:"fits"`
 	// FreeCPU is the free CPU of the shard's servers, in thousandths of a core.
 	FreeCPU int64 `json:"freeCPU"`
 }
 
-// handoverReason says why a submission is handed over.
-type handoverReason string
-
-const (
-	// handoverIncapable: no servers of the shard can run it.
-	handoverIncapable handoverReason = "incapable"
-	// handoverLoad: the shard is full, and another one has room.
-	handoverLoad handoverReason = "load"
-)
-
 // Room answers another owner's question.
 func (c *Core) Room(q RoomQuestion) RoomAnswer {
 	a := RoomAnswer{Fits: make([]Fit, len(q.Needs))}
@@ -162,180 +132,3 @@
 	silent := !s.unresponsiveSince.IsZero() && now.Sub(s.unresponsiveSince) > silentGrace
 	return s.listed && !s.rejected && !silent && !s.info.Draining && s.entryCurrent()
 }
-
-// stuckJob is a job that waits with nothing running.
-type stuckJob struct {
-	job   *job
-	needs []Need
-	// own is whether this shard can run it.
-	own Fit
-}
-
-// SetSharded sets the function that reports whether a service has several shards.
-func (c *Core) SetSharded(sharded func(service string) bool) { c.sharded = sharded }
-
-// seekRoom asks the service's other shards about the jobs that this one cannot run, at
-// intervals of roomInterval.
-func (c *Core) seekRoom() {
-	if !c.recovered || !c.listRead || c.config == nil || c.sharded == nil || c.roomAsked || c.now.Sub(c.roomAskedAt) < roomInterval || len(c.departures) >= maxDepartures {
-		return
-	}
-	c.roomAskedAt = c.now
-	c.roomCursor += maxStuckJobs
-	c.markStuck()
-	byService := make(map[string]*RoomQuestion)
-	asked := make(map[string]bool)
-	for _, j := range c.stuckJobs() {
-		s, ok := c.assess(j)
-		if !ok || s.own == FitNow {
-			continue
-		}
-		q := byService[j.sub.Service]
-		if q == nil {
-			q = &RoomQuestion{Service: j.sub.Service}
-			byService[j.sub.Service] = q
-		}
-		if key := j.sub.Service + needsKey(s.needs); !asked[key] && len(q.Needs) < maxNeedsPerQuestion {
-			asked[key] = true
-			q.Needs = append(q.Needs, s.needs)
-		}
-	}
-	for _, q := range byService {
-		c.roomAsked = true
-		c.emit(AskRoom{*q})
-		return
-	}
-}
-
-// markStuck notes since when each job with waiting tasks has had nothing running.
-func (c *Core) markStuck() {
-	for _, st := range c.queued {
-		j := st.job()
-		switch {
-		case j.live > 0 || j.ending != "":
-			j.stuckSince = time.Time{}
-		case j.stuckSince.IsZero():
-			j.stuckSince = c.now
-		}
-	}
-}
-
-// stuckJobs lists the jobs of sharded services that have waited long enough, in placement
-// order. Where there are more than maxStuckJobs, each question is about others.
-func (c *Core) stuckJobs() []*job {
-	var out []*job
-	seen := make(map[*job]bool)
-	for _, st := range c.queued {
-		j := st.job()
-		if seen[j] || j.ending != "" || !c.sharded(j.sub.Service) || j.stuckSince.IsZero() || c.now.Sub(j.stuckSince) < j.stuckTime() || j.handoverRejected || !c.mayStart(st) {
-			continue
-		}
-		seen[j] = true
-		out = append(out, j)
-	}
-	if len(out) <= maxStuckJobs {
-		return out
-	}
-	c.roomCursor %= len(out)
-	return append(out[c.roomCursor:len(out):len(out)], out[:c.roomCursor]...)[:maxStuckJobs]
-}
-
-// stuckTime returns how long the job waits before other shards are asked.
-func (j *job) stuckTime() time.Duration {
-	return min(stuckTime<<max(j.handoverNumber()-freeHandovers, 0), maxStuckTime)
-}
-
-// assess returns the needs of a job's waiting steps and whether this shard can run them.
-// It reports false for a job that waits for something else: a trial, or tickets for
-// capacity that is reserved.
-func (c *Core) assess(j *job) (stuckJob, bool) {
-	s := stuckJob{job: j}
-	var steps []*step
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if !st.ready() || st.unplacedTasks() == 0 {
-				continue
-			}
-			if st.trial != nil || st.reserved != nil {
-				return s, false
-			}
-			steps = append(steps, st)
-			s.needs = append(s.needs, needOf(st))
-		}
-	}
-	if len(steps) == 0 || j.live > 0 {
-		return s, false
-	}
-	s.own = c.fit(j.sub.Service, s.needs, steps)
-	return s, true
-}
-
-func needOf(st *step) Need {
-	return Need{Label: st.spec.Label, Task: st.spec.Reserved(), Count: st.unplacedTasks(), Gang: st.spec.Gang, MaxPerServer: st.spec.MaxPerServer}
-}
-
-func needsKey(needs []Need) string { return fmt.Sprint(needs) }
-
-// RoomAnswered handles the answers to a question: it hands over the jobs for which
-// another shard has room. One that this shard can run later goes only where there is
-// room now.
-func (c *Core) RoomAnswered(q RoomQuestion, answers []RoomAnswer) {
-	c.roomAsked = false
-	answers = slices.DeleteFunc(answers, func(a RoomAnswer) bool { return len(a.Fits) != len(q.Needs) })
-	index := make(map[string]int, len(q.Needs))
-	for i, needs := range q.Needs {
-		index[needsKey(needs)] = i
-	}
-	left := maxHandoversPerAnswer
-	for _, j := range c.stuckJobs() {
-		if left == 0 || len(c.departures) >= maxDepartures {
-			return
-		}
-		s, ok := c.assess(j)
-		if !ok || s.own == FitNow || j.sub.Service != q.Service {
-			continue
-		}
-		i, known := index[needsKey(s.needs)]
-		if !known {
-			continue
-		}
-		if to, reason := chooseShard(s, i, answers); to != nil {
-			to.FreeCPU -= spareFactor * s.cpu()
-			c.handOver(j, to.Partition, reason)
-			left--
-		}
-	}
-}
-
-// cpu returns the CPU of the waiting tasks, in thousandths of a core.
-func (s stuckJob) cpu() int64 {
-	var sum int64
-	for _, n := range s.needs {
-		sum += int64(n.Count) * n.Task.CPU
-	}
-	return sum
-}
-
-// chooseShard returns the answer of the shard that should run the job, or nil: among
-// those that can, the one with the most free CPU.
-func chooseShard(s stuckJob, need int, answers []RoomAnswer) (*RoomAnswer, handoverReason) {
-	var now, later *RoomAnswer
-	for i := range answers {
-		a := &answers[i]
-		if a.Fits[need] == FitNow && a.FreeCPU >= spareFactor*s.cpu() && (now == nil || a.FreeCPU > now.FreeCPU) {
-			now = a
-		}
-		if a.Fits[need] >= FitLater && (later == nil || a.FreeCPU > later.FreeCPU) {
-			later = a
-		}
-	}
-	switch {
-	case s.own == FitNever && now != nil:
-		return now, handoverIncapable
-	case s.own == FitNever && later != nil:
-		return later, handoverIncapable
-	case now != nil:
-		return now, handoverLoad
-	}
-	return nil, ""
-}
--- a/internal/scheduler/shards.go
+++ b/internal/scheduler/shards.go
@@ -83,9 +83,7 @@
 
 // Room answers the question of another shard's owner.
 func (e *Engine) Room(ctx context.Context, q RoomQuestion) (RoomAnswer, error) {
-	a, err := query(ctx, e, func(c *Core) RoomAnswer { return c.Room(q) })
-	a.Partition = e.o.Partition.Part
-	return a, err
+	return query(ctx, e, func(c *Core) RoomAnswer { return c.Room(q) })
 }
 
 // Held returns, for each submission, whether this partition knows it. It fails unless
