--- a/internal/host/entries_test.go
+++ b/internal/host/entries_test.go
@@ -85,3 +85,46 @@
 		s.submitOne(address, fmt.Sprintf("%016x", 0xc00+round))
 	}
 }
+
+// Thousands of entries that name no server, some of them with the longest keys that a log
+// may hold, come at once. A sound server must be used as before.
+func TestHost_ThousandsOfOddEntriesHarmNothing(t *testing.T) {
+	const odd = 3000
+	s := newDeployment(t, 1)
+	_, address := s.start()
+	dead := fmt.Sprintf(soundEntry, "127.0.0.1:1", 5)
+	for _, length := range []int{253, 254} {
+		s.store.Put("keyed.servers", 0, strings.Repeat("k", length), []byte(dead))
+	}
+	for i := range odd {
+		s.store.Put("keyed.servers", 0, fmt.Sprintf("odd-%d", i), []byte(strings.Replace(dead, "ready", "asleep", 1)))
+	}
+	began := time.Now()
+	for i := range 5 {
+		s.submitOne(address, fmt.Sprintf("%016x", 0xd00+i))
+	}
+	if took := time.Since(began); took > 8*time.Second {
+		t.Errorf("five submissions of 30 ms took %s beside %d odd entries, want at most 8 s", took, odd)
+	}
+}
+
+// The entry of a server cannot be read for longer than its tasks run. They must end there,
+// and nothing of them may be started twice.
+func TestHost_RunsGoOnWhileTheirServersEntryIsOdd(t *testing.T) {
+	s := newDeployment(t, 1)
+	server := s.servers[0]
+	server.RunDuration = 3 * time.Second
+	_, address := s.start()
+	const submission = "00000000000000e1"
+	if status, text := s.call("POST", address, "/q/"+submission, `{"spec":"x","steps":[{"count":2,"cpu":1000,"mem_mb":100}]}`); status != http.StatusOK {
+		t.Fatalf("%d %s", status, text)
+	}
+	s.await("running", func() bool { return s.state(address, submission) == "running" })
+	s.store.Put("keyed.servers", 0, server.ID, []byte(`{"service":`))
+	s.await("completed", func() bool { return s.state(address, submission) == "completed" })
+	for task, n := range server.Starts() {
+		if n != 1 {
+			t.Errorf("task %s started %d times, want once", task, n)
+		}
+	}
+}
