A handover names the partition that it comes from

What an operator saw: submission_taken_over said "from":0 whatever partition had handed the submission over. Nothing decides by that field.

Cause: the Core does not know its partition, and the Engine did not fill it in. Also, found in the same reading: Held answered a question and noted something on the side; the latter is confirmHandovers now.

--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -23,7 +23,8 @@
 	Progress   workload.Progress   `json:"progress"`
 	// Number counts the handovers of the submission, this one included.
 	Number int `json:"number"`
-	// From is the partition that hands it over.
+	// From is the partition that hands it over. The Engine sets it, since the Core does
+	// not know its partition.
 	From int `json:"from"`
 	// MaxRun is a run number that no run so far exceeds.
 	MaxRun int `json:"maxRun"`
--- a/internal/scheduler/shards.go
+++ b/internal/scheduler/shards.go
@@ -29,6 +29,7 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, handoverTimeout)
 	defer cancel()
+	a.Handover.From = e.o.Partition.Part
 	err := e.o.Shards.HandOver(ctx, a.To, a.Handover)
 	e.push(handoverEvent{a.Handover.Submission.ID, a.Handover.Number, err})
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -88,17 +88,24 @@
 }
 
 // Held reports, for each submission, whether this partition knows it: it holds the
-// submission, or its final state, or has handed it over. The partition that asks has
-// completed its handovers, so that their final states may be dropped in time.
+// submission, or its final state, or has handed it over.
 func (c *Core) Held(ids []string) []bool {
+	c.confirmHandovers(ids)
 	held := make([]bool, len(ids))
 	for i, id := range ids {
 		held[i] = c.heldNumber(id) >= 0
+	}
+	return held
+}
+
+// confirmHandovers notes that the partition which asks about submissions has its forwards
+// to them. It sends no handover again, so that their final states may be dropped in time.
+func (c *Core) confirmHandovers(ids []string) {
+	for _, id := range ids {
 		if _, ended := c.finalStates[id]; ended {
 			c.handoverConfirmed[id] = true
 		}
 	}
-	return held
 }
 
 const (
