--- a/internal/events/backendserver.go
+++ b/internal/events/backendserver.go
@@ -41,6 +41,11 @@
 		Fields:  []string{"server"},
 		Meaning: "A backend server that left the list holds no runs any more; its record was removed.",
 	}
+	ServerGivenUp = Event{
+		Number: 6065, Level: slog.LevelInfo, Name: "server_given_up",
+		Fields:  []string{"server", "epoch", "waited", "waitedBefore"},
+		Meaning: "A new owner never heard from a server that earlier owners used, and takes all leases that they sent there for expired: their tasks may be started elsewhere. The field waited is the time since this owner's claim and waitedBefore that waited by earlier owners, both in milliseconds.",
+	}
 	ServerQuarantined = Event{
 		Number: 6027, Level: slog.LevelWarn, Name: "server_rests",
 		Fields:  []string{"server", "faults", "rest"},
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -49,8 +49,8 @@
 	}
 	TaskPlaced = Event{
 		Number: 6005, Level: slog.LevelInfo, Name: "task_placed",
-		Fields:  []string{"task", "run", "server", "waited", "free", "clockAge"},
-		Meaning: "A start command was sent to a server. The field waited is the time since the task became runnable and clockAge the age of the server's clock reading, both in milliseconds; free is the server's free CPU.",
+		Fields:  []string{"task", "run", "server", "waited", "free", "clockAge", "inherited"},
+		Meaning: "A start command was sent to a server. The field waited is the time since the task became runnable and clockAge the age of the server's clock reading, both in milliseconds; free is the server's free CPU. If inherited is true, an earlier owner may have started the task, and its run was never seen by this one.",
 	}
 	CommandFailed = Event{
 		Number: 6006, Level: slog.LevelInfo, Name: "order_failed",
@@ -132,6 +132,16 @@
 		Fields:  []string{"partition", "epoch", "later"},
 		Meaning: "Another daemon told this one that it owns the partition under a later epoch; this daemon gives it up.",
 	}
+	EarlierOwnerNotified = Event{
+		Number: 6064, Level: slog.LevelInfo, Name: "earlier_owner_told",
+		Fields:  []string{"partition", "epoch", "daemon", "took", "error"},
+		Meaning: "This daemon told the daemon of an earlier owner that it owns the partition now. If error is not empty, that daemon was not reached and may go on renewing leases. The field took is the time since the claim, in milliseconds.",
+	}
+	LeaseRenewalChanged = Event{
+		Number: 6066, Level: slog.LevelInfo, Name: "lease_renewal",
+		Fields:  []string{"epoch", "renewed", "evidenceAge"},
+		Meaning: "An owner renews no more leases, since nothing has shown for a whole lease that it still owns the partition. Or, if renewed is true, it renews them again. The field evidenceAge is the age of what showed that last, in milliseconds.",
+	}
 	WriteRejected = Event{
 		Number: 6058, Level: slog.LevelError, Name: "write_rejected",
 		Fields:  []string{"write", "epoch", "error"},
@@ -225,8 +235,8 @@
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded,
 	SubmissionHandedOver, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
-	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerQuarantined, TaskEvacuated,
-	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
+	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
+	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
 	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank,
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -35,7 +35,16 @@
 	c.startRoom--
 	c.metric.startsSent.Inc()
 	c.log.Log(events.TaskPlaced, "task", a.task.id().String(), "run", run, "server", s.info.ID,
-		"waited", c.now.Sub(t.step.readyAt).Milliseconds(), "free", s.free.CPU, "clockAge", c.now.Sub(s.clockAt).Milliseconds())
+		"waited", c.now.Sub(t.step.readyAt).Milliseconds(), "free", s.free.CPU, "clockAge", c.now.Sub(s.clockAt).Milliseconds(),
+		"inherited", c.mayHaveEarlierRun(t, run))
+}
+
+// mayHaveEarlierRun reports whether a start under this run number is the first one of a
+// task that this owner took over without having seen a run of it: an earlier owner may
+// have started it.
+func (c *Core) mayHaveEarlierRun(t *task, run int) bool {
+	j := t.step.job()
+	return j.inherited && run == j.inheritedRun(c.epoch)+1
 }
 
 // extendLease returns a lease deadline for an order, in milliseconds of the
@@ -61,6 +70,17 @@
 	return lease - time.Duration(float64(max(c.now.Sub(c.lastContact), 0))*maxClockDrift)
 }
 
+// noteLeaseRenewal logs when this owner stops renewing leases for want of contact, and
+// when it renews them again.
+func (c *Core) noteLeaseRenewal() {
+	renewed := c.leaseLeft() > 0
+	if renewed == c.leasesRenewed {
+		return
+	}
+	c.leasesRenewed = renewed
+	c.log.Log(events.LeaseRenewalChanged, "epoch", c.epoch, "renewed", renewed, "evidenceAge", c.now.Sub(c.lastContact).Milliseconds())
+}
+
 // SetLastContact sets when this daemon last heard from the store or from another
 // daemon.
 func (c *Core) SetLastContact(at time.Time) { c.lastContact = at }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -58,6 +58,8 @@
 	// lastContact is when this daemon last heard from the store or from another
 	// daemon; zero if that is not known.
 	lastContact time.Time
+	// leasesRenewed is set while leases are renewed.
+	leasesRenewed bool
 
 	// waitedBefore is how long earlier owners waited in vain for servers, by ID.
 	waitedBefore map[string]time.Duration
@@ -167,7 +169,7 @@
 // earlier owners wrote. Epoch must be higher than theirs.
 func NewCore(epoch uint64, bounds Bounds, records []partition.Record, log *events.Logger, metric *Metrics, now time.Time, wall int64) *Core {
 	c := &Core{
-		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now,
+		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now, leasesRenewed: true,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), handoverConfirmed: make(map[string]bool),
 		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -17,6 +17,7 @@
 	startsWithdrawn   *metrics.Counter
 	runsLost          *metrics.Counter
 	serversCrashed    *metrics.Counter
+	serversGivenUp    *metrics.Counter
 	writesRejected    *metrics.Counter
 	tasksGivenUp      *metrics.Counter
 	takenOver         *metrics.Counter
@@ -36,6 +37,7 @@
 		runsLost:          set.NewCounter("currantwinch_runs_lost_total"),
 		tasksGivenUp:      set.NewCounter("currantwinch_tasks_given_up_total"),
 		takenOver:         set.NewCounter("currantwinch_submissions_taken_over_total"),
+		serversGivenUp:    set.NewCounter("currantwinch_servers_given_up_total"),
 		serversCrashed:    set.NewCounter("currantwinch_servers_crashed_total"),
 		writesRejected:    set.NewCounter("currantwinch_writes_rejected_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -373,6 +373,7 @@
 // incomplete gangs and expired final states.
 func (c *Core) Tick() {
 	c.checkReachability()
+	c.noteLeaseRenewal()
 	c.startRate.measure(c.now)
 	if c.sendingHeldUp() {
 		c.countOpenTasks()
@@ -464,11 +465,24 @@
 		}
 	}
 	c.recovered = true
+	c.noteGivenUpServers()
 	c.exposeInherited()
 	c.placementNeeded = true
 	c.log.Log(events.OwnerRecovered, "epoch", c.epoch, "took", c.now.Sub(c.started).Milliseconds(), "servers", len(c.servers), "jobs", len(c.jobs))
 }
 
+// noteGivenUpServers logs the servers of earlier owners that this owner has never heard
+// from, and whose tasks may start elsewhere from now on.
+func (c *Core) noteGivenUpServers() {
+	for id, s := range c.servers {
+		if !s.inherited || s.heard {
+			continue
+		}
+		c.metric.serversGivenUp.Inc()
+		c.log.Log(events.ServerGivenUp, "server", id, "epoch", c.epoch, "waited", c.now.Sub(c.started).Milliseconds(), "waitedBefore", s.waitedBefore.Milliseconds())
+	}
+}
+
 // PollAll polls every server. The Engine calls it once, after the claim.
 func (c *Core) PollAll() {
 	for _, s := range c.servers {
--- a/internal/scheduler/superseded.go
+++ b/internal/scheduler/superseded.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
@@ -39,11 +40,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lease)
 	defer cancel()
+	began := e.o.Now()
 	for {
 		call, done := context.WithTimeout(ctx, notifyInterval)
 		err := e.o.NotifySuperseded(call, daemon, epoch)
 		done()
 		if err == nil || !duty.Sleep(ctx, notifyInterval) {
+			e.o.Events.Log(events.EarlierOwnerNotified, "partition", e.o.Partition.Part, "epoch", epoch, "daemon", daemon,
+				"took", e.o.Now().Sub(began).Milliseconds(), "error", events.ErrorText(err))
 			return
 		}
 	}
