Leases last from proof that nobody has claimed the partition, and the next owner waits for that

Cause: an owner without the store renewed leases for as long as any daemon answered it, and its successor counted one lease from its own claim. Told late, never, or by the third owner in a row, the first one outlived that count while a server heard it alone.

The host's partitions are now owned under package ownership. An owner extends leases for their length from its newest evidence: the start of an append, of the claim or of a read that shows no later claim, or of the attestations of a majority of the witnesses that its claim names. Any other answer of a daemon counts for nothing. A later owner asks the daemons and witnesses of all earlier ones whose leases may last; its wait begins once each of those can get no more evidence. What it waited is recorded only from then on, and so holds for the next owner. Owners before the last three are no longer forgotten. The read of contact by any answer (LastContact) is gone.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -134,8 +134,8 @@
 	}
 	EarlierOwnerNotified = Event{
 		Number: 6064, Level: slog.LevelInfo, Name: "earlier_owner_told",
-		Fields:  []string{"partition", "epoch", "daemon", "took", "error"},
-		Meaning: "This daemon told the daemon of an earlier owner that it owns the partition now. If error is not empty, that daemon was not reached and may go on renewing leases. The field took is the time since the claim, in milliseconds.",
+		Fields:  []string{"partition", "epoch", "daemon", "took", "stopped", "error"},
+		Meaning: "This daemon told another one, on which an earlier owner ran or which is a witness of one, that it owns the partition now. If stopped is true, no earlier owner runs there any more; if error is not empty, that daemon was not reached last. The field took is the time since the claim, in milliseconds.",
 	}
 	LeaseRenewalChanged = Event{
 		Number: 6066, Level: slog.LevelInfo, Name: "lease_renewal",
--- a/internal/host/claim_test.go
+++ b/internal/host/claim_test.go
@@ -178,10 +178,10 @@
 }
 
 // An owner that loses the store goes on with its servers. The next owner counts one lease
-// from its claim for a server that it cannot reach, and then starts the task elsewhere. The
-// earlier owner, which reaches that server, must not renew the lease beyond that.
+// from when the earlier one can have extended leases last, for a server that it cannot
+// reach, and then starts the task elsewhere. The earlier owner, which reaches that server,
+// must not renew the lease beyond that.
 func TestEngine_EarlierOwnerWithoutTheStore(t *testing.T) {
-	const lease = 2 * time.Second
 	for _, tc := range []struct {
 		name string
 		// told lets the next owner reach the earlier one.
@@ -191,45 +191,10 @@
 		{"the earlier owner hears of no daemon", false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			s := newDeployment(t, 0)
-			seen := s.addSlowServers(2)
-			links := [2]*cutTransport{}
-			options := [2]scheduler.EngineOptions{}
-			for i, name := range []string{"first", "second"} {
-				client := platform.NewHTTPClient()
-				links[i] = &cutTransport{RoundTripper: client.Transport, cut: make(map[string]bool)}
-				options[i] = s.engineOptions(name, &http.Client{Transport: links[i]}, seen[:i+1]...)
-				options[i].Bounds.MaxLease = lease
-			}
-			var lost atomic.Pointer[time.Time]
-			options[0].LastContact = func() time.Time {
-				if at := lost.Load(); at != nil && !tc.told {
-					return *at
-				}
-				return time.Now()
-			}
-			first := run(t, scheduler.NewEngine(options[0]))
-			defer first.stop()
-			first.submitSlowTask(t)
-			s.await("started", func() bool { return s.servers[0].Runs(slowTask) })
-
-			now := time.Now()
-			lost.Store(&now)
-			links[0].set(s.address, true)
-			links[1].set(seen[0].Address, true)
-			options[1].NotifySuperseded = func(_ context.Context, daemon string, epoch uint64) error {
-				if daemon != "first" || !tc.told {
-					return context.DeadlineExceeded
-				}
-				first.Superseded(epoch)
-				return nil
-			}
-			second := run(t, scheduler.NewEngine(options[1]))
-			defer second.stop()
-			s.await("started again", func() bool { return s.servers[1].Runs(slowTask) })
-			if s.servers[0].Runs(slowTask) {
-				t.Error("the task runs on two servers at once")
-			}
+			s := newSuccession(t, "first", "second")
+			s.network.cut("first", "second", !tc.told)
+			s.next(t, "second")
+			s.checkRunsOnce(t)
 		})
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -157,7 +157,7 @@
 
 func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, peers *peer.Peers, s platform.Settings) *tenure.Manager {
 	return tenure.New(tenure.Options{
-		Member: member, PartitionCount: s.StorePartitions, Config: h.config.Load, Layout: shards.Layout, New: h.newEngine, Peers: peers, Events: h.o.Events,
+		Member: member, Daemon: h.base.Self.Name, OtherDaemons: h.otherDaemons, Now: time.Now, PartitionCount: s.StorePartitions, Config: h.config.Load, Layout: shards.Layout, New: h.newEngine, Peers: peers, Events: h.o.Events,
 	})
 }
 
@@ -203,9 +203,7 @@
 			MaxRecordBytes: h.o.Settings.MaxRecordBytes,
 		},
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
-		Shards: h.entry.ShardsOf(id), LastContact: h.store.LastContact, NotifySuperseded: func(ctx context.Context, daemon string, epoch uint64) error {
-			return h.tenures.NotifySuperseded(ctx, daemon, id, epoch)
-		},
+		Shards: h.entry.ShardsOf(id), Witnesses: h.tenures.Witnesses(id),
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
 			return h.watchServers(ctx, id, onChange)
 		},
--- a/internal/relay/connectivity.go
+++ b/internal/relay/connectivity.go
@@ -57,11 +57,3 @@
 	defer r.mu.Unlock()
 	r.lastContact = r.now()
 }
-
-// LastContact returns when the store or another daemon last answered this one; zero
-// if none has.
-func (r *Relay) LastContact() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lastContact
-}
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -59,32 +59,6 @@
 	return until
 }
 
-// leaseLeft returns the longest lease that may be sent now. A later owner waits for
-// one lease from its claim, which this daemon learns of by contact with the store or
-// with other daemons. Without contact no lease may outlast that wait.
-func (c *Core) leaseLeft() time.Duration {
-	lease := c.bounds.lease()
-	if c.lastContact.IsZero() {
-		return lease
-	}
-	return lease - time.Duration(float64(max(c.now.Sub(c.lastContact), 0))*maxClockDrift)
-}
-
-// noteLeaseRenewal logs when this owner stops renewing leases for want of contact, and
-// when it renews them again.
-func (c *Core) noteLeaseRenewal() {
-	renewed := c.leaseLeft() > 0
-	if renewed == c.leasesRenewed {
-		return
-	}
-	c.leasesRenewed = renewed
-	c.log.Log(events.LeaseRenewalChanged, "epoch", c.epoch, "renewed", renewed, "evidenceAge", c.now.Sub(c.lastContact).Milliseconds())
-}
-
-// SetLastContact sets when this daemon last heard from the store or from another
-// daemon.
-func (c *Core) SetLastContact(at time.Time) { c.lastContact = at }
-
 // lease returns the lease that the Core sends. A longer lease outlasts longer
 // outages; a shorter one makes the capacity of lost runs available sooner.
 func (b Bounds) lease() time.Duration { return min(b.MaxLease, maxLease) }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -55,13 +55,16 @@
 	lastSession uint64
 	// resumedAt is when this machine was last found to have been suspended.
 	resumedAt time.Time
-	// lastContact is when this daemon last heard from the store or from another
-	// daemon; zero if that is not known.
-	lastContact time.Time
+	// tenure is this owner's right to send leases, and its wait for those of earlier
+	// owners.
+	tenure *tenure
+	// witnessesStaleAt is when other witnesses were found to be due; zero if none are.
+	witnessesStaleAt time.Time
 	// leasesRenewed is set while leases are renewed.
 	leasesRenewed bool
 
-	// waitedBefore is how long earlier owners waited in vain for servers, by ID.
+	// waitedBefore is how long, by the ID of a server, no earlier owner can have extended
+	// a lease there when the last one recorded that.
 	waitedBefore map[string]time.Duration
 	// unheardStored is set if a record names servers as unheard, and unheardAt is
 	// when it was last written, or when this owner began.
@@ -175,19 +178,13 @@
 		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
-	c.maxLeaseSent = max(bounds.lease(), previousLease(records, bounds))
+	claim := nextClaim(records, "", bounds, nil)
+	claim.Epoch = epoch
+	c.SetClaim(claim, now)
 	c.load(records)
 	return c
 }
 
-// previousLease returns the longest lease that an earlier owner may have sent.
-func previousLease(records []partition.Record, bounds Bounds) time.Duration {
-	if ms := LastClaim(records).LeaseMS; ms > 0 {
-		return msDuration(ms)
-	}
-	return bounds.MaxLease
-}
-
 // SetTime sets the monotonic and the wall-clock time of the next event.
 func (c *Core) SetTime(now time.Time, wall int64) {
 	c.checkSuspended(now, wall)
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -97,6 +97,7 @@
 // do passes an event to the Core and collects its actions.
 func (h *harness) do(f func(c *Core)) {
 	h.core.SetTime(h.now, h.wall)
+	h.core.SetOwnershipConfirmed(h.now)
 	f(h.core)
 	h.finish()
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
@@ -10,7 +11,6 @@
 	"github.com/currantwinch/currantwinch/ring"
 	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/verdict"
-	"github.com/currantwinch/currantwinch/workload"
 	"github.com/pkg/errors"
 )
 
@@ -30,6 +30,8 @@
 	// times as long as the pass took. Passes over a long queue then leave most
 	// of the CPU time to orders and answers.
 	placementPauseFactor = 4
+	// candidatesInterval is the time between two looks at the candidates for witnesses.
+	candidatesInterval = time.Second
 	// maxEventBurst limits the events applied before actions are carried out.
 	maxEventBurst = 64
 )
@@ -72,12 +74,9 @@
 	// LeaseValid reports whether this daemon's group lease is valid, so that no
 	// other daemon can own the partition.
 	LeaseValid func() bool
-	// LastContact returns when the store or another daemon last answered this one;
-	// nil if that is not known. Leases are renewed only for their length from then.
-	LastContact func() time.Time
-	// NotifySuperseded tells another daemon that this one owns the partition under
-	// an epoch; nil if other daemons cannot be called.
-	NotifySuperseded func(ctx context.Context, daemon string, epoch uint64) error
+	// Witnesses are the daemons that can witness the claim; nil if other daemons cannot
+	// be called.
+	Witnesses Witnesses
 	// Watch follows the platform's server list until its context ends, and
 	// passes the complete list at each change.
 	Watch   func(ctx context.Context, whole func([]ServerInfo)) error
@@ -99,8 +98,18 @@
 	claimed chan struct{}
 	done    chan struct{}
 	ctx     context.Context
+	// end ends Run with an error.
+	end context.CancelCauseFunc
 	// superseded holds the epoch of a later owner once that is known.
 	superseded chan uint64
+	// priorOver is closed once no earlier owner can extend leases any more.
+	priorOver chan struct{}
+	// witnesses are the daemons to ask for attestations.
+	witnesses atomic.Pointer[[]string]
+	// evidenceWanted is set if the ownership is to be confirmed at once.
+	evidenceWanted atomic.Bool
+	// candidatesAt is when the candidates for witnesses were last looked at.
+	candidatesAt time.Time
 }
 
 // event is an input of the Core.
@@ -111,7 +120,13 @@
 	if o.Shards == nil {
 		o.Shards = noShards{}
 	}
-	e := &Engine{o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{}), superseded: make(chan uint64, 1)}
+	if o.Witnesses == nil {
+		o.Witnesses = noWitnesses{}
+	}
+	e := &Engine{
+		o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{}),
+		superseded: make(chan uint64, 1), priorOver: make(chan struct{}),
+	}
 	e.orders = newOrderSender(e)
 	return e
 }
@@ -122,7 +137,7 @@
 	defer close(e.done)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	e.ctx = ctx
+	e.ctx, e.end = ctx, cancel
 	if err := e.claim(ctx); err != nil {
 		return err
 	}
@@ -132,6 +147,7 @@
 			cancel(err)
 		}
 	}()
+	go e.gatherEvidence(ctx)
 	go func() {
 		if err := e.o.Watch(ctx, func(list []ServerInfo) { e.push(serversEvent{list}) }); err != nil {
 			cancel(err)
@@ -148,11 +164,10 @@
 		return errors.Wrap(err, "read partition")
 	}
 	before := LastClaim(records)
-	epoch := before.Epoch + 1
-	earlier := e.earlierOwners(before)
-	claim := ClaimRecord(workload.PartitionOwner{Epoch: epoch, Daemon: e.o.Daemon, LeaseMS: e.o.Bounds.lease().Milliseconds(), Earlier: earlier})
+	claim := nextClaim(records, e.o.Daemon, e.o.Bounds, chooseWitnesses(e.o.Partition, e.o.Daemon, e.o.Witnesses.Candidates()))
+	epoch := claim.Epoch
 	written := func(writeID uint64) { e.push(storedEvent{writeID}) }
-	e.writer, err = partition.Claim(ctx, e.o.Log, e.o.Partition, epoch, end, claim, e.o.Now, written)
+	e.writer, err = partition.Claim(ctx, e.o.Log, e.o.Partition, epoch, end, ClaimRecord(claim), e.o.Now, written)
 	if err != nil {
 		return errors.Wrapf(err, "claim partition %d after epoch %d of %q", e.o.Partition.Part, before.Epoch, before.Daemon)
 	}
@@ -160,9 +175,8 @@
 	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
 	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "offset", end, "before", before.Daemon,
 		"records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
-	for _, daemon := range earlier {
-		go e.notifySuperseded(ctx, daemon, epoch, e.core.maxLeaseSent)
-	}
+	e.core.SetClaim(claim, e.writer.ConfirmedAt())
+	e.requestPromises(ctx, claim)
 	return nil
 }
 
@@ -171,6 +185,7 @@
 	defer tick.Stop()
 	config := e.o.Config()
 	e.setTime()
+	e.updateEvidence()
 	if config != nil {
 		e.core.Configure(config)
 	}
@@ -205,6 +220,7 @@
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
 			e.core.SetSharded(e.o.Shards.Several)
 			e.orders.observe()
+			e.updateEvidence()
 			e.core.Tick()
 			e.withdrawUnstored()
 		}
@@ -249,8 +265,27 @@
 func (e *Engine) setTime() {
 	now := e.o.Now()
 	e.core.SetTime(now, e.o.Wall())
-	if e.o.LastContact != nil {
-		e.core.SetLastContact(e.o.LastContact())
+	e.core.SetOwnershipConfirmed(e.writer.ConfirmedAt())
+}
+
+// updateEvidence tells the goroutines that gather evidence what the Core needs now.
+func (e *Engine) updateEvidence() {
+	if e.core.PriorOver() {
+		select {
+		case <-e.priorOver:
+		default:
+			close(e.priorOver)
+		}
+	}
+	if now := e.o.Now(); now.Sub(e.candidatesAt) >= candidatesInterval {
+		e.candidatesAt = now
+		candidates := e.o.Witnesses.Candidates()
+		e.core.SetWitnessCandidates(chooseWitnesses(e.o.Partition, e.o.Daemon, candidates), candidates)
+	}
+	witnesses := e.core.tenure.witnesses()
+	e.witnesses.Store(&witnesses)
+	if e.core.leaseLeft() < minStartLease {
+		e.evidenceWanted.Store(true)
 	}
 }
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -138,7 +138,7 @@
 	if verdict.ReasonOf(err) == ReasonWrongInstance && !s.over {
 		c.instanceEnded(s)
 	}
-	if !s.listed && c.now.After(s.leaseExpiry()) {
+	if !s.listed && c.leasesExpired(s) {
 		c.removeServer(s)
 		return
 	}
@@ -381,7 +381,9 @@
 	for _, s := range c.servers {
 		c.checkServer(s)
 	}
+	c.tenure.advance(c.now)
 	c.recordUnheard()
+	c.storeUpdate()
 	c.startDeferredTrials()
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
@@ -421,7 +423,7 @@
 	if !c.listRead || !s.stored || s.listed && !s.info.Draining {
 		return false
 	}
-	return s.isEmpty() || !s.listed && len(s.attempts) == 0 && c.now.After(s.leaseExpiry())
+	return s.isEmpty() || !s.listed && len(s.attempts) == 0 && c.leasesExpired(s)
 }
 
 // evacuate stops the checkpointing tasks of a draining server, early enough for
@@ -460,7 +462,7 @@
 		return
 	}
 	for _, s := range c.servers {
-		if s.stored && !(s.synced && s.endsComplete) && s.leaseDeadlineMS > 0 && c.now.Before(s.leaseExpiry()) {
+		if c.mayHoldInheritedRuns(s) {
 			return
 		}
 	}
@@ -471,6 +473,14 @@
 	c.log.Log(events.OwnerRecovered, "epoch", c.epoch, "took", c.now.Sub(c.started).Milliseconds(), "servers", len(c.servers), "jobs", len(c.jobs))
 }
 
+// mayHoldInheritedRuns reports whether a server may hold a run of an earlier owner that
+// it has not listed to this one.
+func (c *Core) mayHoldInheritedRuns(s *server) bool {
+	unused := !s.inherited && s.leaseDeadlineMS == 0
+	listedAll := s.synced && s.endsComplete
+	return s.stored && !unused && !listedAll && !s.over && !c.leasesExpired(s)
+}
+
 // noteGivenUpServers logs the servers of earlier owners that this owner has never heard
 // from, and whose tasks may start elsewhere from now on.
 func (c *Core) noteGivenUpServers() {
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"time"
-
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
@@ -19,6 +17,7 @@
 	keyProgress = 'p'
 	keyServer   = 's'
 	keyUnheard  = 'u'
+	keyUpdate   = 'w'
 )
 
 func recordOf(kind byte, id string, v any) partition.Record {
@@ -51,10 +50,22 @@
 	return t
 }
 
+// lastUpdate returns what the last owner that stored an update has changed since its
+// claim, or the zero value. An update that cannot be decoded counts as none, which makes
+// the next owner ask and wait for more.
+func lastUpdate(records []partition.Record) workload.OwnerUpdate {
+	for _, r := range records {
+		var u workload.OwnerUpdate
+		if len(r.Key) == 1 && r.Key[0] == keyUpdate && workload.Decode(r.Value, &u) == nil {
+			return u
+		}
+	}
+	return workload.OwnerUpdate{}
+}
+
 // load restores the state from the records of earlier owners.
 func (c *Core) load(records []partition.Record) {
 	c.waitedBefore = c.loadUnheard(records)
-	c.unheardStored = len(c.waitedBefore) > 0
 	for _, r := range records {
 		if len(r.Key) == 0 || r.Value == nil {
 			continue
@@ -149,10 +160,7 @@
 	}
 	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address}, c.newSession())
 	s.recorded, s.stored, s.inherited = true, true, true
-	// An earlier owner may have sent a full lease just before now.
-	s.waitedBefore = c.waitedBefore[id]
-	left := c.maxLeaseSent - time.Duration(float64(s.waitedBefore)/maxClockDrift)
-	s.leaseDeadlineMS = max(left, time.Millisecond).Milliseconds()
+	s.waitedBefore, s.waitRecorded = c.waitedBefore[id]
 	c.servers[id] = s
 	return nil
 }
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -29,7 +29,9 @@
 	// declaredUnheard is set while a stored record may say that the server has not
 	// answered this owner. It gets no lease then: the next owner would not wait for it.
 	declaredUnheard bool
-	// waitedBefore is how long earlier owners waited in vain for the server.
+	// waitRecorded is set if the last owner recorded that it has sent the server no
+	// lease, and waitedBefore is how long no other owner can have by then.
+	waitRecorded bool
 	waitedBefore time.Duration
 	// rejected is set if the log does not accept the server's record.
 	rejected bool
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -128,6 +128,7 @@
 		return
 	}
 	c.resumedAt = now
+	c.tenure.state = c.tenure.protocol.Suspended(c.tenure.state, missed)
 	for _, s := range c.servers {
 		s.aliveAt = time.Time{}
 	}
--- /dev/null
+++ b/internal/scheduler/tenure.go
@@ -0,0 +1,302 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/ownership"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// The rule that tenures keep: when an owner starts an inherited task, every lease that an
+// earlier owner can have sent to any server has expired, or that server has answered this
+// owner and refuses the earlier ones since.
+//
+// An owner extends leases for their length from its newest evidence that nobody has claimed
+// the partition after it: a call to the log, or attestations of a majority of the witnesses
+// that its claim names. A later owner asks those witnesses to attest no more, and its wait
+// begins once a majority has promised that or the earlier owner's daemon says that it has
+// ended. Package ownership holds the protocol and its proof by exploration.
+
+const (
+	// takeoverSlack covers the time from the expiry of a lease to the end of the run,
+	// and readings of clocks in whole milliseconds.
+	takeoverSlack = leaseExpirySlack
+	// maxAttested bounds how long an owner that cannot reach the log extends leases by
+	// attestations. A later owner waits for as long if it reaches neither the daemon of
+	// the earlier one nor a majority of its witnesses.
+	maxAttested = 30 * time.Second
+	// minStartLease is the shortest lease with which tasks are started.
+	minStartLease = time.Second
+	// maxPriorOwners bounds the earlier owners that a claim names. What exceeds it is
+	// replaced by one owner with an unknown witness, for which the longest wait applies.
+	maxPriorOwners = 32
+)
+
+// instantOrigin is the Instant at which a tenure begins, so that the zero Instant is longer
+// ago than any lease lasts.
+const instantOrigin = ownership.Instant(time.Hour)
+
+// tenure is one owner's right to send leases, and its wait for those of earlier owners.
+type tenure struct {
+	protocol ownership.Protocol
+	state    ownership.ShareState
+	prior    []workload.PriorOwner
+	// began is the time of instantOrigin.
+	began time.Time
+	// stopped are the daemons on which no owner before this one runs any more.
+	stopped map[string]bool
+	// updateStored is set once the log has that the leases of earlier owners are over.
+	updateStored bool
+}
+
+// newTenure returns the tenure of an owner with a claim in the log whose append began at
+// the given time and ended now.
+func newTenure(claim workload.PartitionOwner, began, now time.Time) *tenure {
+	lease := msDuration(claim.LeaseMS)
+	longest := lease
+	for _, p := range claim.Prior {
+		longest = max(longest, msDuration(p.LeaseMS))
+	}
+	const drift = (1 + ownership.MaxClockDrift) / (1 - ownership.MaxClockDrift)
+	t := &tenure{
+		protocol: ownership.Protocol{Timing: ownership.Timing{
+			LeaseDuration: lease, TakeoverWait: time.Duration(float64(longest)*drift) + takeoverSlack,
+			HandoverLease: lease, AttestedDuration: maxAttested,
+		}},
+		prior: claim.Prior, began: began, stopped: make(map[string]bool), updateStored: len(claim.Prior) == 0,
+	}
+	own := ownership.Entry{Tenure: ownership.Tenure{Epoch: claim.Epoch, Holder: holderOf(claim.Epoch, claim.Daemon), Witnesses: claim.Witnesses}}
+	for _, p := range claim.Prior {
+		own.Prior = append(own.Prior, ownership.Tenure{Epoch: p.Epoch, Holder: holderOf(p.Epoch, p.Daemon), Witnesses: p.Witnesses})
+	}
+	t.state = t.protocol.ApplyRead(t.state, own.Holder, own, t.instant(began), t.instant(now))
+	t.advance(now)
+	return t
+}
+
+// holderOf identifies one owner. A daemon may own a partition several times.
+func holderOf(epoch uint64, daemon string) string { return fmt.Sprintf("%s/%d", daemon, epoch) }
+
+func (t *tenure) instant(at time.Time) ownership.Instant {
+	return instantOrigin.Add(at.Sub(t.began))
+}
+
+// confirmed records a call to the log, begun at the given time, that a later claim would
+// have made fail.
+func (t *tenure) confirmed(at, now time.Time) {
+	own := ownership.Entry{Tenure: t.state.Tenure}
+	t.state = t.protocol.ApplyRead(t.state, own.Holder, own, t.instant(at), t.instant(now))
+}
+
+// attested records that a witness, asked at the given time and up for that long since it
+// started, knows of no later claim.
+func (t *tenure) attested(witness string, askedAt time.Time, up time.Duration, now time.Time) {
+	if !t.protocol.WitnessRemembers(t.state, up, t.instant(now)) {
+		return
+	}
+	t.state = t.protocol.ApplyAttestation(t.state, witness, t.state.Tenure.Epoch, t.instant(askedAt), t.instant(now))
+}
+
+// promised records that a daemon attests for no earlier owner any more, and whether none
+// runs on it.
+func (t *tenure) promised(daemon string, stopped bool, now time.Time) {
+	t.state = t.protocol.ApplyConsent(t.state, daemon, t.state.Tenure.Epoch)
+	if stopped {
+		t.stopped[daemon] = true
+	}
+	t.advance(now)
+}
+
+// advance notes which earlier owners can extend leases no more.
+func (t *tenure) advance(now time.Time) {
+	t.state = t.protocol.Advance(t.state, t.hasStopped, t.instant(now))
+}
+
+func (t *tenure) hasStopped(holder string) bool {
+	for _, p := range t.prior {
+		if holderOf(p.Epoch, p.Daemon) == holder {
+			return t.stopped[p.Daemon]
+		}
+	}
+	return false
+}
+
+// leaseLeft returns the longest lease that may be sent now; 0 or less if none may.
+func (t *tenure) leaseLeft(now time.Time) time.Duration {
+	return t.protocol.EvidenceUntil(t.state).Sub(t.instant(now))
+}
+
+// priorSilentFor returns how long no earlier owner can have extended a lease, or false if
+// one still may.
+func (t *tenure) priorSilentFor(now time.Time) (time.Duration, bool) {
+	since, over := t.protocol.PriorOver(t.state)
+	return t.instant(now).Sub(since), over
+}
+
+// takeoverWait is how long leases last at most once no owner extends them.
+func (t *tenure) takeoverWait() time.Duration { return t.protocol.Timing.TakeoverWait }
+
+// witnesses returns the daemons that may attest for this owner.
+func (t *tenure) witnesses() []string {
+	return union(t.state.Tenure.Witnesses, t.state.Pending.Witnesses)
+}
+
+// union returns the strings of both lists, each once.
+func union(a, b []string) []string {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// nextClaim returns the claim of the owner after those in a partition's records.
+func nextClaim(records []partition.Record, daemon string, bounds Bounds, witnesses []string) workload.PartitionOwner {
+	before := LastClaim(records)
+	claim := workload.PartitionOwner{Epoch: before.Epoch + 1, Daemon: daemon, LeaseMS: bounds.lease().Milliseconds(), Witnesses: witnesses}
+	if before.Epoch == 0 {
+		return claim
+	}
+	update := lastUpdate(records)
+	if update.Epoch == before.Epoch && len(update.Witnesses) > 0 {
+		before.Witnesses = update.Witnesses
+	}
+	if update.Epoch != before.Epoch || !update.PriorOver {
+		claim.Prior = before.Prior
+	}
+	last := workload.PriorOwner{Epoch: before.Epoch, Daemon: before.Daemon, LeaseMS: before.LeaseMS, Witnesses: before.Witnesses}
+	if last.LeaseMS <= 0 {
+		last.LeaseMS = bounds.MaxLease.Milliseconds()
+	}
+	claim.Prior = boundPrior(append(slices.Clone(claim.Prior), last))
+	return claim
+}
+
+// boundPrior replaces the oldest owners by one whose witness nobody can ask, if there are
+// too many.
+func boundPrior(prior []workload.PriorOwner) []workload.PriorOwner {
+	excess := len(prior) - maxPriorOwners
+	if excess <= 0 {
+		return prior
+	}
+	oldest := workload.PriorOwner{Epoch: prior[excess].Epoch, Witnesses: []string{""}}
+	for _, p := range prior[:excess+1] {
+		oldest.LeaseMS = max(oldest.LeaseMS, p.LeaseMS)
+	}
+	return append([]workload.PriorOwner{oldest}, prior[excess+1:]...)
+}
+
+// SetClaim sets this owner's claim, whose append began at the given time.
+func (c *Core) SetClaim(claim workload.PartitionOwner, began time.Time) {
+	c.tenure = newTenure(claim, began, c.now)
+	c.maxLeaseSent = c.bounds.lease()
+	for _, p := range claim.Prior {
+		c.maxLeaseSent = max(c.maxLeaseSent, msDuration(p.LeaseMS))
+	}
+}
+
+// SetOwnershipConfirmed sets when the newest call to the log began that a later claim
+// would have made fail.
+func (c *Core) SetOwnershipConfirmed(at time.Time) {
+	if at.After(c.resumedAt) {
+		c.tenure.confirmed(at, c.now)
+	}
+}
+
+// AttestationReceived handles a witness's statement, asked for at the given time, that it
+// knows of no later claim.
+func (c *Core) AttestationReceived(witness string, askedAt time.Time, up time.Duration) {
+	if askedAt.After(c.resumedAt) {
+		c.tenure.attested(witness, askedAt, up, c.now)
+	}
+}
+
+// PromiseReceived handles a daemon's promise to attest for no earlier owner. Stopped says
+// that none of them runs on it.
+func (c *Core) PromiseReceived(daemon string, stopped bool) {
+	c.tenure.promised(daemon, stopped, c.now)
+}
+
+// PriorOver reports whether no earlier owner can extend leases any more.
+func (c *Core) PriorOver() bool {
+	_, over := c.tenure.priorSilentFor(c.now)
+	return over
+}
+
+// leaseLeft returns the longest lease that may be sent now; 0 or less if none may.
+func (c *Core) leaseLeft() time.Duration { return c.tenure.leaseLeft(c.now) }
+
+// unheardFor returns how long no earlier owner can have extended a lease on a server that
+// has not answered this owner, or false if one still may.
+func (c *Core) unheardFor(s *server) (time.Duration, bool) {
+	if s.waitRecorded {
+		return s.waitedBefore + c.now.Sub(c.started), true
+	}
+	return c.tenure.priorSilentFor(c.now)
+}
+
+// leasesExpired reports whether all leases ever sent to a server have expired.
+func (c *Core) leasesExpired(s *server) bool {
+	if !s.inherited || s.over || !s.polledAt.IsZero() {
+		return c.now.After(s.leaseExpiry())
+	}
+	silent, over := c.unheardFor(s)
+	return over && silent >= c.tenure.takeoverWait()
+}
+
+// noteLeaseRenewal logs when this owner stops renewing leases for want of evidence, and
+// when it renews them again.
+func (c *Core) noteLeaseRenewal() {
+	left := c.leaseLeft()
+	if renewed := left > 0; renewed != c.leasesRenewed {
+		c.leasesRenewed = renewed
+		c.log.Log(events.LeaseRenewalChanged, "epoch", c.epoch, "renewed", renewed, "evidenceAge", (c.bounds.lease() - left).Milliseconds())
+	}
+}
+
+// storeUpdate stores that the leases of earlier owners are over, so that the next owner
+// need not ask about them.
+func (c *Core) storeUpdate() {
+	silent, over := c.tenure.priorSilentFor(c.now)
+	if c.tenure.updateStored || !over || silent < c.tenure.takeoverWait() {
+		return
+	}
+	c.tenure.updateStored = true
+	c.writeUpdate(nil)
+}
+
+// SetWitnessCandidates sets the daemons that can witness claims now. Other witnesses are
+// stored if one of the present ones is not among them, or if there are too few.
+func (c *Core) SetWitnessCandidates(chosen []string, candidates []string) {
+	t := c.tenure
+	gone := slices.ContainsFunc(t.state.Tenure.Witnesses, func(w string) bool { return !slices.Contains(candidates, w) })
+	if !gone && len(t.state.Tenure.Witnesses) >= len(chosen) || t.state.Pending.Epoch != 0 {
+		c.witnessesStaleAt = time.Time{}
+		return
+	}
+	if c.witnessesStaleAt.IsZero() {
+		c.witnessesStaleAt = c.now
+	}
+	if c.now.Sub(c.witnessesStaleAt) < witnessSettleTime {
+		return
+	}
+	c.witnessesStaleAt = time.Time{}
+	t.state = t.protocol.ReplaceWitnesses(t.state, chosen)
+	c.writeUpdate(func() { t.state = t.protocol.WitnessesReplaced(t.state) })
+}
+
+// witnessSettleTime is how long other witnesses must be due before they are stored:
+// daemons that restart are back within it.
+const witnessSettleTime = 3 * time.Second
+
+// writeUpdate stores what has changed since this owner's claim.
+func (c *Core) writeUpdate(then func()) {
+	witnesses := c.tenure.state.Tenure.Witnesses
+	if pending := c.tenure.state.Pending; pending.Epoch != 0 {
+		witnesses = pending.Witnesses
+	}
+	u := workload.OwnerUpdate{Epoch: c.epoch, Witnesses: witnesses, PriorOver: c.tenure.updateStored}
+	c.write([]partition.Record{recordOf(keyUpdate, "", u)}, then)
+}
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/ownership"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -16,8 +17,9 @@
 // An owner waits for one lease for each inherited server that does not answer, before it
 // starts the tasks that may run there. It sends such a server no lease. So that owners that
 // follow each other wait only once in all, each records the servers that it has not heard
-// from, with the time waited since the last lease can have been sent. A server on that
-// record gets leases again only once the record no longer names it.
+// from, with the time since an earlier owner can last have extended a lease there. It
+// records none before it knows that no earlier owner can any more. A server on that record
+// gets leases again only once the record no longer names it.
 
 // recordUnheard stores which inherited servers have not answered this owner, while it
 // waits for any.
@@ -34,12 +36,13 @@
 func (c *Core) writeUnheard() {
 	c.unheardAt = c.now
 	var released []*server
-	list := workload.UnheardServers{Epoch: c.epoch, WaitedMS: make(map[string]int64)}
+	list := workload.UnheardServers{Epoch: c.epoch, WaitedMS: make(map[string]int64), Proven: true}
 	for id, s := range c.servers {
+		silent, known := c.unheardFor(s)
 		switch {
-		case s.inherited && !s.heard && !c.recovered:
+		case s.inherited && !s.heard && !c.recovered && known:
 			s.declaredUnheard = true
-			list.WaitedMS[id] = (s.waitedBefore + c.now.Sub(c.started)).Milliseconds()
+			list.WaitedMS[id] = silent.Milliseconds()
 		case s.declaredUnheard:
 			released = append(released, s)
 		}
@@ -76,25 +79,27 @@
 	return false
 }
 
-// loadUnheard returns for how long earlier owners have waited for each server in vain
-// since the last lease can have been sent there.
+// loadUnheard returns, by server, how long no earlier owner can have extended a lease
+// there.
 func (c *Core) loadUnheard(records []partition.Record) map[string]time.Duration {
 	waited := make(map[string]time.Duration)
 	for _, r := range records {
 		if len(r.Key) != 1 || r.Key[0] != keyUnheard || r.Value == nil {
 			continue
 		}
+		c.unheardStored = true
 		var list workload.UnheardServers
 		if err := workload.Decode(r.Value, &list); err != nil {
 			c.log.Log(events.RecordUnreadable, "key", r.Key, "offset", r.Offset, "error", err.Error())
 			continue
 		}
-		if list.Epoch != LastClaim(records).Epoch {
+		if list.Epoch != LastClaim(records).Epoch || !list.Proven {
 			// The last owner may have sent leases to all of them.
 			continue
 		}
 		for id, ms := range list.WaitedMS {
-			waited[id] = max(msDuration(ms), 0)
+			// The clock of the last owner may have run fast, and this one's slowly.
+			waited[id] = time.Duration(float64(max(msDuration(ms), 0)) * (1 - ownership.MaxClockDrift) / (1 + ownership.MaxClockDrift))
 		}
 	}
 	return waited
--- a/internal/scheduler/witness.go
+++ b/internal/scheduler/witness.go
@@ -24,13 +24,14 @@
 	// maxPromiseInterval is the longest such time, which it reaches where a daemon does
 	// not answer.
 	maxPromiseInterval = 2 * time.Second
-	// confirmInterval is the age of the newest call to the log at which the ownership is
-	// confirmed by a read.
-	confirmInterval = time.Second
-	// attestAfter is the age of the newest call to the log at which witnesses are asked,
-	// and attestInterval the time between two requests to one, and the time limit of one.
-	attestAfter    = 1500 * time.Millisecond
-	attestInterval = 500 * time.Millisecond
+	// confirmFraction: the ownership is confirmed by a read once the newest call to the
+	// log is this fraction of a lease old.
+	confirmFraction = 6
+	// attestFraction: witnesses are asked once that call is this fraction of a lease old,
+	// and again after the fraction attestIntervalFraction, which is also the time limit
+	// of one request.
+	attestFraction         = 4
+	attestIntervalFraction = 12
 	// evidenceCheckInterval is the time between two looks at the age of the evidence.
 	evidenceCheckInterval = 100 * time.Millisecond
 )
@@ -142,15 +143,17 @@
 // does not answer. It runs until ctx ends.
 func (e *Engine) gatherEvidence(ctx context.Context) {
 	go e.confirmOwnership(ctx)
+	lease := e.o.Bounds.lease()
+	interval := lease / attestIntervalFraction
 	var askedAt time.Time
 	for duty.Sleep(ctx, evidenceCheckInterval) {
 		now := e.o.Now()
-		if now.Sub(e.writer.ConfirmedAt()) < attestAfter || now.Sub(askedAt) < attestInterval {
+		if now.Sub(e.writer.ConfirmedAt()) < lease/attestFraction || now.Sub(askedAt) < interval {
 			continue
 		}
 		askedAt = now
 		for _, daemon := range *e.witnesses.Load() {
-			go e.requestAttestation(ctx, daemon)
+			go e.requestAttestation(ctx, daemon, interval)
 		}
 	}
 }
@@ -158,8 +161,9 @@
 // confirmOwnership reads the log whenever no append has confirmed the ownership lately. It
 // ends the Engine once there is a later claim.
 func (e *Engine) confirmOwnership(ctx context.Context) {
+	interval := e.o.Bounds.lease() / confirmFraction
 	for duty.Sleep(ctx, evidenceCheckInterval) {
-		if e.o.Now().Sub(e.writer.ConfirmedAt()) < confirmInterval && !e.evidenceWanted.Swap(false) {
+		if e.o.Now().Sub(e.writer.ConfirmedAt()) < interval && !e.evidenceWanted.Swap(false) {
 			continue
 		}
 		if err := e.writer.ConfirmOwnership(ctx); err == partition.ErrFenced {
@@ -170,8 +174,8 @@
 }
 
 // requestAttestation asks one witness.
-func (e *Engine) requestAttestation(ctx context.Context, daemon string) {
-	ctx, cancel := context.WithTimeout(ctx, attestInterval)
+func (e *Engine) requestAttestation(ctx context.Context, daemon string, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	askedAt := e.o.Now()
 	a, err := e.o.Witnesses.Attest(ctx, daemon, e.core.epoch)
--- a/internal/tenure/manager.go
+++ b/internal/tenure/manager.go
@@ -40,6 +40,10 @@
 // Options configures a Manager.
 type Options struct {
 	Member *partition.Member
+	// Daemon is this daemon's name, and OtherDaemons lists those of the others.
+	Daemon       string
+	OtherDaemons func() []string
+	Now          func() time.Time
 	// PartitionCount is the number of partitions of the topic.
 	PartitionCount int
 	Config         func() *routing.Configuration
@@ -56,6 +60,7 @@
 // concurrent use.
 type Manager struct {
 	o         Options
+	witness   *Witness
 	reconcile chan struct{}
 
 	mu      sync.Mutex
@@ -68,11 +73,12 @@
 	done   chan struct{}
 }
 
-// New returns a Manager that runs no scheduler yet, and registers its method with the
+// New returns a Manager that runs no scheduler yet, and registers its methods with the
 // peers.
 func New(o Options) *Manager {
-	t := &Manager{o: o, reconcile: make(chan struct{}, 1), running: make(map[partition.ID]*runningEngine)}
+	t := &Manager{o: o, witness: NewWitness(o.Now), reconcile: make(chan struct{}, 1), running: make(map[partition.ID]*runningEngine)}
 	o.Peers.Handle(methodSuperseded, roles.TypedHandler(reasonBadCall, t.handleSuperseded))
+	o.Peers.Handle(methodAttest, roles.TypedHandler(reasonBadCall, t.handleAttest))
 	return t
 }
 
--- a/partition/ownership.go
+++ b/partition/ownership.go
@@ -16,12 +16,30 @@
 // begins after each of them.
 func (w *Writer) ConfirmOwnership(ctx context.Context) error { return w.ownership.wait(ctx) }
 
+// ConfirmedAt returns when the newest call to the log began that a later claim would have
+// made fail: the claim itself, an append, or a read that confirmed the ownership.
+func (w *Writer) ConfirmedAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmedAt
+}
+
+// confirm records that a call that began at the given time shows no later claim.
+func (w *Writer) confirm(began time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if began.After(w.confirmedAt) {
+		w.confirmedAt = began
+	}
+}
+
 // findLaterClaim looks for the claim of a later owner. Only this owner's appends can
 // precede it there.
 func (w *Writer) findLaterClaim() error {
 	w.mu.Lock()
 	from := w.end
 	w.mu.Unlock()
+	began := w.now()
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	for {
@@ -33,6 +51,7 @@
 			return ErrFenced
 		}
 		if len(batch.Records) == 0 {
+			w.confirm(began)
 			return nil
 		}
 		from = batch.Next
--- a/partition/writer.go
+++ b/partition/writer.go
@@ -60,6 +60,8 @@
 	ownership confirmer
 
 	mu sync.Mutex
+	// confirmedAt is when the newest call began that shows no later claim.
+	confirmedAt time.Time
 	// end is the offset after this owner's last append that was answered.
 	end    uint64
 	queued []write
@@ -89,6 +91,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	first := rand.Uint64N(maxFirstSequence)
+	began := now()
 	_, _, err := retryHedged(ctx, minHang, func(ctx context.Context) (struct{}, error) {
 		return struct{}{}, log.Append(ctx, id, Fence{producer, epoch, first, &end}, []Record{claim})
 	})
@@ -96,7 +99,7 @@
 		return nil, errors.WithMessagef(err, "claim at offset %d under epoch %d from sequence %d", end, epoch, first)
 	}
 	ignore := func(uint64, error) {}
-	w := &Writer{log: log, id: id, epoch: epoch, claimKey: claim.Key, end: end + 1, onStored: written, onRejected: ignore, wake: make(chan struct{}, 1), now: now, nextSequence: first + 1}
+	w := &Writer{log: log, id: id, epoch: epoch, claimKey: claim.Key, end: end + 1, onStored: written, onRejected: ignore, wake: make(chan struct{}, 1), now: now, nextSequence: first + 1, confirmedAt: began}
 	w.ownership.confirm = w.findLaterClaim
 	return w, nil
 }
@@ -178,6 +181,7 @@
 			}
 			w.dropWrites(n)
 			w.advance(len(records))
+			w.confirm(started)
 			w.onStored(writeID)
 			if rest := linger - w.now().Sub(started); rest > 0 && !duty.Sleep(ctx, rest) {
 				return nil
--- a/workload/record.go
+++ b/workload/record.go
@@ -74,9 +74,12 @@
 type UnheardServers struct {
 	// Epoch is the owner's.
 	Epoch uint64 `cbor:"1,keyasint"`
-	// WaitedMS is, by server ID, the time since the last lease can have been sent to
-	// the server, in milliseconds.
+	// WaitedMS is, by server ID, the time since an earlier owner can last have extended
+	// a lease on the server, in milliseconds. This owner has sent none.
 	WaitedMS map[string]int64 `cbor:"2,keyasint"`
+	// Proven is set if the times count from when no earlier owner could extend leases
+	// any more. Versions before it counted from their claim, which proves nothing.
+	Proven bool `cbor:"3,keyasint,omitempty"`
 }
 
 // PartitionOwner is the stored record of a partition's owner.
@@ -88,8 +91,29 @@
 	// LeaseMS is the maximum lease duration that the owner grants, in
 	// milliseconds.
 	LeaseMS int64 `cbor:"3,keyasint,omitempty"`
-	// Earlier are the daemons of the owners before, the last one first.
-	Earlier []string `cbor:"4,keyasint,omitempty"`
+	// Witnesses are the daemons that may attest for this owner that they know of no
+	// later claim.
+	Witnesses []string `cbor:"5,keyasint,omitempty"`
+	// Prior are the owners before, oldest first, whose leases may not have expired.
+	Prior []PriorOwner `cbor:"6,keyasint,omitempty"`
+}
+
+// PriorOwner is an owner whose leases may not have expired when the next one claimed.
+type PriorOwner struct {
+	Epoch     uint64   `cbor:"1,keyasint"`
+	Daemon    string   `cbor:"2,keyasint"`
+	LeaseMS   int64    `cbor:"3,keyasint,omitempty"`
+	Witnesses []string `cbor:"4,keyasint,omitempty"`
+}
+
+// OwnerUpdate is the stored record of what has changed since an owner's claim.
+type OwnerUpdate struct {
+	// Epoch is the owner's.
+	Epoch uint64 `cbor:"1,keyasint"`
+	// Witnesses replace those of the claim.
+	Witnesses []string `cbor:"2,keyasint,omitempty"`
+	// PriorOver is set once the leases of all owners before have expired.
+	PriorOver bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Encode returns v in CBOR. The error is that of the CBOR encoder.
