--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -11,6 +11,7 @@
 	"github.com/currantwinch/currantwinch/ring"
 	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/currantwinch/currantwinch/workload"
 	"github.com/pkg/errors"
 )
 
@@ -102,8 +103,8 @@
 	end context.CancelCauseFunc
 	// superseded holds the epoch of a later owner once that is known.
 	superseded chan uint64
-	// priorOver is closed once no earlier owner can extend leases any more.
-	priorOver chan struct{}
+	// priorExpired is closed once the leases of all earlier owners have expired.
+	priorExpired chan struct{}
 	// witnesses are the daemons to ask for attestations.
 	witnesses atomic.Pointer[[]string]
 	// evidenceWanted is set if the ownership is to be confirmed at once.
@@ -125,7 +126,7 @@
 	}
 	e := &Engine{
 		o: o, events: ring.New[event]("scheduler-events", eventCapacity, ring.Block), claimed: make(chan struct{}), done: make(chan struct{}),
-		superseded: make(chan uint64, 1), priorOver: make(chan struct{}),
+		superseded: make(chan uint64, 1), priorExpired: make(chan struct{}),
 	}
 	e.orders = newOrderSender(e)
 	return e
@@ -138,10 +139,12 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e.ctx, e.end = ctx, cancel
-	if err := e.claim(ctx); err != nil {
+	claim, err := e.claim(ctx)
+	if err != nil {
 		return err
 	}
 	close(e.claimed)
+	e.requestPromises(ctx, claim)
 	go func() {
 		if err := e.writer.Run(ctx); err != nil {
 			cancel(err)
@@ -157,11 +160,11 @@
 }
 
 // claim reads the partition and claims it with an epoch above all earlier ones.
-func (e *Engine) claim(ctx context.Context) error {
+func (e *Engine) claim(ctx context.Context) (workload.PartitionOwner, error) {
 	began := e.o.Now()
 	records, end, err := partition.ReadAll(ctx, e.o.Log, e.o.Partition)
 	if err != nil {
-		return errors.Wrap(err, "read partition")
+		return workload.PartitionOwner{}, errors.Wrap(err, "read partition")
 	}
 	before := LastClaim(records)
 	claim := nextClaim(records, e.o.Daemon, e.o.Bounds, chooseWitnesses(e.o.Partition, e.o.Daemon, e.o.Witnesses.Candidates()))
@@ -169,15 +172,14 @@
 	written := func(writeID uint64) { e.push(storedEvent{writeID}) }
 	e.writer, err = partition.Claim(ctx, e.o.Log, e.o.Partition, epoch, end, ClaimRecord(claim), e.o.Now, written)
 	if err != nil {
-		return errors.Wrapf(err, "claim partition %d after epoch %d of %q", e.o.Partition.Part, before.Epoch, before.Daemon)
+		return claim, errors.Wrapf(err, "claim partition %d after epoch %d of %q", e.o.Partition.Part, before.Epoch, before.Daemon)
 	}
 	e.writer.OnRejected(func(writeID uint64, err error) { e.push(rejectedEvent{writeID, err}) })
 	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
 	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "offset", end, "before", before.Daemon,
 		"records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
 	e.core.SetClaim(claim, e.writer.ConfirmedAt())
-	e.requestPromises(ctx, claim)
-	return nil
+	return claim, nil
 }
 
 func (e *Engine) loop(ctx context.Context, turn duty.Heartbeat) error {
@@ -270,11 +272,11 @@
 
 // updateEvidence tells the goroutines that gather evidence what the Core needs now.
 func (e *Engine) updateEvidence() {
-	if e.core.PriorOver() {
+	if e.core.PriorLeasesExpired() {
 		select {
-		case <-e.priorOver:
+		case <-e.priorExpired:
 		default:
-			close(e.priorOver)
+			close(e.priorExpired)
 		}
 	}
 	if now := e.o.Now(); now.Sub(e.candidatesAt) >= candidatesInterval {
@@ -284,7 +286,7 @@
 	}
 	witnesses := e.core.tenure.witnesses()
 	e.witnesses.Store(&witnesses)
-	if e.core.leaseLeft() < minStartLease {
+	if !e.core.mayStartTasks() {
 		e.evidenceWanted.Store(true)
 	}
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -11,7 +11,7 @@
 // runPlacement goes through the queued steps in placement order and places what
 // fits.
 func (c *Core) runPlacement() {
-	if c.config == nil || c.leaseLeft() < minStartLease {
+	if c.config == nil || !c.mayStartTasks() {
 		return
 	}
 	c.dropPlacedSteps()
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -29,8 +29,8 @@
 	// attestations. A later owner waits for as long if it reaches neither the daemon of
 	// the earlier one nor a majority of its witnesses.
 	maxAttested = 30 * time.Second
-	// minStartLease is the shortest lease with which tasks are started.
-	minStartLease = time.Second
+	// minStartFraction: tasks are started only if this fraction of a lease is left.
+	minStartFraction = 6
 	// maxPriorOwners bounds the earlier owners that a claim names. What exceeds it is
 	// replaced by one owner with an unknown witness, for which the longest wait applies.
 	maxPriorOwners = 32
@@ -219,15 +219,19 @@
 	c.tenure.promised(daemon, stopped, c.now)
 }
 
-// PriorOver reports whether no earlier owner can extend leases any more.
-func (c *Core) PriorOver() bool {
-	_, over := c.tenure.priorSilentFor(c.now)
-	return over
+// PriorLeasesExpired reports whether all leases of earlier owners have expired.
+func (c *Core) PriorLeasesExpired() bool {
+	silent, over := c.tenure.priorSilentFor(c.now)
+	return over && silent >= c.tenure.takeoverWait()
 }
 
 // leaseLeft returns the longest lease that may be sent now; 0 or less if none may.
 func (c *Core) leaseLeft() time.Duration { return c.tenure.leaseLeft(c.now) }
 
+// mayStartTasks reports whether the leases that may be sent now are long enough for new
+// tasks.
+func (c *Core) mayStartTasks() bool { return c.leaseLeft() >= c.bounds.lease()/minStartFraction }
+
 // unheardFor returns how long no earlier owner can have extended a lease on a server that
 // has not answered this owner, or false if one still may.
 func (c *Core) unheardFor(s *server) (time.Duration, bool) {
@@ -259,8 +263,7 @@
 // storeUpdate stores that the leases of earlier owners are over, so that the next owner
 // need not ask about them.
 func (c *Core) storeUpdate() {
-	silent, over := c.tenure.priorSilentFor(c.now)
-	if c.tenure.updateStored || !over || silent < c.tenure.takeoverWait() {
+	if c.tenure.updateStored || !c.PriorLeasesExpired() {
 		return
 	}
 	c.tenure.updateStored = true
--- a/internal/scheduler/witness.go
+++ b/internal/scheduler/witness.go
@@ -88,7 +88,7 @@
 }
 
 // requestPromises asks the daemons and the witnesses of all earlier owners for their
-// promise, until no earlier owner can extend leases any more or ctx ends.
+// promise, until the leases of all earlier owners have expired or ctx ends.
 func (e *Engine) requestPromises(ctx context.Context, claim workload.PartitionOwner) {
 	var daemons []string
 	holds := make(map[string]bool)
@@ -117,7 +117,7 @@
 			interval = promiseInterval
 		}
 		finished := err == nil && (stopped || !owned)
-		if finished || !e.sleepWhilePriorMayRenew(ctx, interval) {
+		if finished || !e.sleepWhilePriorLeasesLast(ctx, interval) {
 			e.o.Events.Log(events.EarlierOwnerNotified, "partition", e.o.Partition.Part, "epoch", epoch, "daemon", daemon,
 				"took", e.o.Now().Sub(began).Milliseconds(), "stopped", stopped, "error", events.ErrorText(err))
 			return
@@ -125,11 +125,11 @@
 	}
 }
 
-// sleepWhilePriorMayRenew reports whether an earlier owner may still extend leases after
-// the given time.
-func (e *Engine) sleepWhilePriorMayRenew(ctx context.Context, d time.Duration) bool {
+// sleepWhilePriorLeasesLast sleeps for d. It reports false at once if the leases of all
+// earlier owners have expired or ctx ends.
+func (e *Engine) sleepWhilePriorLeasesLast(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-e.priorOver:
+	case <-e.priorExpired:
 		return false
 	case <-time.After(d):
 		return ctx.Err() == nil
