An owner without evidence sends no lease that only an earlier owner can have sent

At a server's first answer an owner notes the latest lease that an earlier one may have granted there, to know when its runs are over. Without evidence that it still owns the partition, it sent that bound as its own deadline: up to a whole lease from the answer, however old the evidence.

What was sent and what may have been sent are two values now; only the first is sent again.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -52,9 +52,10 @@
 func (c *Core) extendLease(s *server) int64 {
 	lease := c.leaseLeft()
 	if !c.renewable(s) || lease <= 0 {
-		return s.leaseDeadlineMS
+		return s.sentDeadlineMS
 	}
 	until := s.minClockMS(c.now) + lease.Milliseconds()
+	s.sentDeadlineMS = max(s.sentDeadlineMS, until)
 	s.leaseDeadlineMS = max(s.leaseDeadlineMS, until)
 	return until
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -32,8 +32,9 @@
 	// at aliveAt or later.
 	answeredClockMS int64
 	aliveAt         time.Time
-	// leaseDeadlineMS is the latest lease deadline sent, on the instance's clock.
-	leaseDeadlineMS int64
+	// leaseDeadlineMS is the latest lease deadline that this or an earlier owner may have
+	// sent, on the instance's clock; sentDeadlineMS is the latest that this one has sent.
+	leaseDeadlineMS, sentDeadlineMS int64
 	// unknownRuns counts listed runs whose submission has ended. Their size is
 	// unknown, so nothing is placed on the server meanwhile.
 	unknownRuns int
