A server that is listed again stays without leases while the log declares it unheard

A server that the stored record names as unheard left the list, was dropped once earlier leases were over, and came back within the half second before the record was written anew. The marks belong to the record now, and go when it does.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -69,7 +69,11 @@
 	// unheardStored is set if a record names servers as unheard, and unheardAt is
 	// when it was last written, or when this owner began.
 	unheardStored bool
-	unheardAt     time.Time
+	// declaredUnheard holds the IDs of the servers of which a stored record may say that
+	// they have not answered this owner. They get no lease: the next owner would not wait
+	// for it.
+	declaredUnheard map[string]bool
+	unheardAt       time.Time
 
 	// maxLeaseSent is the longest lease that this or an earlier owner may have
 	// sent.
@@ -175,7 +179,7 @@
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now, leasesRenewed: true,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), handoverConfirmed: make(map[string]bool),
-		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
+		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	claim := nextClaim(records, "", bounds, nil)
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -26,9 +26,6 @@
 	recorded, stored bool
 	// heard is set once the server has answered this owner.
 	heard bool
-	// declaredUnheard is set while a stored record may say that the server has not
-	// answered this owner. It gets no lease then: the next owner would not wait for it.
-	declaredUnheard bool
 	// waitRecorded is set if the last owner recorded that it has sent the server no
 	// lease, and waitedBefore is how long no other owner can have by then.
 	waitRecorded bool
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -35,34 +35,47 @@
 // owner waits for none any more.
 func (c *Core) writeUnheard() {
 	c.unheardAt = c.now
-	var released []*server
-	list := workload.UnheardServers{Epoch: c.epoch, WaitedMS: make(map[string]int64), Proven: true}
-	for id, s := range c.servers {
-		silent, known := c.unheardFor(s)
-		switch {
-		case s.inherited && !s.heard && !c.recovered && known:
-			s.declaredUnheard = true
-			list.WaitedMS[id] = silent.Milliseconds()
-		case s.declaredUnheard:
-			released = append(released, s)
-		}
-	}
+	list := workload.UnheardServers{Epoch: c.epoch, WaitedMS: c.unheardServers(), Proven: true}
 	if len(list.WaitedMS) == 0 && !c.unheardStored {
 		return
 	}
+	var released []string
+	for id := range c.declaredUnheard {
+		if _, unheard := list.WaitedMS[id]; !unheard {
+			released = append(released, id)
+		}
+	}
+	for id := range list.WaitedMS {
+		c.declaredUnheard[id] = true
+	}
 	c.unheardStored = len(list.WaitedMS) > 0
 	record := tombstone(keyUnheard, "")
 	if c.unheardStored {
 		record = recordOf(keyUnheard, "", list)
 	}
-	c.write([]partition.Record{record}, func() {
-		for _, s := range released {
-			s.declaredUnheard = false
-			if c.servers[s.info.ID] == s {
-				c.poll(s)
-			}
+	c.write([]partition.Record{record}, func() { c.releaseUnheard(released) })
+}
+
+// unheardServers returns, by the ID of each server that has not answered this owner, how
+// long no earlier owner can have extended a lease there, in milliseconds.
+func (c *Core) unheardServers() map[string]int64 {
+	waited := make(map[string]int64)
+	for id, s := range c.servers {
+		if silent, known := c.unheardFor(s); known && s.inherited && !s.heard && !c.recovered {
+			waited[id] = silent.Milliseconds()
 		}
-	})
+	}
+	return waited
+}
+
+// releaseUnheard lets servers get leases that the stored record does not name any more.
+func (c *Core) releaseUnheard(ids []string) {
+	for _, id := range ids {
+		delete(c.declaredUnheard, id)
+		if s := c.servers[id]; s != nil {
+			c.poll(s)
+		}
+	}
 }
 
 // mayLease reports whether a server that has answered may be used, and starts what is
@@ -70,7 +83,7 @@
 func (c *Core) mayLease(s *server) bool {
 	first := !s.heard
 	s.heard = true
-	if !s.declaredUnheard {
+	if !c.declaredUnheard[s.info.ID] {
 		return true
 	}
 	if first {
--- a/internal/scheduler/unheard_test.go
+++ b/internal/scheduler/unheard_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/currantwinch/currantwinch/workload"
 )
 
 // An owner that a server answers after all may send it leases. The owner after it must then
@@ -119,3 +121,68 @@
 		t.Error("not recovered after all servers have answered, although no record was stored")
 	}
 }
+
+// A server that an owner declared unheard leaves the list, is dropped and is back before
+// the record of unheard servers is written anew. It must get no lease meanwhile: the next
+// owner would not wait for that.
+func TestCore_ServerListedAgainGetsNoLeaseWhileDeclaredUnheard(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	start := h.runOne(id1, 1000)
+	server := start.To.ID
+	takeOverFrom(h)
+	all := h.servers
+	h.answerAllPollsBut(server)
+	h.servers = nil
+	for _, s := range all {
+		if s.ID != server {
+			h.servers = append(h.servers, s)
+		}
+	}
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	for range 240 {
+		if _, known := h.core.servers[server]; !known {
+			break
+		}
+		h.advance(50 * time.Millisecond)
+	}
+	if _, known := h.core.servers[server]; known {
+		t.Fatal("the server is not dropped")
+	}
+	h.servers = all
+	h.do(func(c *Core) { c.SetServers(h.servers) })
+	if _, polled := h.polls[server]; polled {
+		h.answerPoll(server, PollResponse{})
+	}
+	pair := oneTask(20000)
+	pair.Count = 2
+	h.submit(id2, pair)
+	var sent, other StartTask
+	for _, s := range h.takeStarts() {
+		h.confirmStart(s)
+		switch {
+		case s.To.ID == server:
+			sent = s
+		case s.Order.Task.Submission == id2:
+			other = s
+		}
+	}
+	if sent.To.ID == "" {
+		return // no lease was sent
+	}
+	takeOverFrom(h)
+	h.answerPoll(other.To.ID, PollResponse{Ended: []RunEnd{endOf(other, 1, workload.EndDone)}})
+	for range 240 {
+		h.advance(50 * time.Millisecond)
+		for _, s := range h.takeStarts() {
+			if s.Order.Task != sent.Order.Task {
+				continue
+			}
+			if left := sent.Order.LeaseDeadlineMS - h.clock(); left > 0 {
+				t.Errorf("the task starts again %d ms before the end of a lease that the owner before sent to its server", left)
+			}
+			return
+		}
+	}
+	t.Error("the task does not start again")
+}
