Handovers: a submission that comes back keeps its progress, and a forward counts once stored

Callers would see a task run again after it has ended as done.

- A submission came back from another shard before its own handover was confirmed, and was held and departing at once: the next owner loaded its progress into the departure, or the late confirmation deleted it.
Taking it over ends the departure now, in the same append.
- The other shard was asked whether it still knows a submission, which lets it forget the end, before the forward was stored; the next owner then sent the handover again.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,6 +95,8 @@
 	// and forwards says which partition has taken over those that were.
 	departures map[string]*departure
 	forwards   map[string]workload.Forward
+	// unstoredForwards are those of which the log may still hold the handover instead.
+	unstoredForwards map[string]bool
 	// forwardsCheckedAt is when the forwards were last checked, by the wall clock.
 	forwardsCheckedAt int64
 	// handoverConfirmed holds the ended submissions of which the partition that handed
@@ -178,7 +180,7 @@
 	c := &Core{
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now, leasesRenewed: true,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
-		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), handoverConfirmed: make(map[string]bool),
+		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
 		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -147,7 +147,8 @@
 	if d.job.progressParts > 0 {
 		records = append(records, d.job.progressTombstones(0)...)
 	}
-	c.write(records, nil)
+	c.unstoredForwards[id] = true
+	c.write(records, func() { delete(c.unstoredForwards, id) })
 }
 
 // forwarded returns the reply to a call about a submission that another partition holds
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -55,6 +55,12 @@
 	if len(h.Progress.Steps)+len(h.Progress.Tasks) > 0 {
 		records = append(records, c.progressRecords(j)...)
 	}
+	if d := c.departures[id]; d != nil {
+		// The submission comes back before its earlier handover is confirmed.
+		delete(c.departures, id)
+		records = append(d.job.progressTombstones(0), records...)
+		records = append(records, tombstone(keyHandover, id))
+	}
 	if _, before := c.forwards[id]; before {
 		delete(c.forwards, id)
 		records = append(records, tombstone(keyForward, id))
@@ -136,7 +142,7 @@
 	kept := c.bounds.StatusRetention.Milliseconds()
 	byPartition := make(map[int][]string)
 	for id, f := range c.forwards {
-		if c.wall-f.At >= kept && len(byPartition[f.To]) < maxForwardsPerCheck {
+		if !c.unstoredForwards[id] && c.wall-f.At >= kept && len(byPartition[f.To]) < maxForwardsPerCheck {
 			byPartition[f.To] = append(byPartition[f.To], id)
 		}
 	}
