A refusal ends a server only at the address at which the server was

An answer 421 says that somebody else is at an address. The owner took it for the end of the instance it had meant, whichever address it had used, so that an entry that names another server's address, or a poll of a former address, released every run of a server that is well. An entry with the address of a silent server and a later birth did so by its word alone.

A refusal counts now at the address at which the instance last answered, or at which earlier owners recorded it, while its entry names that address; and a newer server ends a silent one by answering at its address, not by being listed there.

TestCore_CountsOnlyCertainCrashes wanted a crash counted by such an entry. It was wrong in that: the entry is no proof. It wants none there now, and one once the newer server answers.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -152,7 +152,7 @@
 		c.startUnanswered(a)
 		return
 	}
-	if current && verdict.ReasonOf(err) == ReasonWrongInstance {
+	if current && verdict.ReasonOf(err) == ReasonWrongInstance && a.server.refusalProvesEnd(to) {
 		c.instanceEnded(a.server)
 		return
 	}
@@ -260,7 +260,7 @@
 	switch reason := verdict.ReasonOf(err); {
 	case reason == ReasonFenced:
 		c.fence(to.ID)
-	case reason == ReasonWrongInstance && current:
+	case reason == ReasonWrongInstance && current && a.server.refusalProvesEnd(to):
 		c.instanceEnded(a.server)
 	default:
 		// A stop that an earlier instance confirmed forbids nothing to this one.
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -248,12 +248,16 @@
 	c.markDirty(t.step.job())
 }
 
-// endReplacedInstance ends the instance that was at the address of a newly listed
-// server before, if it does not respond. A machine runs one server at a time, but an
-// entry may name the address of another server that is well.
-func (c *Core) endReplacedInstance(info ServerInfo) {
+// endReplacedInstances ends the silent instances that were at the address of a server that
+// has just answered there. A machine runs one server at a time. An entry alone proves
+// nothing: it may name the address of another server.
+func (c *Core) endReplacedInstances(by *server) {
+	if by.synced {
+		return
+	}
+	info := by.info
 	for _, s := range c.servers {
-		if s.info.Address == info.Address && s.info.ID != info.ID && !s.over && !s.unresponsiveSince.IsZero() && s.info.StartedAtMS > 0 && s.info.StartedAtMS < info.StartedAtMS {
+		if s != by && s.refusalProvesEnd(Instance{Address: info.Address}) && !s.over && !s.unresponsiveSince.IsZero() && s.info.StartedAtMS > 0 && s.info.StartedAtMS < info.StartedAtMS {
 			c.instanceEnded(s)
 		}
 	}
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -80,7 +80,7 @@
 	}
 	s.polling = false
 	if err != nil {
-		c.pollFailed(s, err)
+		c.pollFailed(s, to, err)
 		return
 	}
 	if !s.unresponsiveSince.IsZero() {
@@ -100,7 +100,9 @@
 	if !c.mayLease(s) {
 		return
 	}
+	c.endReplacedInstances(s)
 	c.detectRestart(s, list)
+	s.answeredAddress = to.Address
 	c.applyAnswer(s, sent, list)
 	if s.storedEnd == s.processedEnd {
 		c.poll(s)
@@ -127,13 +129,13 @@
 	s.polledAt = c.now
 }
 
-func (c *Core) pollFailed(s *server, err error) {
+func (c *Core) pollFailed(s *server, to Instance, err error) {
 	if s.unresponsiveSince.IsZero() {
 		s.unresponsiveSince = c.now
 		c.noteSilence(s, err)
 		c.log.Log(events.ServerUnresponsive, "server", s.info.ID, "attempts", len(s.attempts), "reason", string(verdict.ReasonOf(err)), "error", err.Error())
 	}
-	if verdict.ReasonOf(err) == ReasonWrongInstance && !s.over {
+	if verdict.ReasonOf(err) == ReasonWrongInstance && !s.over && s.refusalProvesEnd(to) {
 		c.instanceEnded(s)
 	}
 	if !s.listed && c.leasesExpired(s) {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -24,6 +24,8 @@
 	// recorded is set once the server's record was written, and stored once that
 	// is in the log.
 	recorded, stored bool
+	// recordedAddress is the address in the server's record.
+	recordedAddress string
 	// heard is set once the server has answered this owner.
 	heard bool
 	// waitRecorded is set if the last owner recorded that it has sent the server no
--- a/internal/scheduler/serverlist.go
+++ b/internal/scheduler/serverlist.go
@@ -31,7 +31,6 @@
 		return
 	}
 	if s == nil {
-		c.endReplacedInstance(info)
 		s = newServer(info, c.newSession())
 		c.servers[info.ID] = s
 		c.log.Log(events.ServerListed, "server", info.ID, "service", info.Service, "zone", info.Zone, "cpu", info.Capacity.CPU)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -13,6 +13,9 @@
 	// startedAtMS is when the instance started, in Unix milliseconds; 0 until it
 	// has answered.
 	startedAtMS int64
+	// answeredAddress is the address at which the instance last answered a poll of this
+	// owner; empty until then.
+	answeredAddress string
 	// synced is set once the instance has listed its runs to this epoch. From
 	// then on it refuses the orders of earlier owners.
 	synced bool
@@ -107,6 +110,18 @@
 	return s.aliveAt.Add(c.bounds.ReuseAfter / 2)
 }
 
+// refusalProvesEnd reports whether the refusal of an order by another instance proves that
+// the server's own has ended. It does at the address at which that one answered, or at
+// which earlier owners used it, if its entry still names that address. An entry may name
+// the address of another server, which then says nothing about this one.
+func (s *server) refusalProvesEnd(to Instance) bool {
+	known := s.answeredAddress
+	if known == "" && s.inherited && s.polledAt.IsZero() {
+		known = s.recordedAddress
+	}
+	return to.Address == known && to.Address == s.info.Address
+}
+
 // serverOf returns the server whose current session an order or a poll was made
 // for. It returns nil if the server is gone or another instance has followed.
 func (c *Core) serverOf(to Instance) *server {
