The uptime of a witness counts from its answer

An owner that was paused between an attestation's arrival and its handling compared the witness's uptime with an earlier time, and could take one that had restarted since, and forgotten its promise, for one that remembers. Found by reading; TestTenure_LeaseFollowsTheEvidence holds for the restarted witness as before.

--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -92,13 +92,13 @@
 	t.state = t.protocol.ApplyRead(t.state, own.Holder, own, t.instant(at), t.instant(now))
 }
 
-// attested records that a witness, asked at the given time and up for that long since it
-// started, knows of no later claim.
-func (t *tenure) attested(witness string, askedAt time.Time, up time.Duration, now time.Time) {
-	if !t.protocol.WitnessRemembers(t.state, up, t.instant(now)) {
-		return
+// attested records that a witness, which had been up for the given time when it answered,
+// knows of no later claim.
+func (t *tenure) attested(witness string, askedAt, answeredAt time.Time, up time.Duration) {
+	now := t.instant(answeredAt)
+	if t.protocol.WitnessRemembers(t.state, up, now) {
+		t.state = t.protocol.ApplyAttestation(t.state, witness, t.state.Tenure.Epoch, t.instant(askedAt), now)
 	}
-	t.state = t.protocol.ApplyAttestation(t.state, witness, t.state.Tenure.Epoch, t.instant(askedAt), t.instant(now))
 }
 
 // promised records that a daemon attests for no earlier owner any more, and whether none
@@ -205,11 +205,11 @@
 	}
 }
 
-// AttestationReceived handles a witness's statement, asked for at the given time, that it
-// knows of no later claim.
-func (c *Core) AttestationReceived(witness string, askedAt time.Time, up time.Duration) {
+// AttestationReceived handles a witness's statement that it knows of no later claim and has
+// been up for the given time.
+func (c *Core) AttestationReceived(witness string, askedAt, answeredAt time.Time, up time.Duration) {
 	if askedAt.After(c.resumedAt) {
-		c.tenure.attested(witness, askedAt, up, c.now)
+		c.tenure.attested(witness, askedAt, answeredAt, up)
 	}
 }
 
--- a/internal/scheduler/tenure_test.go
+++ b/internal/scheduler/tenure_test.go
@@ -84,22 +84,22 @@
 	}{
 		{"the claim, from its start", func(*tenure) {}, 4 * time.Second, 2 * time.Second},
 		{"a read, from its start", func(o *tenure) { o.confirmed(timeAt(2*time.Second), timeAt(4*time.Second)) }, 4 * time.Second, 4 * time.Second},
-		{"one witness", func(o *tenure) { o.attested("a", timeAt(3*time.Second), long, timeAt(4*time.Second)) }, 4 * time.Second, 2 * time.Second},
+		{"one witness", func(o *tenure) { o.attested("a", timeAt(3*time.Second), timeAt(4*time.Second), long) }, 4 * time.Second, 2 * time.Second},
 		{"two witnesses, from the earlier question", func(o *tenure) {
-			o.attested("a", timeAt(2*time.Second), long, timeAt(4*time.Second))
-			o.attested("b", timeAt(3*time.Second), long, timeAt(4*time.Second))
+			o.attested("a", timeAt(2*time.Second), timeAt(4*time.Second), long)
+			o.attested("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
 		}, 4 * time.Second, 4 * time.Second},
 		{"a witness that has restarted since", func(o *tenure) {
-			o.attested("a", timeAt(3*time.Second), time.Second, timeAt(4*time.Second))
-			o.attested("b", timeAt(3*time.Second), long, timeAt(4*time.Second))
+			o.attested("a", timeAt(3*time.Second), timeAt(4*time.Second), time.Second)
+			o.attested("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
 		}, 4 * time.Second, 2 * time.Second},
 		{"a daemon that is no witness", func(o *tenure) {
-			o.attested("x", timeAt(3*time.Second), long, timeAt(4*time.Second))
-			o.attested("b", timeAt(3*time.Second), long, timeAt(4*time.Second))
+			o.attested("x", timeAt(3*time.Second), timeAt(4*time.Second), long)
+			o.attested("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
 		}, 4 * time.Second, 2 * time.Second},
 		{"attestations long after the last call to the log", func(o *tenure) {
 			for _, w := range []string{"a", "b", "c"} {
-				o.attested(w, timeAt(40*time.Second), long, timeAt(40*time.Second))
+				o.attested(w, timeAt(40*time.Second), timeAt(40*time.Second), long)
 			}
 		}, 32 * time.Second, maxAttested + testTenureLease - 32*time.Second},
 	} {
--- a/internal/scheduler/witness.go
+++ b/internal/scheduler/witness.go
@@ -184,7 +184,7 @@
 	case a.Later > e.core.epoch:
 		e.Superseded(a.Later)
 	default:
-		e.push(attestedEvent{daemon, askedAt, a.Uptime})
+		e.push(attestedEvent{daemon, askedAt, e.o.Now(), a.Uptime})
 	}
 }
 
@@ -213,9 +213,11 @@
 func (ev promisedEvent) apply(c *Core) { c.PromiseReceived(ev.daemon, ev.stopped) }
 
 type attestedEvent struct {
-	witness string
-	askedAt time.Time
-	uptime  time.Duration
+	witness             string
+	askedAt, answeredAt time.Time
+	uptime              time.Duration
 }
 
-func (ev attestedEvent) apply(c *Core) { c.AttestationReceived(ev.witness, ev.askedAt, ev.uptime) }
+func (ev attestedEvent) apply(c *Core) {
+	c.AttestationReceived(ev.witness, ev.askedAt, ev.answeredAt, ev.uptime)
+}
