A lease is over only if a call to the log has shown since that nobody could renew it

Callers would see a task run on two servers at once: the earlier owner starts it again, while the next one has adopted the run and renews it on a server that the earlier one does not reach.

An owner took a lease for over by its own count. It may do so while its evidence is valid, and still be wrong: evidence says that no later owner can have ended its wait, but a later owner needs no wait to renew the runs that servers list to it. Now a run counts as lost with its lease, a server as empty, and the leases of earlier owners as over only once a call to the log, begun after that moment, shows no later claim. While the store is away for all, what ran on a silent server starts again when it is back, unless the end of that server is certain.

--- a/internal/host/lease_test.go
+++ b/internal/host/lease_test.go
@@ -205,3 +205,33 @@
 		}
 	}
 }
+
+// An earlier owner, which has lost the store and a server, lives on the word of its
+// witnesses. The next one has adopted the run on that server and renews its lease. That it
+// is over by the earlier owner's own count shows nothing then, or the task runs twice.
+func TestEngine_EarlierOwnerStartsNothingThatTheNextOneAdopted(t *testing.T) {
+	s := &succession{deployment: newDeployment(t, 0), network: newDaemonNetwork("first", "second", "third")}
+	s.seen = s.addSlowServers(2)
+	first, link := s.start(t, "first", s.seen)
+	first.submitSlowTask(t)
+	runs := func(i int) bool { return s.servers[i].Runs(slowTask) }
+	s.await("started", func() bool { return runs(0) || runs(1) })
+	at, other := 0, 1
+	if runs(1) {
+		at, other = 1, 0
+	}
+	time.Sleep(testLease / 2)
+	s.network.cut("second", "first", true)
+	s.network.cut("second", "third", true)
+	link.set(s.address, true)
+	link.set(s.seen[at].Address, true)
+	s.start(t, "second", s.seen, s.seen[other].Address)
+	for began := time.Now(); time.Since(began) < 3*testLease; time.Sleep(20 * time.Millisecond) {
+		if runs(at) && runs(other) {
+			t.Fatalf("the task runs on two servers at once, %s after the next owner claimed the partition", time.Since(began).Round(time.Millisecond))
+		}
+	}
+	if !runs(at) {
+		t.Error("the run that the next owner adopted has ended")
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -58,6 +58,9 @@
 	// tenure is this owner's right to send leases, and its wait for those of earlier
 	// owners.
 	tenure *tenure
+	// confirmationDue is set while a decision waits for a call to the log that shows no
+	// later claim.
+	confirmationDue bool
 	// witnessesStaleAt is when other witnesses were found to be due; zero if none are.
 	witnessesStaleAt time.Time
 	// leasesRenewed is set while leases are renewed.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -286,7 +286,7 @@
 	}
 	witnesses := e.core.tenure.witnesses()
 	e.witnesses.Store(&witnesses)
-	if !e.core.mayStartTasks() {
+	if e.core.TakeConfirmationDue() || !e.core.mayStartTasks() {
 		e.evidenceWanted.Store(true)
 	}
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -314,7 +314,7 @@
 
 func (c *Core) checkServer(s *server) {
 	unresponsive := !s.unresponsiveSince.IsZero()
-	if unresponsive && len(s.attempts) > 0 && c.now.After(s.leaseExpiry()) {
+	if unresponsive && len(s.attempts) > 0 && c.leasesExpired(s) {
 		for _, a := range s.attempts {
 			c.keepExposure(a)
 			c.markLost(a, lossLeaseExpired)
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -92,6 +92,11 @@
 	t.state = t.protocol.ApplyRead(t.state, own.Holder, own, t.instant(at), t.instant(now))
 }
 
+// confirmedAt returns when the newest call to the log began that showed no later claim.
+func (t *tenure) confirmedAt() time.Time {
+	return t.began.Add(t.state.ReadEvidence.Sub(instantOrigin))
+}
+
 // attested records that a witness, which had been up for the given time when it answered,
 // knows of no later claim.
 func (t *tenure) attested(witness string, askedAt, answeredAt time.Time, up time.Duration) {
@@ -241,13 +246,39 @@
 	return c.tenure.priorSilentFor(c.now)
 }
 
-// leasesExpired reports whether all leases ever sent to a server have expired.
+// leasesExpired reports whether all leases ever sent to a server have expired. A later
+// owner may have heard the server and renewed them, so that a call to the log must have
+// shown since that there is none. Attestations do not: a later owner needs no promises to
+// renew what it has adopted.
 func (c *Core) leasesExpired(s *server) bool {
-	if !s.inherited || s.over || !s.polledAt.IsZero() {
-		return c.now.After(s.leaseExpiry())
+	if s.over {
+		return true
+	}
+	expiry, known := c.ownLeasesExpiry(s)
+	if !known || !c.now.After(expiry) {
+		return false
+	}
+	confirmed := !c.tenure.confirmedAt().Before(expiry)
+	c.confirmationDue = c.confirmationDue || !confirmed
+	return confirmed
+}
+
+// ownLeasesExpiry returns when the leases that this and earlier owners have sent to a
+// server have expired, or false if an earlier owner may still extend one.
+func (c *Core) ownLeasesExpiry(s *server) (time.Time, bool) {
+	if !s.inherited || !s.polledAt.IsZero() {
+		return s.leaseExpiry(), true
 	}
 	silent, over := c.unheardFor(s)
-	return over && silent >= c.tenure.takeoverWait()
+	return c.now.Add(c.tenure.takeoverWait() - silent), over
+}
+
+// TakeConfirmationDue reports whether a decision waits for a call to the log that shows no
+// later claim, once for each time.
+func (c *Core) TakeConfirmationDue() bool {
+	due := c.confirmationDue
+	c.confirmationDue = false
+	return due
 }
 
 // noteLeaseRenewal logs when this owner stops renewing leases for want of evidence, and
