Attempts are ordered by one function

The order by job, index and attempt number stood three times: for the IDs of the book, for the placer's task references and for the reports of the workers' stand-in. A book's ID now has the order, a task reference is compared as the ID made from it, and the stand-in uses that. All three compared the same fields in the same order.

--- a/internal/placer/poll.go
+++ b/internal/placer/poll.go
@@ -216,7 +216,7 @@
 	for _, a := range m {
 		out = append(out, a)
 	}
-	sort.Slice(out, func(i, j int) bool { return refLess(out[i].ref, out[j].ref) })
+	sort.Slice(out, func(i, j int) bool { return out[i].ref.Less(out[j].ref) })
 	return out
 }
 
--- a/internal/placer/rack.go
+++ b/internal/placer/rack.go
@@ -353,21 +353,11 @@
 			out.Statuses = append(out.Statuses, a.status())
 		}
 	}
-	sort.Slice(out.Statuses, func(i, j int) bool { return refLess(out.Statuses[i].Task, out.Statuses[j].Task) })
+	sort.Slice(out.Statuses, func(i, j int) bool { return out.Statuses[i].Task.Less(out.Statuses[j].Task) })
 	out.Missing = r.missingAttempts(v.Recheck, current)
 	return out
 }
 
-func refLess(a, b TaskRef) bool {
-	if a.JobID != b.JobID {
-		return a.JobID < b.JobID
-	}
-	if a.Index != b.Index {
-		return a.Index < b.Index
-	}
-	return a.Attempt < b.Attempt
-}
-
 func (a *attempt) status() taskStatus {
 	return taskStatus{
 		Task: a.ref, Worker: a.worker, State: a.state, ExitCode: a.report.ExitCode, Reason: a.reason,
--- a/internal/placer/worker_client.go
+++ b/internal/placer/worker_client.go
@@ -21,6 +21,9 @@
 	Attempt int    `json:"attempt"`
 }
 
+// Less orders attempts as book.ID.Less does.
+func (t TaskRef) Less(u TaskRef) bool { return idOf(t).Less(idOf(u)) }
+
 // TaskState is the state of an attempt on its worker.
 type TaskState string
 
--- a/internal/standin/workerstandin/calls.go
+++ b/internal/standin/workerstandin/calls.go
@@ -152,14 +152,5 @@
 }
 
 func sortReports(reports []placer.TaskReport) {
-	sort.Slice(reports, func(i, j int) bool {
-		a, b := reports[i].Task, reports[j].Task
-		if a.JobID != b.JobID {
-			return a.JobID < b.JobID
-		}
-		if a.Index != b.Index {
-			return a.Index < b.Index
-		}
-		return a.Attempt < b.Attempt
-	})
+	sort.Slice(reports, func(i, j int) bool { return reports[i].Task.Less(reports[j].Task) })
 }
--- a/placement/book/book.go
+++ b/placement/book/book.go
@@ -29,6 +29,17 @@
 	Attempt int
 }
 
+// Less orders attempts by job, then by the task's index, then by number.
+func (a ID) Less(b ID) bool {
+	if a.Job != b.Job {
+		return a.Job < b.Job
+	}
+	if a.Index != b.Index {
+		return a.Index < b.Index
+	}
+	return a.Attempt < b.Attempt
+}
+
 // State is the state of an attempt that counts against a worker.
 type State uint8
 
--- a/placement/book/read.go
+++ b/placement/book/read.go
@@ -50,7 +50,7 @@
 	for _, e := range a.entries {
 		out = append(out, *e)
 	}
-	sort.Slice(out, func(i, j int) bool { return lessID(out[i].ID, out[j].ID) })
+	sort.Slice(out, func(i, j int) bool { return out[i].ID.Less(out[j].ID) })
 	return out
 }
 
--- a/placement/book/reserve.go
+++ b/placement/book/reserve.go
@@ -111,7 +111,7 @@
 		if younger[i].Rank != younger[j].Rank {
 			return younger[i].Rank > younger[j].Rank
 		}
-		return lessID(younger[i].ID, younger[j].ID)
+		return younger[i].ID.Less(younger[j].ID)
 	})
 	free := a.available(e)
 	for i, o := range younger {
@@ -151,13 +151,3 @@
 	}
 	return nil
 }
-
-func lessID(a, b ID) bool {
-	if a.Job != b.Job {
-		return a.Job < b.Job
-	}
-	if a.Index != b.Index {
-		return a.Index < b.Index
-	}
-	return a.Attempt < b.Attempt
-}
