Placer: one function tells whether a task may be placed now

The condition stood in the count of a job's tasks to place, which the queue entry shows, and in the choice of the next one. If the two differed, the queue would offer a job from which no task is chosen, up to the bound of decisions per turn. Both call placeable.

--- a/internal/placer/jobs.go
+++ b/internal/placer/jobs.go
@@ -219,11 +219,17 @@
 	return uint64(queue.PriorityBand(e.Workload.Priority))<<offsetBits | e.Offset&(1<<offsetBits-1)
 }
 
+// placeable reports whether a task waits, is not in the pack group and is past
+// its retry delay.
+func (t *task) placeable(now time.Time) bool {
+	return t.state == taskWaiting && !t.inPack && !now.Before(t.notBefore)
+}
+
 // waitingTasks counts the tasks that may be placed now.
 func (j *job) waitingTasks(now time.Time) int {
 	n := 0
 	for _, t := range j.tasks {
-		if t.state == taskWaiting && !t.inPack && !now.Before(t.notBefore) {
+		if t.placeable(now) {
 			n++
 		}
 	}
--- a/internal/placer/placements.go
+++ b/internal/placer/placements.go
@@ -86,7 +86,7 @@
 
 func (j *job) nextWaitingTask(now time.Time) *task {
 	for _, t := range j.tasks {
-		if t.state == taskWaiting && !t.inPack && !now.Before(t.notBefore) {
+		if t.placeable(now) {
 			return t
 		}
 	}
