Placer: one function finds the account of a worker that may take a task

The search for the next free slots and the choice of victims both looked a worker up in the book, refused it if it was closed, matched region and accelerator kind, and then subtracted what is used and nominated from the capacity; Free of the book did the last step too. openWorker does the first three and Worker.Uncommitted the subtraction. Free is Uncommitted with no dimension below 0, as before; both searches go on from the unlimited value.

--- a/internal/placer/nomination.go
+++ b/internal/placer/nomination.go
@@ -48,12 +48,11 @@
 // slot for each further task that then fits. Attempts without an expected end
 // free no capacity.
 func (r *rack) workerSlots(w *worker, q slotsRequest, now time.Time) []slot {
-	bookWorker, ok := r.book.Worker(w.vm.Name)
-	d := pipeline.Demand{Resources: q.Need, AcceleratorKind: q.Kind, Regions: q.Regions}
-	if !ok || bookWorker.Closed != "" || !d.Matches(bookWorker.Location.Region, bookWorker.AcceleratorKind) {
+	bookWorker, ok := r.openWorker(w, pipeline.Demand{Resources: q.Need, AcceleratorKind: q.Kind, Regions: q.Regions})
+	if !ok {
 		return nil
 	}
-	free := bookWorker.Capacity.Sub(bookWorker.Used).Sub(bookWorker.Nominated)
+	free := bookWorker.Uncommitted()
 	var out []slot
 	add := func(at time.Time) {
 		for len(out) < q.Count && q.Need.Fits(free) {
--- a/internal/placer/preemption.go
+++ b/internal/placer/preemption.go
@@ -69,19 +69,15 @@
 
 // chooseVictims chooses the attempts to stop so that a task fits on one worker.
 func (r *rack) chooseVictims(w *worker, need cluster.Resources, kind string, regions []string, t preemptionTerms, now time.Time) (preempt.Victims, bool) {
-	bookWorker, ok := r.book.Worker(w.vm.Name)
-	if !ok || bookWorker.Closed != "" {
-		return preempt.Victims{}, false
-	}
-	d := pipeline.Demand{Resources: need, AcceleratorKind: kind, Regions: regions}
-	if !d.Matches(bookWorker.Location.Region, bookWorker.AcceleratorKind) || !need.Fits(bookWorker.Capacity) {
+	bookWorker, ok := r.openWorker(w, pipeline.Demand{Resources: need, AcceleratorKind: kind, Regions: regions})
+	if !ok || !need.Fits(bookWorker.Capacity) {
 		return preempt.Victims{}, false
 	}
 	borrows := make(map[string]bool, len(t.Borrowers))
 	for _, team := range t.Borrowers {
 		borrows[team] = true
 	}
-	expectedFree := bookWorker.Capacity.Sub(bookWorker.Used).Sub(bookWorker.Nominated)
+	expectedFree := bookWorker.Uncommitted()
 	var candidates []preempt.Candidate
 	for _, a := range sortedAttempts(w.attempts) {
 		switch {
--- a/internal/placer/rack.go
+++ b/internal/placer/rack.go
@@ -11,6 +11,7 @@
 	"github.com/currantwinch/currantwinch/placement/book"
 	"github.com/currantwinch/currantwinch/placement/health"
 	"github.com/currantwinch/currantwinch/placement/lease"
+	"github.com/currantwinch/currantwinch/placement/pipeline"
 )
 
 // Reasons for which a worker accepts no new attempts.
@@ -162,6 +163,13 @@
 	r.updateClosed(w, now)
 }
 
+// openWorker returns a worker's account if the worker accepts new work and meets the
+// demand's constraints. It does not compare the demand's resources.
+func (r *rack) openWorker(w *worker, d pipeline.Demand) (book.Worker, bool) {
+	account, ok := r.book.Worker(w.vm.Name)
+	return account, ok && account.Closed == "" && d.Matches(account.Location.Region, account.AcceleratorKind)
+}
+
 func (r *rack) hasLiveAttempts(w *worker) bool {
 	for _, a := range w.attempts {
 		if !a.state.terminated() {
--- a/placement/book/book.go
+++ b/placement/book/book.go
@@ -107,10 +107,16 @@
 // is negative: a worker that was found to run more than its capacity has nothing
 // free in that dimension.
 func (w Worker) Free() cluster.Resources {
-	f := w.Capacity.Sub(w.Used).Sub(w.Nominated)
+	f := w.Uncommitted()
 	return cluster.Resources{CPU: max(f.CPU, 0), Memory: max(f.Memory, 0), Accelerators: max(f.Accelerators, 0)}
 }
 
+// Uncommitted returns the capacity without what is used or nominated. A dimension
+// of which more is used and nominated than the worker has is negative.
+func (w Worker) Uncommitted() cluster.Resources {
+	return w.Capacity.Sub(w.Used).Sub(w.Nominated)
+}
+
 // Overcommitted reports whether the worker's entries exceed its capacity.
 func (w Worker) Overcommitted() bool { return !w.Used.Fits(w.Capacity) }
 
