--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -54,6 +54,20 @@
 	return startWith(t, network, name, incarnation, nil, events.Discard())
 }
 
+// withPair calls f in virtual time with daemons "a" and "b" on one network, and stops
+// them afterwards.
+func withPair(t *testing.T, f func(t *testing.T, network *memnet.Network, a, b *node)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		defer network.Close()
+		a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
+		defer a.stop(t)
+		defer b.stop(t)
+		f(t, network, a, b)
+	})
+}
+
 // startWith runs a daemon with TLS, unless security is nil.
 func startWith(t testing.TB, network *memnet.Network, name, incarnation string, security peer.Security, log *events.Logger) *node {
 	t.Helper()
@@ -112,12 +126,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				network := memnet.New()
-				defer network.Close()
-				a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
-				defer a.stop(t)
-				defer b.stop(t)
+			withPair(t, func(t *testing.T, network *memnet.Network, a, _ *node) {
 				if tt.fault != nil {
 					tt.fault(network)
 				}
@@ -145,12 +154,7 @@
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				network := memnet.New()
-				defer network.Close()
-				a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
-				defer a.stop(t)
-				defer b.stop(t)
+			withPair(t, func(t *testing.T, network *memnet.Network, a, _ *node) {
 				if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
 					t.Fatal(err)
 				}
@@ -231,12 +235,7 @@
 }
 
 func TestCall_LimitsPendingCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		defer network.Close()
-		a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
-		defer a.stop(t)
-		defer b.stop(t)
+	withPair(t, func(t *testing.T, _ *memnet.Network, a, _ *node) {
 		_ = a.Call(t.Context(), "b", "echo", 1, nil)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -258,12 +257,7 @@
 }
 
 func TestMetrics_CountsBytesAcrossRegions(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		defer network.Close()
-		a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
-		defer a.stop(t)
-		defer b.stop(t)
+	withPair(t, func(t *testing.T, _ *memnet.Network, a, _ *node) {
 		_ = a.Call(t.Context(), "b", "echo", 1, nil)
 		var out bytes.Buffer
 		a.metrics.WritePrometheus(&out)
@@ -276,12 +270,7 @@
 // A second hello on a connection, under the name of another daemon, must not
 // rebind the connection: it would close that daemon's own connection.
 func TestAccept_SecondHelloDoesNotRebind(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		defer network.Close()
-		a, b := start(t, network, "a", "a1"), start(t, network, "b", "b1")
-		defer a.stop(t)
-		defer b.stop(t)
+	withPair(t, func(t *testing.T, network *memnet.Network, a, b *node) {
 		if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
 			t.Fatal(err)
 		}
