--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/currantwinch/currantwinch/cluster"
 	"github.com/currantwinch/currantwinch/duty"
-	"github.com/currantwinch/currantwinch/internal/events"
-	"github.com/currantwinch/currantwinch/internal/roles"
-	"github.com/currantwinch/currantwinch/logclient"
 	"github.com/currantwinch/currantwinch/placement/pipeline"
 	"github.com/currantwinch/currantwinch/placement/queue"
 	"github.com/currantwinch/currantwinch/placement/quota"
@@ -21,9 +17,6 @@
 	// jobRefreshInterval is the shortest time between two reads of changed
 	// jobs.
 	jobRefreshInterval = 100 * time.Millisecond
-	// maxOwnerLeaseDuration is longer than any ownership lease lasts without a
-	// renewal.
-	maxOwnerLeaseDuration = 4 * time.Second
 	// busyTurnInterval is the longest time between two turns while jobs wait or
 	// placements are in flight.
 	busyTurnInterval = 100 * time.Millisecond
@@ -90,57 +83,6 @@
 	limits             limitTracker
 }
 
-// home is one key share that this daemon owns: it is the home of the share's
-// jobs.
-type home struct {
-	share cluster.Share
-	term  term
-	// acquiredAt is when this daemon acquired the home.
-	acquiredAt time.Time
-	// firstNewOffset is the log offset from which on no other daemon can have
-	// placed a job. It is math.MaxUint64 until it is known.
-	firstNewOffset uint64
-	// completeRacks holds the racks that have reported completely under this
-	// term.
-	completeRacks map[cluster.Share]bool
-	recovered     bool
-}
-
-// rackSnapshot is what the scheduler knows of one rack from its owner's
-// reports.
-type rackSnapshot struct {
-	share        cluster.Share
-	term         term
-	bookVersion  uint64
-	tasksVersion uint64
-	// recheck lists the attempts that the next sync asks for.
-	recheck []TaskRef
-	workers map[string]*workerSnapshot
-	teams   map[string]teamUsage
-	// reportedHomes holds the homes that have received all of their attempts on
-	// the rack under this term.
-	reportedHomes map[cluster.Share]bool
-	complete      bool
-	// local is set while this daemon owns the rack itself.
-	local bool
-}
-
-type workerSnapshot struct {
-	view workerView
-	// inFlight is the sum of the placements in flight.
-	inFlight cluster.Resources
-	// backfillUntil is when the worker's nominated capacity is needed.
-	backfillUntil time.Time
-}
-
-// attemptsPerEpoch spaces the attempt numbers of epochs, so that a home never
-// reuses a number that an earlier home may have assigned without this one
-// knowing.
-const attemptsPerEpoch = 1_000_000
-
-// firstAttempt is the number after which this epoch's attempts are numbered.
-func (hm *home) firstAttempt() int { return int(hm.term.Epoch-1) * attemptsPerEpoch }
-
 func newScheduler(p *Placer) *scheduler {
 	sc := &scheduler{
 		p: p, executor: newExecutor("placer.homes", p.o.Duties),
@@ -234,151 +176,6 @@
 	sc.completions.flush(now)
 }
 
-func (sc *scheduler) refreshHomes() {
-	leases := make(map[cluster.Share]roles.Lease)
-	for _, lease := range sc.p.o.Owners.Leases() {
-		if lease.Share.Kind == cluster.ShareKey {
-			leases[lease.Share] = lease
-		}
-	}
-	for share, hm := range sc.homes {
-		if lease, ok := leases[share]; !ok || lease.Epoch != hm.term.Epoch {
-			sc.releaseHome(hm)
-		}
-	}
-	for share, lease := range leases {
-		if _, ok := sc.homes[share]; !ok {
-			sc.acquireHome(lease)
-		}
-	}
-}
-
-func (sc *scheduler) acquireHome(lease roles.Lease) {
-	view := sc.p.o.State.View()
-	sc.activations++
-	sc.homes[lease.Share] = &home{
-		share: lease.Share, term: term{lease.Epoch, sc.activations}, acquiredAt: sc.p.o.Now(), firstNewOffset: math.MaxUint64,
-		completeRacks: make(map[cluster.Share]bool),
-	}
-	sc.viewOffset = 0
-	for _, pe := range sc.peers {
-		pe.nextSync = time.Time{}
-	}
-	sc.p.o.Events.Log(events.HomeAcquired, "share", lease.Share.String(), "epoch", lease.Epoch, "jobs", len(view.OpenJobs(lease.Share)))
-}
-
-// recordFirstNewOffsets sets the offset from which on jobs cannot have been
-// placed by an earlier home. The predecessor's ownership lease ended before
-// this daemon acquired the home. Once maxOwnerLeaseDuration has passed since then,
-// this daemon's own lease proves that it has read the log up to a later moment.
-func (sc *scheduler) recordFirstNewOffsets(now time.Time) {
-	if sc.p.o.State.Health() != logclient.HealthFresh {
-		return
-	}
-	for _, hm := range sc.homes {
-		if hm.firstNewOffset == math.MaxUint64 && now.Sub(hm.acquiredAt) >= maxOwnerLeaseDuration && sc.mayAct(hm) {
-			hm.firstNewOffset = sc.p.o.State.View().Offset()
-		}
-	}
-}
-
-// releaseHome removes a home and its jobs. Their tasks keep running.
-func (sc *scheduler) releaseHome(hm *home) {
-	delete(sc.homes, hm.share)
-	for _, r := range sc.racks {
-		delete(r.reportedHomes, hm.share)
-	}
-	for _, j := range sc.jobs {
-		if j.home == hm {
-			sc.removeJob(j)
-		}
-	}
-}
-
-// mayAct reports whether this daemon holds the ownership lease of a home.
-func (sc *scheduler) mayAct(hm *home) bool {
-	lease, ok := sc.p.o.Owners.Lease(hm.share)
-	return ok && lease.Epoch == hm.term.Epoch && sc.homes[hm.share] == hm
-}
-
-// refreshWorkers applies the list of workers: it removes workers that are gone,
-// sums up the capacity and refreshes quotas.
-func (sc *scheduler) refreshWorkers(now time.Time) {
-	if now.Sub(sc.workersRefreshedAt) < housekeepingInterval {
-		return
-	}
-	sc.workersRefreshedAt = now
-	racks := make(map[cluster.Share]map[string]bool)
-	var total cluster.Resources
-	for _, vm := range sc.p.o.Members.VMs() {
-		if vm.Role != cluster.RoleWorker {
-			continue
-		}
-		share := cluster.RackShare(vm)
-		if racks[share] == nil {
-			racks[share] = make(map[string]bool)
-		}
-		racks[share][vm.Name] = true
-		total = total.Add(vm.Capacity)
-		sc.largestWorker.CPU = max(sc.largestWorker.CPU, vm.Capacity.CPU)
-		sc.largestWorker.Memory = max(sc.largestWorker.Memory, vm.Capacity.Memory)
-	}
-	for share, listed := range racks {
-		sc.rackFor(share).retainWorkers(sc, listed)
-	}
-	for share, r := range sc.racks {
-		if racks[share] == nil {
-			r.retainWorkers(sc, nil)
-			delete(sc.racks, share)
-		}
-	}
-	sc.refreshLocalRacks()
-	if total != sc.totalCapacity {
-		sc.totalCapacity = total
-		sc.ledger.SetTotal(total)
-	}
-	sc.refreshQuotas()
-	sc.countHomeDaemons()
-}
-
-// refreshLocalRacks updates which racks this daemon owns itself.
-func (sc *scheduler) refreshLocalRacks() {
-	for share, r := range sc.racks {
-		_, local := sc.p.o.Owners.Lease(share)
-		if local == r.local {
-			continue
-		}
-		r.local = local
-		for name, w := range r.workers {
-			sc.localIndex.Remove(name)
-			sc.updateNode(w)
-		}
-	}
-}
-
-func (sc *scheduler) rackFor(share cluster.Share) *rackSnapshot {
-	r, ok := sc.racks[share]
-	if !ok {
-		r = &rackSnapshot{
-			share: share, workers: make(map[string]*workerSnapshot), teams: make(map[string]teamUsage),
-			reportedHomes: make(map[cluster.Share]bool),
-		}
-		sc.racks[share] = r
-	}
-	return r
-}
-
-func (r *rackSnapshot) retainWorkers(sc *scheduler, listed map[string]bool) {
-	for name := range r.workers {
-		if !listed[name] {
-			delete(r.workers, name)
-			delete(sc.backfillWorkers, name)
-			sc.localIndex.Remove(name)
-			sc.index.Remove(name)
-		}
-	}
-}
-
 // refreshQuotas sums up the quotas of each team's documents.
 func (sc *scheduler) refreshQuotas() {
 	quotas := make(map[string]quota.Quota)
