--- a/internal/placer/homes.go
+++ b/internal/placer/homes.go
@@ -104,3 +104,33 @@
 	lease, ok := sc.p.o.Owners.Lease(hm.share)
 	return ok && lease.Epoch == hm.term.Epoch && sc.homes[hm.share] == hm
 }
+
+// completeRecovery makes the home's jobs startable once every rack has reported
+// its attempts completely. Tasks that no rack reported have no live attempt and
+// may start.
+func (sc *scheduler) completeRecovery(hm *home, now time.Time) {
+	if hm.recovered || len(sc.racks) == 0 {
+		return
+	}
+	for share := range sc.racks {
+		if !hm.completeRacks[share] {
+			return
+		}
+	}
+	hm.recovered = true
+	found := 0
+	for _, j := range sc.jobs {
+		if j.home != hm {
+			continue
+		}
+		for _, t := range j.tasks {
+			if t.attempt > 0 {
+				found++
+			}
+		}
+		j.startable = true
+		sc.restartPartialGang(j, now)
+		sc.updateQueue(j, now)
+	}
+	sc.p.o.Events.Log(events.HomeRecovered, "share", hm.share.String(), "epoch", hm.term.Epoch, "tasks", found)
+}
