Names without figures of speech, and comments that were wrong or missing

Renamed, with no change of code: the callers' API was a door; a contact with other daemons a survey, its time a touch; two loops that send what is queued were pumps; a certificate store of another authority was a stranger; a claim stood, slots were quoted, a list was heard; leases in the gateway's tests were rights. expectedIn is inReportsOf, and capableAge and unansweredAge are handsOverTTL and noAnswerTTL.

Comments: slotsTime was said to be when the slots were received, but is set when they are first nominated; one on latencies named a constant that is gone; the messages between the owners of shards had none. Names on the wire, in events and in metrics stay (room, cut, door).

--- a/flow/simulation_test.go
+++ b/flow/simulation_test.go
@@ -142,8 +142,8 @@
 // flowSender sends through a Queue and gives up calls that expire in it.
 func flowSender(w *world, q *flow.Queue[call]) func(receiver string) {
 	clock := func() time.Time { return time.Unix(0, 0).Add(w.now) }
-	var pump func()
-	pump = func() {
+	var sendQueued func()
+	sendQueued = func() {
 		q.Expired(clock())
 		for {
 			c, ok := q.Next(clock())
@@ -159,7 +159,7 @@
 				w.after(took, func() {
 					q.Answered(clock(), c, w.now-sent)
 					w.complete(c.Value.wanted)
-					pump()
+					sendQueued()
 				})
 				continue
 			}
@@ -167,8 +167,8 @@
 				q.TimedOut(clock(), c)
 				resend := c
 				resend.Attempt++
-				w.after(resendDelay, func() { q.Add(clock(), resend); pump() })
-				pump()
+				w.after(resendDelay, func() { q.Add(clock(), resend); sendQueued() })
+				sendQueued()
 			})
 		}
 	}
@@ -176,7 +176,7 @@
 		q.Add(clock(), flow.Call[call]{
 			Class: flow.ClassStart, Receiver: receiver, Expires: clock().Add(uselessAfter), Value: call{w.now},
 		})
-		pump()
+		sendQueued()
 	}
 }
 
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -90,7 +90,7 @@
 	ours, foreign := newCell(t, c), newCell(t, c)
 	a, b := open(t, ours, testca.Request{Name: "a"}, c), open(t, ours, testca.Request{Name: "b"}, c)
 	short := open(t, ours, testca.Request{Name: "short", NotAfter: epoch.Add(time.Hour)}, c)
-	stranger := open(t, foreign, testca.Request{Name: "b"}, c)
+	foreignB := open(t, foreign, testca.Request{Name: "b"}, c)
 	ann := must[testca.Issued](t)(ours.Operator(testca.Request{Name: "ann"}))
 	operator := must[*tls.Config](t)(certs.ClientConfig(ann.Authority, ann.Certificate, ann.Key))
 	operator.InsecureSkipVerify = true
@@ -108,12 +108,12 @@
 		{"daemon of another name", a.Server(), b.Client("c"), false},
 		{"expired client", a.Server(), short.Client("a"), false},
 		{"expired server", short.Server(), a.Client("short"), false},
-		{"client of another authority", a.Server(), stranger.Client("a"), false},
-		{"server of another authority", stranger.Server(), a.Client("b"), false},
+		{"client of another authority", a.Server(), foreignB.Client("a"), false},
+		{"server of another authority", foreignB.Server(), a.Client("b"), false},
 		{"no certificate", a.Server(), bare, false},
 		{"operator without a certificate", a.OperatorServerConfig(), bare, false},
-		{"operator at the daemons' door", a.Server(), operator, false},
-		{"daemon at the operators' door", a.OperatorServerConfig(), b.Client("a"), false},
+		{"operator at the daemons' listener", a.Server(), operator, false},
+		{"daemon at the operators' listener", a.OperatorServerConfig(), b.Client("a"), false},
 		{"older protocol", a.CallerServerConfig(), old, false},
 	}
 	for _, tt := range cases {
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -24,31 +24,36 @@
 )
 
 const (
-	// capableAge is how long a daemon's answer to methodHandsOver holds: another
-	// version of it may run then.
-	capableAge = time.Minute
-	// unansweredAge is the same for a daemon that did not answer.
-	unansweredAge = 5 * time.Second
+	// handsOverTTL is how long a daemon's answer to methodHandsOver is used. Later,
+	// the daemon may run another version.
+	handsOverTTL = time.Minute
+	// noAnswerTTL is how long a daemon that did not answer is not asked again.
+	noAnswerTTL = 5 * time.Second
 )
 
 // reasonHandingOver: the submission is on its way to another partition.
 const reasonHandingOver verdict.Reason = "handing_over"
 
+// roomCall asks the owner of partition Part whether its shard has capacity for
+// submissions of a service.
 type roomCall struct {
 	Part     int                    `json:"part"`
 	Question scheduler.RoomQuestion `json:"question"`
 }
 
+// handOverCall hands a submission over to the owner of partition Part.
 type handOverCall struct {
 	Part     int                `json:"part"`
 	Handover scheduler.Handover `json:"handover"`
 }
 
+// heldCall asks the owner of partition Part which submissions the partition knows.
 type heldCall struct {
 	Part int      `json:"part"`
 	IDs  []string `json:"ids"`
 }
 
+// heldReply tells, for each ID of a heldCall, whether the partition knows it.
 type heldReply struct {
 	Held []bool `json:"held"`
 }
@@ -229,10 +234,10 @@
 
 func (v *versions) query(ctx context.Context, daemon string) {
 	err := v.call(ctx, daemon)
-	got := version{until: v.now().Add(capableAge)}
+	got := version{until: v.now().Add(handsOverTTL)}
 	if err != nil {
 		got.lacks = verdict.ReasonOf(err) == peer.ReasonUnknownMethod
-		got.until = v.now().Add(unansweredAge)
+		got.until = v.now().Add(noAnswerTTL)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/entry/shards_test.go
+++ b/internal/entry/shards_test.go
@@ -37,7 +37,7 @@
 			}
 			// The daemons are replaced by the current version.
 			tc.answers = nil
-			now = now.Add(capableAge)
+			now = now.Add(handsOverTTL)
 			if !v.allHandOver(t.Context(), daemons) {
 				t.Error("nothing is handed over after all daemons were replaced")
 			}
--- a/internal/gateway/remote_test.go
+++ b/internal/gateway/remote_test.go
@@ -13,8 +13,8 @@
 func TestSlots_OnlyServerOfRegionLeaves(t *testing.T) {
 	const (
 		within = 2 * time.Second
-		// heard is the time after which the daemons have read the list.
-		heard = 300 * time.Millisecond
+		// listReadTime is the time after which the daemons have read the list.
+		listReadTime = 300 * time.Millisecond
 	)
 	cases := []struct {
 		name  string
@@ -36,7 +36,7 @@
 				time.Sleep(time.Second)
 				c.leave(r)
 				left := time.Now()
-				time.Sleep(heard)
+				time.Sleep(listReadTime)
 				var asks sync.WaitGroup
 				for _, d := range []int{0, 3, 6} {
 					asks.Go(func() {
--- a/internal/gateway/rig_roles_test.go
+++ b/internal/gateway/rig_roles_test.go
@@ -41,7 +41,7 @@
 	return *rec.Bill, true
 }
 
-// ownerChangeLag: each daemon learns of a new owner this much later than the daemon
+// ownerChangeLag is how much later each daemon learns of a new owner than the daemon
 // with the index before.
 const ownerChangeLag = 100 * time.Millisecond
 
@@ -62,26 +62,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	epoch, ok := r.epoch[share]
-	right := roles.Lease{Share: share, Epoch: r.claimEpoch[share], ClaimEpoch: epoch, Until: time.Now().Add(time.Second)}
-	return right, ok && r.owner[share] == o.d.index
+	lease := roles.Lease{Share: share, Epoch: r.claimEpoch[share], ClaimEpoch: epoch, Until: time.Now().Add(time.Second)}
+	return lease, ok && r.owner[share] == o.d.index
 }
 
 func (o rigOwners) LeaseUntil(share cluster.Share, limit time.Time) (roles.Lease, bool) {
-	right, ok := o.Lease(share)
-	if limit.Before(right.Until) {
-		right.Until = limit
+	lease, ok := o.Lease(share)
+	if limit.Before(lease.Until) {
+		lease.Until = limit
 	}
-	return right, ok
+	return lease, ok
 }
 
 func (o rigOwners) Leases() []roles.Lease {
-	var rights []roles.Lease
+	var leases []roles.Lease
 	for i := range cluster.KeyShareCount {
-		if right, ok := o.Lease(cluster.Share{Kind: cluster.ShareKey, Name: fmt.Sprint(i)}); ok {
-			rights = append(rights, right)
+		if lease, ok := o.Lease(cluster.Share{Kind: cluster.ShareKey, Name: fmt.Sprint(i)}); ok {
+			leases = append(leases, lease)
 		}
 	}
-	return rights
+	return leases
 }
 
 func (o rigOwners) Owner(share cluster.Share) (cluster.Daemon, bool) {
@@ -121,8 +121,8 @@
 	return append([]cluster.VM(nil), m.d.rig.vms...)
 }
 
-// oneWay and intraRegionLatency are the one-way latencies of calls between
-// daemons of different regions and of the same one.
+// interRegionLatency and intraRegionLatency are the one-way latencies of calls
+// between daemons of different regions and of the same one.
 const (
 	interRegionLatency = 12 * time.Millisecond
 	intraRegionLatency = 1500 * time.Microsecond
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -42,7 +42,7 @@
 	due := make(map[ownership.Move]time.Time)
 	var settled []ownership.Move
 	for _, m := range moves {
-		if m.From != w.o.Self.Name || !w.claimStandsLocked(m.Share) {
+		if m.From != w.o.Self.Name || !w.claimInForceLocked(m.Share) {
 			continue
 		}
 		since, ok := w.movesDueSince[m]
@@ -58,10 +58,10 @@
 	return settled
 }
 
-// claimStandsLocked reports whether this daemon's claim on a share is
+// claimInForceLocked reports whether this daemon's claim on a share is
 // effective, not superseded and not given up to a later claim. The caller
 // holds w.mu.
-func (w *Owner) claimStandsLocked(share cluster.Share) bool {
+func (w *Owner) claimInForceLocked(share cluster.Share) bool {
 	state := w.shares[share]
 	return state.Effective && !state.Superseded && state.Tenure.Epoch >= state.StoppedBelow
 }
@@ -143,7 +143,7 @@
 func (w *Owner) movesOfHeldShares(moves []ownership.Move) []ownership.Move {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.DeleteFunc(moves, func(m ownership.Move) bool { return !w.claimStandsLocked(m.Share) })
+	return slices.DeleteFunc(moves, func(m ownership.Move) bool { return !w.claimInForceLocked(m.Share) })
 }
 
 // holdsAnyShare reports whether this daemon has a lease on any share or a
--- a/internal/owner/leases.go
+++ b/internal/owner/leases.go
@@ -60,6 +60,7 @@
 	}, true
 }
 
+// noneEnded is the answer, for every daemon, that its end is not recorded.
 func noneEnded(string) bool { return false }
 
 // Leases implements roles.Owners.
--- a/internal/placer/backfill.go
+++ b/internal/placer/backfill.go
@@ -25,8 +25,8 @@
 type headNomination struct {
 	job   *job
 	slots []slot
-	// slotsTime is when the slots were received, or zero before the first
-	// nomination.
+	// slotsTime is when the slots were first nominated, or zero before that. The
+	// times of the slots count from it.
 	slotsTime   time.Time
 	pending     int
 	nextRenewal time.Time
@@ -134,7 +134,7 @@
 		requests[d.Name].Items = append(requests[d.Name].Items, nominationItem{
 			Rack: s.Rack, Home: j.home.share, HomeTerm: j.home.term, Worker: s.Worker,
 			Task: TaskRef{JobID: j.entry.ID, Index: t.index}, Team: j.entry.Team, Resources: j.demand.Resources,
-			NeededIn: max(s.AvailableIn-now.Sub(hr.quotedAt(now)), 0), Cancel: cancel,
+			NeededIn: max(s.AvailableIn-now.Sub(hr.slotsTimeOrSet(now)), 0), Cancel: cancel,
 		})
 	}
 	for daemon, q := range requests {
@@ -147,9 +147,8 @@
 	}
 }
 
-// quotedAt returns the time that slot times are relative to, and sets it on the
-// first call.
-func (hr *headNomination) quotedAt(now time.Time) time.Time {
+// slotsTimeOrSet returns slotsTime, which the first call sets to now.
+func (hr *headNomination) slotsTimeOrSet(now time.Time) time.Time {
 	if hr.slotsTime.IsZero() {
 		hr.slotsTime = now
 	}
--- a/internal/placer/digest.go
+++ b/internal/placer/digest.go
@@ -128,7 +128,7 @@
 	asked := shareSet(versions)
 	for _, j := range sc.jobs {
 		for _, t := range j.tasks {
-			if t.state == taskRunning && asked[t.rack] && t.expectedIn(sent) {
+			if t.state == taskRunning && asked[t.rack] && t.inReportsOf(sent) {
 				t.lastConfirmed = now
 			}
 		}
--- a/internal/placer/stale.go
+++ b/internal/placer/stale.go
@@ -66,14 +66,14 @@
 		return
 	}
 	t := j.tasks[ref.Index]
-	if t.ref() == ref && t.rack == r.share && t.expectedIn(sent) {
+	if t.ref() == ref && t.rack == r.share && t.inReportsOf(sent) {
 		sc.handleLost(t, taskStatus{Reason: "not_in_inventory"}, now)
 	}
 }
 
-// expectedIn reports whether a complete report requested by the given sync must
-// contain the task's attempt.
-func (t *task) expectedIn(sent uint64) bool { return t.live() && t.accepted && t.acceptedSeq < sent }
+// inReportsOf reports whether a complete report that answers the sync with the given
+// number must contain the task's attempt.
+func (t *task) inReportsOf(sent uint64) bool { return t.live() && t.accepted && t.acceptedSeq < sent }
 
 // missingAttempts lists the rechecked attempts that a complete rack does not
 // contain.
--- a/internal/placer/sync.go
+++ b/internal/placer/sync.go
@@ -242,7 +242,7 @@
 			continue
 		}
 		for _, t := range j.tasks {
-			if t.rack == r.share && t.expectedIn(sent) && !reported[t.ref()] {
+			if t.rack == r.share && t.inReportsOf(sent) && !reported[t.ref()] {
 				sc.handleLost(t, taskStatus{Reason: "not_in_inventory"}, now)
 			}
 		}
--- a/internal/policybench/baseline.go
+++ b/internal/policybench/baseline.go
@@ -14,8 +14,8 @@
 		free[i] = slotsPerBackend
 	}
 	total, next := cellSlots, 0
-	var pump func()
-	pump = func() {
+	var startQueued func()
+	startQueued = func() {
 		for len(queue) > 0 && total > 0 {
 			for free[next] == 0 {
 				next = (next + 1) % backends
@@ -38,7 +38,7 @@
 				s.responseTime = e.now.Sub(epoch) - s.at
 				free[b]++
 				total++
-				pump()
+				startQueued()
 			})
 		}
 	}
@@ -47,7 +47,7 @@
 		r.outcomes = append(r.outcomes, s)
 		e.at(epoch.Add(a.at), func() {
 			queue = append(queue, s)
-			pump()
+			startQueued()
 		})
 	}
 	e.run(epoch.Add(end))
--- a/internal/relay/connectivity.go
+++ b/internal/relay/connectivity.go
@@ -17,9 +17,9 @@
 	// round trip between regions. Together with connectivityInterval it must be
 	// below isolatedAfter.
 	contactTimeout = 500 * time.Millisecond
-	// surveyInterval is the time between two surveys while the store does not
-	// answer, the same as between probes of the store.
-	surveyInterval = probeInterval
+	// contactInterval is the time between two calls of contactDaemons while the
+	// store does not answer, the same as between probes of the store.
+	contactInterval = probeInterval
 )
 
 // MonitorConnectivity checks periodically whether anything answers this daemon,
@@ -27,18 +27,18 @@
 // daemons: in a store outage they still answer, in a network partition they do
 // not, and some of them may reach the store. It runs until ctx ends.
 func (r *Relay) MonitorConnectivity(ctx context.Context, turn duty.Heartbeat) error {
-	var surveyed time.Time
-	cut := false
+	var contactedAt time.Time
+	isolated := false
 	for duty.SleepOrWake(ctx, connectivityInterval, r.storeSuspected) {
 		turn()
 		now := r.now()
-		if r.suspected() && now.Sub(surveyed) >= surveyInterval || r.noRecentContact() {
-			surveyed = now
-			r.survey(ctx)
+		if r.suspected() && now.Sub(contactedAt) >= contactInterval || r.noRecentContact() {
+			contactedAt = now
+			r.contactDaemons(ctx)
 		}
-		if now := r.Isolated(); now != cut {
-			cut = now
-			r.log.Log(events.VMIsolationChanged, "cut", cut)
+		if now := r.Isolated(); now != isolated {
+			isolated = now
+			r.log.Log(events.VMIsolationChanged, "cut", isolated)
 		}
 	}
 	return nil
@@ -52,7 +52,8 @@
 	return !r.lastContact.IsZero() && r.now().Sub(r.lastContact) >= connectivityInterval
 }
 
-func (r *Relay) touchContact() {
+// setLastContact records that the store or another daemon has answered now.
+func (r *Relay) setLastContact() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastContact = r.now()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -84,9 +84,9 @@
 	// suspected.
 	storeSuspected chan struct{}
 
-	// surveyOffset counts the daemons surveyed so far. Only
+	// contactOffset counts the contact calls made so far. Only
 	// MonitorConnectivity's goroutine uses it.
-	surveyOffset int
+	contactOffset int
 }
 
 // New returns a Relay and registers its methods with the peers.
@@ -234,7 +234,7 @@
 	if !isStoreAnswer(err) && verdict.ReasonOf(err) != partition.ReasonUnavailable {
 		return
 	}
-	r.touchContact()
+	r.setLastContact()
 }
 
 // recordAnswer records the store's latency. Any answer, however late, ends the
--- a/internal/relay/routes.go
+++ b/internal/relay/routes.go
@@ -11,8 +11,8 @@
 	// routeTTL is how long a measured route is trusted. A daemon that was
 	// isolated may be back in about this time.
 	routeTTL = 5 * time.Second
-	// maxSurveyed limits the daemons that are asked at once.
-	maxSurveyed = 16
+	// maxContactCalls limits the daemons that are asked at once.
+	maxContactCalls = 16
 )
 
 // rank orders the daemons to ask, the best first.
@@ -39,23 +39,23 @@
 	Store bool `json:"store"`
 }
 
-// survey makes contact calls to other daemons to find the nearest one that the
-// store answers. It asks up to maxSurveyed at once, and in a larger fleet the
+// contactDaemons makes contact calls to other daemons to find the nearest one that the
+// store answers. It asks up to maxContactCalls at once, and in a larger fleet the
 // next ones each time.
-func (r *Relay) survey(ctx context.Context) {
+func (r *Relay) contactDaemons(ctx context.Context) {
 	names := r.otherDaemons()
 	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
-	n := min(maxSurveyed, len(names))
+	n := min(maxContactCalls, len(names))
 	done := make(chan struct{}, n)
 	for i := range n {
-		name := names[(r.surveyOffset+i)%len(names)]
+		name := names[(r.contactOffset+i)%len(names)]
 		go func() {
 			r.probePeer(ctx, name)
 			done <- struct{}{}
 		}()
 	}
-	r.surveyOffset += n
+	r.contactOffset += n
 	for range n {
 		<-done
 	}
@@ -73,7 +73,7 @@
 	if answer.Store {
 		found = rankReachesStore
 	}
-	r.touchContact()
+	r.setLastContact()
 	r.setRoute(name, route{rank: found, took: r.now().Sub(began)})
 }
 
