--- a/placement/book/book.go
+++ b/placement/book/book.go
@@ -29,6 +29,17 @@
 	Attempt int
 }
 
+// Less orders attempts by job, then by the task's index, then by number.
+func (a ID) Less(b ID) bool {
+	if a.Job != b.Job {
+		return a.Job < b.Job
+	}
+	if a.Index != b.Index {
+		return a.Index < b.Index
+	}
+	return a.Attempt < b.Attempt
+}
+
 // State is the state of an attempt that counts against a worker.
 type State uint8
 
@@ -96,10 +107,16 @@
 // is negative: a worker that was found to run more than its capacity has nothing
 // free in that dimension.
 func (w Worker) Free() cluster.Resources {
-	f := w.Capacity.Sub(w.Used).Sub(w.Nominated)
+	f := w.Uncommitted()
 	return cluster.Resources{CPU: max(f.CPU, 0), Memory: max(f.Memory, 0), Accelerators: max(f.Accelerators, 0)}
 }
 
+// Uncommitted returns the capacity without what is used or nominated. A dimension
+// of which more is used and nominated than the worker has is negative.
+func (w Worker) Uncommitted() cluster.Resources {
+	return w.Capacity.Sub(w.Used).Sub(w.Nominated)
+}
+
 // Overcommitted reports whether the worker's entries exceed its capacity.
 func (w Worker) Overcommitted() bool { return !w.Used.Fits(w.Capacity) }
 
