A renewal counts leases from before the look at the ownership lease

Callers of run or dev would see a task run twice at once: on a worker that the next owner of its rack does not reach, and elsewhere.

Cause: a renewal of a worker's leases looked at the ownership lease first and read the clock that it counts from afterwards. A daemon that was stopped in between, for longer than its ownership lasted, granted a lease that began after its ownership had ended. The next owner waits for one lease from the beginning of its own tenure.

Change: the clock is read before the look, as for a start. A renewal needs no expiry of its own: the end that it names is a reading of the worker's clock and does not depend on when the renewal arrives, so that none ends later than one lease after the ownership.

Evidence: TestPoll_RenewalAfterAPauseGrantsNoLeaseBeyondOwnership, with a pause of 20 s, failed in 10 runs of 10: a lease until 49.6 s of the worker's clock where 34.2 s is the most. It passes in 10 of 10.

--- a/internal/placer/poll.go
+++ b/internal/placer/poll.go
@@ -116,11 +116,16 @@
 	return true
 }
 
+// renewLeases extends the leases from the time right before the ownership lease
+// was checked. A pause of the daemon after the check then extends no lease, and
+// all leases end within LeaseDuration of the end of the ownership lease, which
+// is what the next owner waits for. The renewal needs no expiry of its own, as
+// its LeaseUntil does not depend on when it arrives.
 func (pl *poll) renewLeases(ctx context.Context) {
+	pl.callStart = pl.p.o.Now()
 	if _, ok := pl.ownerLease(); !ok {
 		return
 	}
-	pl.callStart = pl.p.o.Now()
 	r := RenewRequest{
 		BootID: pl.bootID, LeaseUntil: WorkerTime(pl.clockReading.LeaseEnd(pl.callStart, LeaseDuration)),
 		Tasks: pl.renew, Acknowledged: pl.acknowledged,
