A new rack owner waits for earlier leases from when its tenure is known

Callers of run or dev would see a task run twice at once after a rack changed owners: on a worker that the new owner does not reach, and elsewhere.

Cause: the new owner of a rack read the clock before it asked which ownership leases it holds, and counted the leases of the owner before from that reading. A pause in between, in which its tenure began, shortened the wait by as much.

Change: the clock is read after the ownership leases were, and after the polls of the daemon's own earlier terms were fenced off, whose leases are waited for as well. Whatever was granted before was granted by that reading.

--- a/internal/placer/allocator.go
+++ b/internal/placer/allocator.go
@@ -70,7 +70,7 @@
 func (al *allocator) turn(now time.Time) time.Duration {
 	if now.Sub(al.racksRefreshedAt) >= leaseRefreshInterval {
 		al.racksRefreshedAt = now
-		al.refreshRacks(now)
+		al.refreshRacks()
 	}
 	al.refreshWorkers(now)
 	wait := maxTurnInterval
@@ -81,7 +81,9 @@
 	return wait
 }
 
-func (al *allocator) refreshRacks(now time.Time) {
+// refreshRacks drops the racks whose ownership has ended and adds those that
+// this daemon has acquired.
+func (al *allocator) refreshRacks() {
 	leases := make(map[cluster.Share]roles.Lease)
 	for _, lease := range al.p.o.Owners.Leases() {
 		if lease.Share.Kind == cluster.ShareRack {
@@ -94,6 +96,10 @@
 			delete(al.racks, share)
 		}
 	}
+	// The clock is read after the ownership leases and after the polls of earlier
+	// terms were fenced off, since newRack waits for the leases that were granted
+	// until then. The daemon may be paused at any point before.
+	now := al.p.o.Now()
 	for share, lease := range leases {
 		if _, ok := al.racks[share]; !ok {
 			al.racks[share] = newRack(al, lease, now)
--- a/internal/placer/pause_test.go
+++ b/internal/placer/pause_test.go
@@ -20,8 +20,9 @@
 	Workers
 	start, now, ends time.Time
 	pause            time.Duration
-	// renewedUntil is the last lease sent.
-	renewedUntil WorkerTime
+	// effectiveSince is when the lease began, and renewedUntil the last lease sent.
+	effectiveSince time.Time
+	renewedUntil   WorkerTime
 }
 
 var pausedRack = cluster.Share{Kind: cluster.ShareRack, Name: "r"}
@@ -30,7 +31,7 @@
 	d := &pausedDaemon{start: time.Unix(1000, 0), now: time.Unix(1000, 0)}
 	clock := func() time.Time { return d.now }
 	p := &Placer{o: Options{
-		Base: roles.Base{Now: clock, Duties: duty.New(clock), Events: events.Discard()}, Owners: d, Workers: d,
+		Base: roles.Base{Now: clock, Duties: duty.New(clock), Events: events.Discard()}, Owners: d, Workers: d, Members: noMembers{},
 	}, metrics: newMetrics(nil)}
 	p.allocator = newAllocator(p)
 	return d, p
@@ -42,11 +43,22 @@
 	return l, ok
 }
 
+// Leases returns a lease that has become effective at the end of the pause.
+func (d *pausedDaemon) Leases() []roles.Lease {
+	d.now = d.now.Add(d.pause)
+	d.effectiveSince = d.now
+	return []roles.Lease{{Share: pausedRack, Epoch: 1, EffectiveSince: d.now, Until: d.now.Add(3 * time.Second)}}
+}
+
 func (d *pausedDaemon) Renew(_ context.Context, _ cluster.VM, r RenewRequest) (Inventory, error) {
 	d.renewedUntil = r.LeaseUntil
 	return Inventory{BootID: r.BootID, Clock: WorkerTime(d.now.Sub(d.start))}, nil
 }
 
+type noMembers struct{ roles.Members }
+
+func (noMembers) VMs() []cluster.VM { return nil }
+
 // A daemon is stopped between its look at the ownership lease and the renewal of the
 // workers' leases, until after the end of the ownership lease. The next owner counts one
 // lease from then for a worker that it does not reach: what the renewal grants must not
@@ -63,3 +75,18 @@
 		t.Errorf("leases renewed until %s on the worker's clock, want at most %s: the ownership lease ended at %s", d.renewedUntil.Duration(), last, d.ends.Sub(d.start))
 	}
 }
+
+// A daemon is stopped while it takes over a rack. It must count the wait for the leases of
+// the owner before from when its own tenure became effective, and not from before the pause.
+func TestAllocator_PauseDoesNotShortenTheWaitForEarlierLeases(t *testing.T) {
+	d, p := newPausedDaemon()
+	d.pause = 40 * time.Second
+	p.allocator.turn(d.now)
+	r := p.allocator.racks[pausedRack]
+	if r == nil {
+		t.Fatal("the rack was not acquired")
+	}
+	if want := d.effectiveSince.Add(lease.MaxDuration(LeaseDuration)); r.priorLeasesEnd.Before(want) {
+		t.Errorf("earlier leases count as over %s after the tenure became effective, want %s", r.priorLeasesEnd.Sub(d.effectiveSince), want.Sub(d.effectiveSince))
+	}
+}
