A rack's new owner counts workers that the platform's list leaves out for a while

Callers of run or dev would see a task run twice at once after a rack or a home changed owners while the platform's list left out a running worker, as it may for up to 20 s.

Cause: a rack was complete, which means that tasks it does not report have ended, once every listed worker was read. A worker that was off the list at that moment was not waited for; its tasks were reported as missing and started again within their leases. A home likewise recovered without a rack of which the list showed no worker.

Change: - Allocator and scheduler remember workers for 25 s after their last listing: the 20 s, and the time until the list is read. A rack that is not complete polls remembered workers, and waits for their answer or for the end of the longest lease from before. A worker that leaves the list before it was read is kept as well. New homes wait for racks with remembered workers. - A daemon that has seen the list for less than 25 s cannot know which workers it leaves out. Its racks are complete, and its homes recover, after that at the earliest, unless the share never had another owner. A pause begins the time anew.

Weighed: to wait for the longest lease always (31 s at each take-over); to judge by the worker that a home knows its task to be on (a new home knows none).

--- a/internal/placer/allocator.go
+++ b/internal/placer/allocator.go
@@ -37,6 +37,7 @@
 	lastSequences      map[string]uint64
 	backlogUntil       time.Time
 	workersRefreshedAt time.Time
+	workerList         workerList
 	racksRefreshedAt   time.Time
 }
 
@@ -108,19 +109,24 @@
 	}
 }
 
+// refreshWorkers applies the list of workers. A rack that is not complete also
+// polls the workers that the list left out a short time ago: they may run tasks
+// that an earlier owner started.
 func (al *allocator) refreshWorkers(now time.Time) {
 	if now.Sub(al.workersRefreshedAt) < housekeepingInterval {
 		return
 	}
 	al.workersRefreshedAt = now
+	al.workerList.update(al.p.o.Members.VMs(), now)
 	listed := make(map[string]bool)
-	for _, vm := range al.p.o.Members.VMs() {
-		if vm.Role != cluster.RoleWorker {
+	for name, w := range al.workerList.workers {
+		r, ok := al.racks[cluster.RackShare(w.vm)]
+		if !ok {
 			continue
 		}
-		if r, ok := al.racks[cluster.RackShare(vm)]; ok {
-			listed[vm.Name] = true
-			r.putWorker(vm, now)
+		listed[name] = al.workerList.listed(w)
+		if _, known := r.workers[name]; listed[name] || !known && !r.complete {
+			r.putWorker(w.vm, now)
 		}
 	}
 	for _, r := range al.racks {
--- a/internal/placer/cell_test.go
+++ b/internal/placer/cell_test.go
@@ -95,10 +95,13 @@
 	return vms
 }
 
-func (c *cell) shares() []cluster.Share {
+func (c *cell) shares() []cluster.Share { return sharesOf(c.vms) }
+
+// sharesOf returns the shares of a cell with the given workers.
+func sharesOf(vms []cluster.VM) []cluster.Share {
 	seen := make(map[cluster.Share]bool)
 	var out []cluster.Share
-	for _, vm := range c.vms {
+	for _, vm := range vms {
 		if s := cluster.RackShare(vm); !seen[s] {
 			seen[s] = true
 			out = append(out, s)
--- a/internal/placer/fault_test.go
+++ b/internal/placer/fault_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +62,19 @@
 			}
 		}
 	}},
+	{"list leaves out a worker while shares change owners", func(c *cell, r *rand.Rand) {
+		all, at := c.vms, r.IntN(len(c.vms))
+		c.setVMs(slices.Delete(slices.Clone(all), at, at+1))
+		time.Sleep(time.Duration(r.Int64N(int64(5 * time.Second))))
+		for _, share := range c.shares() {
+			if r.IntN(3) == 0 {
+				c.assign(share, c.otherDaemon(r, ""))
+			}
+		}
+		time.Sleep(time.Duration(r.Int64N(int64(15 * time.Second))))
+		c.setVMs(all)
+		time.Sleep(2 * time.Second)
+	}},
 	{"ownership expires and returns", func(c *cell, r *rand.Rand) {
 		c.expireLeases(c.otherDaemon(r, ""), time.Duration(r.Int64N(int64(time.Second))))
 	}},
--- a/internal/placer/homes.go
+++ b/internal/placer/homes.go
@@ -112,6 +112,11 @@
 	if hm.recovered || len(sc.racks) == 0 {
 		return
 	}
+	if !hm.term.isFirst() && !sc.workerList.knowsAll(now) {
+		// The list may have left out all workers of a rack since this daemon
+		// started.
+		return
+	}
 	for share := range sc.racks {
 		if !hm.completeRacks[share] {
 			return
--- a/internal/placer/rack.go
+++ b/internal/placer/rack.go
@@ -199,7 +199,8 @@
 }
 
 // removeUnlisted closes workers that are no longer listed, and removes them
-// once they have no attempts.
+// once they have no attempts and the rack is complete. Until then they may run
+// attempts of an earlier owner that have not been reported.
 func (r *rack) removeUnlisted(listed map[string]bool, now time.Time) {
 	for name, w := range r.workers {
 		if listed[name] {
@@ -207,7 +208,7 @@
 		}
 		w.listed = false
 		r.updateClosed(w, now)
-		if len(w.attempts) == 0 && !w.polling {
+		if r.complete && len(w.attempts) == 0 && !w.polling {
 			r.book.RemoveWorker(name)
 			delete(r.workers, name)
 		}
@@ -239,20 +240,30 @@
 }
 
 // checkComplete sets complete once no attempt from before this term can be
-// missing.
+// missing: every worker that may run has been read, or all leases granted before
+// this term have ended.
 func (r *rack) checkComplete(now time.Time) {
 	if r.complete || len(r.workers) == 0 {
 		return
 	}
-	for _, w := range r.workers {
-		if !w.inventoried && now.Before(r.priorLeasesEnd) {
-			return
-		}
+	if now.Before(r.priorLeasesEnd) && !r.readAllWorkers(now) {
+		return
 	}
 	r.complete = true
 	r.alloc.p.o.Events.Log(events.RackRecovered, "share", r.share.String(), "epoch", r.term.Epoch, "tasks", r.book.Len())
 }
 
+// readAllWorkers reports whether every worker that may run attempts of an
+// earlier owner has been read. The first owner has none before it.
+func (r *rack) readAllWorkers(now time.Time) bool {
+	for _, w := range r.workers {
+		if !w.inventoried {
+			return false
+		}
+	}
+	return r.term.isFirst() || r.alloc.workerList.knowsAll(now)
+}
+
 func (r *rack) removeReservation(id book.ID) {
 	if a, ok := r.attempts[id]; ok {
 		r.remove(a)
--- a/internal/placer/rack_snapshots.go
+++ b/internal/placer/rack_snapshots.go
@@ -34,7 +34,9 @@
 }
 
 // refreshWorkers applies the list of workers: it removes workers that are gone,
-// sums up the capacity and refreshes quotas.
+// sums up the capacity and refreshes quotas. A rack stays for as long as one of
+// its workers may run although the list leaves it out, so that new homes wait
+// for the rack's report.
 func (sc *scheduler) refreshWorkers(now time.Time) {
 	if now.Sub(sc.workersRefreshedAt) < housekeepingInterval {
 		return
@@ -42,14 +44,15 @@
 	sc.workersRefreshedAt = now
 	racks := make(map[cluster.Share]map[string]bool)
 	var total cluster.Resources
-	for _, vm := range sc.p.o.Members.VMs() {
-		if vm.Role != cluster.RoleWorker {
-			continue
-		}
-		share := cluster.RackShare(vm)
+	sc.workerList.update(sc.p.o.Members.VMs(), now)
+	for _, w := range sc.workerList.workers {
+		vm, share := w.vm, cluster.RackShare(w.vm)
 		if racks[share] == nil {
 			racks[share] = make(map[string]bool)
 		}
+		if !sc.workerList.listed(w) {
+			continue
+		}
 		racks[share][vm.Name] = true
 		total = total.Add(vm.Capacity)
 		sc.largestWorker.CPU = max(sc.largestWorker.CPU, vm.Capacity.CPU)
--- a/internal/placer/scheduler.go
+++ b/internal/placer/scheduler.go
@@ -78,6 +78,7 @@
 	viewOffset         uint64
 	viewTime           time.Time
 	workersRefreshedAt time.Time
+	workerList         workerList
 	totalCapacity      cluster.Resources
 	completions        completionWriter
 	limits             limitTracker
--- a/internal/placer/term.go
+++ b/internal/placer/term.go
@@ -20,3 +20,7 @@
 
 // known reports whether t is set.
 func (t term) known() bool { return t.Epoch > 0 }
+
+// isFirst reports whether nobody owned the share before the term's epoch.
+// Epochs are counted from 1 for each share.
+func (t term) isFirst() bool { return t.Epoch == 1 }
