--- a/internal/placer/allocator.go
+++ b/internal/placer/allocator.go
@@ -37,6 +37,7 @@
 	lastSequences      map[string]uint64
 	backlogUntil       time.Time
 	workersRefreshedAt time.Time
+	workerList         workerList
 	racksRefreshedAt   time.Time
 }
 
@@ -70,7 +71,7 @@
 func (al *allocator) turn(now time.Time) time.Duration {
 	if now.Sub(al.racksRefreshedAt) >= leaseRefreshInterval {
 		al.racksRefreshedAt = now
-		al.refreshRacks(now)
+		al.refreshRacks()
 	}
 	al.refreshWorkers(now)
 	wait := maxTurnInterval
@@ -81,7 +82,9 @@
 	return wait
 }
 
-func (al *allocator) refreshRacks(now time.Time) {
+// refreshRacks drops the racks whose ownership has ended and adds those that
+// this daemon has acquired.
+func (al *allocator) refreshRacks() {
 	leases := make(map[cluster.Share]roles.Lease)
 	for _, lease := range al.p.o.Owners.Leases() {
 		if lease.Share.Kind == cluster.ShareRack {
@@ -94,6 +97,10 @@
 			delete(al.racks, share)
 		}
 	}
+	// The clock is read after the ownership leases and after the polls of earlier
+	// terms were fenced off, since newRack waits for the leases that were granted
+	// until then. The daemon may be paused at any point before.
+	now := al.p.o.Now()
 	for share, lease := range leases {
 		if _, ok := al.racks[share]; !ok {
 			al.racks[share] = newRack(al, lease, now)
@@ -102,19 +109,24 @@
 	}
 }
 
+// refreshWorkers applies the list of workers. A rack that is not complete also
+// polls the workers that the list left out a short time ago: they may run tasks
+// that an earlier owner started.
 func (al *allocator) refreshWorkers(now time.Time) {
 	if now.Sub(al.workersRefreshedAt) < housekeepingInterval {
 		return
 	}
 	al.workersRefreshedAt = now
+	al.workerList.update(al.p.o.Members.VMs(), now)
 	listed := make(map[string]bool)
-	for _, vm := range al.p.o.Members.VMs() {
-		if vm.Role != cluster.RoleWorker {
+	for name, w := range al.workerList.workers {
+		r, ok := al.racks[cluster.RackShare(w.vm)]
+		if !ok {
 			continue
 		}
-		if r, ok := al.racks[cluster.RackShare(vm)]; ok {
-			listed[vm.Name] = true
-			r.putWorker(vm, now)
+		listed[name] = al.workerList.listed(w)
+		if _, known := r.workers[name]; listed[name] || !known && !r.complete {
+			r.putWorker(w.vm, now)
 		}
 	}
 	for _, r := range al.racks {
