A rig of daemon processes whose paths are cut one by one

No test had that over processes: the stand-in's group has one owner, and a server was silent to all or to none.

internal/rig starts daemons as processes. Each has its own view of the addresses, so that its path to each server, to the store and to each other daemon is a listener or a proxy of its own, which swallows bytes one way or both. Members and entries expire, partitions are dealt anew, leases end at their time. Scenarios come from a seed: the store leaves all or some daemons unanswered and serves them again one by one, refuses some, owners are stopped, killed, and follow each other. The ledger holds what the servers saw, and says of a seed that it proves nothing if no earlier owner reached a server a second or more after the claim of a new one that had not.

--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,156 @@
+package rig
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+)
+
+// The flags follow -args, as in
+//
+//	go test ./internal/rig -run RunsTwice -timeout 60m -v -args -seeds 24 -at-once 6 -rounds 2 -out DIR
+var (
+	seedsFlag   = flag.Int("seeds", 1, "number of seeds to play")
+	seedFlag    = flag.Uint64("seed", 1, "first seed")
+	atOnceFlag  = flag.Int("at-once", 1, "number of seeds to play at one time")
+	roundsFlag  = flag.Int("rounds", 1, "number of outages of each seed")
+	daemonFlag  = flag.String("daemon", "", "path of a built currantwinchd; built from this tree if empty")
+	daemonsFlag = flag.Int("daemons", 5, "number of daemons, 2 to 9")
+	outFlag     = flag.String("out", "", "directory in which logs are kept; none are kept if empty")
+)
+
+// result is what one seed has shown.
+type result struct {
+	seed                            uint64
+	breaches                        []string
+	changes, contested, tasks, runs int
+	// logged counts lines of the daemons' logs by event.
+	logged map[string]int
+}
+
+// counted are the events whose lines are counted. The last one is counted if its error is
+// not empty.
+var counted = []string{"owner_claimed", "owner_ended", "owner_superseded", "server_given_up", "run_lost", "earlier_owner_told"}
+
+func (r result) String() string {
+	text := fmt.Sprintf("seed %d: %d breaches, %d changes of owners, %d of them contested, %d tasks, %d runs; logged:", r.seed, len(r.breaches), r.changes, r.contested, r.tasks, r.runs)
+	for _, name := range counted {
+		text += fmt.Sprintf(" %s %d", name, r.logged[name])
+	}
+	if r.contested == 0 {
+		text += "; PROVES NOTHING: no earlier owner reached a server that the new owner did not"
+	}
+	return text
+}
+
+// A task must not run twice when owners change in outages, while an earlier owner still
+// reaches a server that the next one does not: the next owner takes the runs there for
+// over, the earlier one has gone on renewing their leases, and the task starts again
+// elsewhere (issue 38).
+func TestRig_NoTaskRunsTwiceAcrossOutages(t *testing.T) {
+	if *daemonsFlag < 2 || *daemonsFlag > 9 {
+		t.Fatalf("%d daemons, want 2 to 9", *daemonsFlag)
+	}
+	binary := daemonBinary(t)
+	slots := make(chan struct{}, max(1, *atOnceFlag))
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var results []result
+	for i := range *seedsFlag {
+		slots <- struct{}{}
+		all.Go(func() {
+			defer func() { <-slots }()
+			seed := *seedFlag + uint64(i)
+			t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+				r := playSeed(t, binary, seed)
+				mu.Lock()
+				defer mu.Unlock()
+				results = append(results, r)
+			})
+		})
+	}
+	all.Wait()
+	summarize(t, results)
+}
+
+func playSeed(t *testing.T, binary string, seed uint64) result {
+	dir := t.TempDir()
+	if *outFlag != "" {
+		dir = filepath.Join(*outFlag, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f := newFleet(t, binary, dir, *daemonsFlag)
+	play(f, seed, *roundsFlag)
+	r := result{seed: seed, breaches: f.ledger.breaches(), logged: make(map[string]int)}
+	f.ledger.count(&r)
+	for _, d := range f.daemons {
+		d.close()
+		countEvents(t, d.log, r.logged)
+	}
+	t.Log(r)
+	for _, b := range r.breaches {
+		f.ledger.note("BREACH %s", b)
+		t.Errorf("seed %d: %s", seed, b)
+	}
+	if r.tasks == 0 || r.changes == 0 {
+		t.Errorf("seed %d: %d tasks ran and owners changed %d times, want both", seed, r.tasks, r.changes)
+	}
+	return r
+}
+
+func summarize(t *testing.T, results []result) {
+	broken, breaches, count := 0, 0, 0
+	for _, r := range results {
+		breaches += len(r.breaches)
+		if len(r.breaches) > 0 {
+			broken++
+		}
+		if r.contested > 0 {
+			count++
+		}
+	}
+	t.Logf("%d seeds: %d with a breach, %d breaches, %d seeds that count", len(results), broken, breaches, count)
+}
+
+// daemonBinary returns the path of the daemon's program, which it builds unless a flag
+// names one.
+func daemonBinary(t *testing.T) string {
+	if *daemonFlag != "" {
+		return *daemonFlag
+	}
+	path := filepath.Join(t.TempDir(), "currantwinchd")
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, "./cmd/currantwinchd")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, out)
+	}
+	return path
+}
+
+// countEvents adds the number of lines of each counted event in a daemon's log.
+func countEvents(t *testing.T, path string, counts map[string]int) {
+	log, err := os.Open(path)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = log.Close() }()
+	for lines := bufio.NewScanner(log); lines.Scan(); {
+		var line struct {
+			Name  string `json:"msg"`
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(lines.Bytes(), &line) != nil || line.Name == "earlier_owner_told" && line.Error == "" {
+			continue
+		}
+		counts[line.Name]++
+	}
+}
