--- a/internal/rig/ledger_test.go
+++ b/internal/rig/ledger_test.go
@@ -193,6 +193,11 @@
 	r.changes, r.contested, r.tasks = l.changes, len(l.contested), len(l.runs)
 	for _, runs := range l.runs {
 		r.runs += len(runs)
+		for _, one := range runs {
+			if one.how == "lapsed" {
+				r.lapsed++
+			}
+		}
 	}
 }
 
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -14,11 +14,11 @@
 
 // The flags follow -args, as in
 //
-//	go test ./internal/rig -run RunsTwice -timeout 60m -v -args -seeds 24 -at-once 6 -rounds 2 -out DIR
+//	go test ./internal/rig -run RunsTwice -timeout 60m -v -args -seed 1 -seeds 24 -at-once 8 -out DIR
 var (
-	seedsFlag   = flag.Int("seeds", 1, "number of seeds to play")
-	seedFlag    = flag.Uint64("seed", 1, "first seed")
-	atOnceFlag  = flag.Int("at-once", 1, "number of seeds to play at one time")
+	seedsFlag   = flag.Int("seeds", 2, "number of seeds to play")
+	seedFlag    = flag.Uint64("seed", 15, "first seed")
+	atOnceFlag  = flag.Int("at-once", 2, "number of seeds to play at one time")
 	roundsFlag  = flag.Int("rounds", 1, "number of outages of each seed")
 	daemonFlag  = flag.String("daemon", "", "path of a built currantwinchd; built from this tree if empty")
 	daemonsFlag = flag.Int("daemons", 5, "number of daemons, 2 to 9")
@@ -30,6 +30,8 @@
 	seed                            uint64
 	breaches                        []string
 	changes, contested, tasks, runs int
+	// lapsed counts the runs whose leases expired.
+	lapsed int
 	// logged counts lines of the daemons' logs by event.
 	logged map[string]int
 }
@@ -39,7 +41,7 @@
 var counted = []string{"owner_claimed", "owner_ended", "owner_superseded", "server_given_up", "run_lost", "earlier_owner_told"}
 
 func (r result) String() string {
-	text := fmt.Sprintf("seed %d: %d breaches, %d changes of owners, %d of them contested, %d tasks, %d runs; logged:", r.seed, len(r.breaches), r.changes, r.contested, r.tasks, r.runs)
+	text := fmt.Sprintf("seed %d: %d breaches, %d changes of owners, %d of them contested, %d tasks, %d runs, %d of them lapsed; logged:", r.seed, len(r.breaches), r.changes, r.contested, r.tasks, r.runs, r.lapsed)
 	for _, name := range counted {
 		text += fmt.Sprintf(" %s %d", name, r.logged[name])
 	}
