--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -17,8 +17,8 @@
 //
 //	go test ./internal/rig -run RunsTwice -timeout 60m -v -args -seed 1 -seeds 24 -at-once 8 -out DIR
 var (
-	seedsFlag   = flag.Int("seeds", 2, "number of seeds to play")
-	seedFlag    = flag.Uint64("seed", 15, "first seed")
+	seedsFlag   = flag.Int("seeds", 0, "number of seeds to play; 0 plays the two of CI")
+	seedFlag    = flag.Uint64("seed", 1, "first seed")
 	atOnceFlag  = flag.Int("at-once", 2, "number of seeds to play at one time")
 	roundsFlag  = flag.Int("rounds", 1, "number of outages of each seed")
 	daemonFlag  = flag.String("daemon", "", "path of a built currantwinchd; built from this tree if empty")
@@ -26,6 +26,22 @@
 	outFlag     = flag.String("out", "", "directory in which logs are kept; none are kept if empty")
 )
 
+// ciSeeds are played if no number of seeds is given. Both broke in two plays on each of
+// f9ce197, efe7db9 and 3da546d. Seed 6 also broke on 338c4fb, on which only the next owner
+// waited: there the earlier one started a task again that the next one had adopted.
+var ciSeeds = []uint64{6, 15}
+
+func seeds() []uint64 {
+	if *seedsFlag <= 0 {
+		return ciSeeds
+	}
+	var out []uint64
+	for i := range *seedsFlag {
+		out = append(out, *seedFlag+uint64(i))
+	}
+	return out
+}
+
 // result is what one seed has shown.
 type result struct {
 	seed                            uint64
@@ -65,11 +81,10 @@
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	var results []result
-	for i := range *seedsFlag {
+	for _, seed := range seeds() {
 		slots <- struct{}{}
 		all.Go(func() {
 			defer func() { <-slots }()
-			seed := *seedFlag + uint64(i)
 			t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 				r := playSeed(t, binary, seed)
 				mu.Lock()
