--- a/internal/placer/rack.go
+++ b/internal/placer/rack.go
@@ -11,6 +11,7 @@
 	"github.com/currantwinch/currantwinch/placement/book"
 	"github.com/currantwinch/currantwinch/placement/health"
 	"github.com/currantwinch/currantwinch/placement/lease"
+	"github.com/currantwinch/currantwinch/placement/pipeline"
 )
 
 // Reasons for which a worker accepts no new attempts.
@@ -162,6 +163,13 @@
 	r.updateClosed(w, now)
 }
 
+// openWorker returns a worker's account if the worker accepts new work and meets the
+// demand's constraints. It does not compare the demand's resources.
+func (r *rack) openWorker(w *worker, d pipeline.Demand) (book.Worker, bool) {
+	account, ok := r.book.Worker(w.vm.Name)
+	return account, ok && account.Closed == "" && d.Matches(account.Location.Region, account.AcceleratorKind)
+}
+
 func (r *rack) hasLiveAttempts(w *worker) bool {
 	for _, a := range w.attempts {
 		if !a.state.terminated() {
@@ -353,21 +361,11 @@
 			out.Statuses = append(out.Statuses, a.status())
 		}
 	}
-	sort.Slice(out.Statuses, func(i, j int) bool { return refLess(out.Statuses[i].Task, out.Statuses[j].Task) })
+	sort.Slice(out.Statuses, func(i, j int) bool { return out.Statuses[i].Task.Less(out.Statuses[j].Task) })
 	out.Missing = r.missingAttempts(v.Recheck, current)
 	return out
 }
 
-func refLess(a, b TaskRef) bool {
-	if a.JobID != b.JobID {
-		return a.JobID < b.JobID
-	}
-	if a.Index != b.Index {
-		return a.Index < b.Index
-	}
-	return a.Attempt < b.Attempt
-}
-
 func (a *attempt) status() taskStatus {
 	return taskStatus{
 		Task: a.ref, Worker: a.worker, State: a.state, ExitCode: a.report.ExitCode, Reason: a.reason,
