A read that confirms the ownership outlasts a slow log

Callers would wait for ever for a task whose server is lost, in a partition in which nothing else happens while the log takes over a second for a read: a lease is over only once a call to the log shows no later claim, and the read for that gave up after 1 s each time. It is retried beside itself like other calls now, for 4 s in all.

TestEngine_LostRunStartsAgainWhileReadsAreSlow (reads of 1.5 s) failed in 4 runs of 4 and passes.

--- a/partition/ownership.go
+++ b/partition/ownership.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// confirmTimeout limits one read that confirms the ownership.
-const confirmTimeout = time.Second
+// confirmTimeout limits one read that confirms the ownership, including retries.
+const confirmTimeout = 4 * time.Second
 
 // ConfirmOwnership returns nil if this owner still owned the partition at some moment
 // during the call: no later owner had claimed it. It returns ErrFenced if one had, and
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	for {
-		batch, err := w.log.Read(ctx, w.id, from, 0)
+		batch, _, err := retryHedged(ctx, minHang, func(ctx context.Context) (Batch, error) { return w.log.Read(ctx, w.id, from, 0) })
 		if err != nil {
 			return err
 		}
