A suspension during the claim makes the claim as old as the wall clock says

Callers would see a task run on two servers at once: a machine that is suspended between the start of its claim and the creation of its scheduler took the claim for evidence that is milliseconds old, and sent whole leases. The clocks are compared from before the claim now.

--- a/internal/host/evidence_test.go
+++ b/internal/host/evidence_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +13,64 @@
 	"github.com/currantwinch/currantwinch/platform"
 )
 
+// suspendedClaim is a log after whose first append the machine is suspended: the wall clock
+// goes on, and the steady clock does not.
+type suspendedClaim struct {
+	partition.Log
+	once    sync.Once
+	suspend func()
+}
+
+func (l *suspendedClaim) Append(ctx context.Context, id partition.ID, fence partition.Fence, records []partition.Record) error {
+	err := l.Log.Append(ctx, id, fence, records)
+	l.once.Do(l.suspend)
+	return err
+}
+
+// notedLeases is a client of backend servers that notes the leases sent in polls.
+type notedLeases struct {
+	scheduler.ServerClient
+	polls, leases atomic.Int64
+}
+
+func (n *notedLeases) Poll(ctx context.Context, to scheduler.Instance, request scheduler.PollRequest) (scheduler.PollResponse, error) {
+	n.polls.Add(1)
+	if request.LeaseDeadlineMS > 0 {
+		n.leases.Add(1)
+	}
+	return n.ServerClient.Poll(ctx, to, request)
+}
+
+// The machine of an owner is suspended for longer than a lease after the log has taken its
+// claim, and before the owner has read the answer. The log is away when it resumes. Its
+// claim is too old then for any lease: a later owner may have waited for it.
+func TestEngine_SuspendedDuringItsClaim(t *testing.T) {
+	s := newDeployment(t, 0)
+	seen := s.addSlowServers(1)
+	first := run(t, s.newTestEngine("first", seen...))
+	first.submitSlowTask(t)
+	s.await("started", func() bool { return s.servers[0].Runs(slowTask) })
+	first.stop()
+
+	client := platform.NewHTTPClient()
+	link := &cutTransport{RoundTripper: client.Transport, cut: make(map[string]bool)}
+	o := s.engineOptions("second", &http.Client{Transport: link}, seen...)
+	var suspended atomic.Int64
+	o.Wall = func() int64 { return time.Now().UnixMilli() + suspended.Load() }
+	o.Log = &suspendedClaim{Log: o.Log, suspend: func() {
+		suspended.Store((10 * time.Second).Milliseconds())
+		link.set(s.address, true)
+	}}
+	noted := &notedLeases{ServerClient: o.Servers}
+	o.Servers = noted
+	second := run(t, scheduler.NewEngine(o))
+	t.Cleanup(second.stop)
+	s.await("claimed and polled", func() bool { return noted.polls.Load() > 2 })
+	if n := noted.leases.Load(); n > 0 {
+		t.Errorf("%d polls extend leases, on the evidence of a claim that is 10 s old by the wall clock, want none", n)
+	}
+}
+
 // slowReads is a log that answers reads after a delay.
 type slowReads struct {
 	partition.Log
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -189,7 +189,7 @@
 	}
 	claim := nextClaim(records, "", bounds, nil)
 	claim.Epoch = epoch
-	c.SetClaim(claim, now)
+	c.SetClaim(claim, now, wall)
 	c.load(records)
 	return c
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -161,7 +161,7 @@
 
 // claim reads the partition and claims it with an epoch above all earlier ones.
 func (e *Engine) claim(ctx context.Context) (workload.PartitionOwner, error) {
-	began := e.o.Now()
+	began, wallBegan := e.o.Now(), e.o.Wall()
 	records, end, err := partition.ReadAll(ctx, e.o.Log, e.o.Partition)
 	if err != nil {
 		return workload.PartitionOwner{}, errors.Wrap(err, "read partition")
@@ -178,7 +178,7 @@
 	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
 	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "offset", end, "before", before.Daemon,
 		"records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
-	e.core.SetClaim(claim, e.writer.ConfirmedAt())
+	e.core.SetClaim(claim, e.writer.ConfirmedAt(), wallBegan+e.writer.ConfirmedAt().Sub(began).Milliseconds())
 	return claim, nil
 }
 
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -136,15 +136,25 @@
 // the wall clock that is not taken for a suspension of this machine.
 const maxClockStep = 200 * time.Millisecond
 
+// suspension returns for how long this machine was suspended between two pairs of readings
+// of its monotonic and its wall clock; 0 if it was not.
+func suspension(before time.Time, wallBefore int64, now time.Time, wall int64) time.Duration {
+	missed := msDuration(wall-wallBefore) - now.Sub(before)
+	if missed < maxClockStep {
+		return 0
+	}
+	return missed
+}
+
 // checkSuspended detects that this machine was suspended: its monotonic clock does
 // not count that time. What was known before of servers being up is too old then.
 func (c *Core) checkSuspended(now time.Time, wall int64) {
-	missed := msDuration(wall-c.wall) - now.Sub(c.now)
-	if missed < maxClockStep {
+	missed := suspension(c.now, c.wall, now, wall)
+	if missed == 0 {
 		return
 	}
 	c.resumedAt = now
-	c.tenure.state = c.tenure.protocol.Suspended(c.tenure.state, missed)
+	c.tenure.suspended(missed)
 	for _, s := range c.servers {
 		s.aliveAt = time.Time{}
 	}
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -85,6 +85,11 @@
 	return instantOrigin.Add(at.Sub(t.began))
 }
 
+// suspended makes all evidence older by a time that this machine's clock did not count.
+func (t *tenure) suspended(missed time.Duration) {
+	t.state = t.protocol.Suspended(t.state, missed)
+}
+
 // confirmed records a call to the log, begun at the given time, that a later claim would
 // have made fail.
 func (t *tenure) confirmed(at, now time.Time) {
@@ -193,9 +198,14 @@
 	return append([]workload.PriorOwner{oldest}, prior[excess+1:]...)
 }
 
-// SetClaim sets this owner's claim, whose append began at the given time.
-func (c *Core) SetClaim(claim workload.PartitionOwner, began time.Time) {
+// SetClaim sets this owner's claim, whose append began at the given time of both clocks or
+// later.
+func (c *Core) SetClaim(claim workload.PartitionOwner, began time.Time, wallBegan int64) {
 	c.tenure = newTenure(claim, began, c.now)
+	if missed := suspension(began, wallBegan, c.now, c.wall); missed > 0 {
+		c.resumedAt = c.now
+		c.tenure.suspended(missed)
+	}
 	c.maxLeaseSent = c.bounds.lease()
 	for _, p := range claim.Prior {
 		c.maxLeaseSent = max(c.maxLeaseSent, msDuration(p.LeaseMS))
--- a/internal/scheduler/tenure_test.go
+++ b/internal/scheduler/tenure_test.go
@@ -171,7 +171,7 @@
 	claim := testClaim()
 	claim.Prior[0].Daemon = "gone"
 	h.takeOver()
-	h.core.SetClaim(claim, h.now)
+	h.core.SetClaim(claim, h.now, h.wall)
 	h.answerAllPollsBut(start.To.ID)
 	for range 10 {
 		h.advance(500 * time.Millisecond)
@@ -234,7 +234,7 @@
 	h := newHarness(t, 1)
 	h.answerAllPolls()
 	claim := testClaim()
-	h.core.SetClaim(claim, h.now)
+	h.core.SetClaim(claim, h.now, h.wall)
 	now := []string{"a", "b", "d"}
 	set := func() { h.do(func(c *Core) { c.SetWitnessCandidates(now, now) }) }
 	set()
