An instance that may have forgotten a later owner is used only after a call to the log

Callers would see a task run on two servers at once, or start again after its end was stored. A server that answered the next owner refuses the earlier one until it restarts under its ID: the new instance has seen no fencing token. The earlier owner, within its evidence, could be the first to poll it, and took the runs there for lost and the room for free. A new instance counts now only once a call to the log that shows no later claim began after its first answer, or after its entry was seen; at the first answer of a server to an owner the time that lies between two instances counts as well. A new instance may also have got the longest lease that servers grant by a poll for the one before.

--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -24,6 +24,9 @@
 	// its checkpointing tasks are stopped. It covers the stop, its grace period
 	// and the poll that lists the checkpoint, each repeated once.
 	evacuationLead = 1500 * time.Millisecond
+	// instanceRetryDelay is the delay before an instance is polled again that may not be
+	// used yet.
+	instanceRetryDelay = 50 * time.Millisecond
 	// leaseRenewalInterval is the longest time between polls of a server with
 	// runs while its ends cannot be stored.
 	leaseRenewalInterval = 200 * time.Millisecond
@@ -96,13 +99,17 @@
 	if !list.AckWithheld {
 		s.ackedEnd = s.ackInFlight
 	}
-	s.failedPolls, s.over = 0, false
+	s.failedPolls = 0
 	if !c.mayLease(s) {
 		return
 	}
+	if !c.mayUseInstance(s, list) {
+		c.pollAfter(s, instanceRetryDelay)
+		return
+	}
 	c.endReplacedInstances(s)
 	c.detectRestart(s, list)
-	s.answeredAddress = to.Address
+	s.over, s.answeredAddress = false, to.Address
 	c.applyAnswer(s, sent, list)
 	if s.storedEnd == s.processedEnd {
 		c.poll(s)
@@ -184,7 +191,9 @@
 		}
 	}
 	s.session = c.newSession()
-	s.leaseDeadlineMS = list.ClockMS + c.maxLeaseSent.Milliseconds()
+	// A poll with a deadline on the former instance's clock may have reached this one, and
+	// got the longest lease that servers grant.
+	s.leaseDeadlineMS = list.ClockMS + max(c.maxLeaseSent, c.bounds.MaxLease).Milliseconds()
 	for key, a := range s.attempts {
 		if a.state == startSent && !listed[key] && a.task.history().Suspect() {
 			// The order must not reach the new instance outside a trial.
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -24,6 +24,12 @@
 	// recorded is set once the server's record was written, and stored once that
 	// is in the log.
 	recorded, stored bool
+	// entrySeenAt is when the instance of the server's entry was first listed.
+	entrySeenAt time.Time
+	// metStartedAtMS identifies the last instance that answered before it might be used,
+	// and metAt is when it did so first.
+	metStartedAtMS int64
+	metAt          time.Time
 	// recordedAddress is the address in the server's record.
 	recordedAddress string
 	// heard is set once the server has answered this owner.
--- a/internal/scheduler/serverlist.go
+++ b/internal/scheduler/serverlist.go
@@ -42,6 +42,9 @@
 	if info.Draining && !s.info.Draining {
 		c.log.Log(events.ServerDraining, "server", info.ID, "attempts", len(s.attempts), "remainingMS", info.Remaining.Milliseconds())
 	}
+	if s.entrySeenAt.IsZero() || info.StartedAtMS != s.info.StartedAtMS {
+		s.entrySeenAt = c.now
+	}
 	remainingChanged := info.Remaining != s.info.Remaining || !s.info.Draining
 	if info.Draining && info.Remaining > 0 && remainingChanged {
 		s.departsAt = c.now.Add(info.Remaining)
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -110,6 +110,34 @@
 	return s.aliveAt.Add(c.bounds.ReuseAfter / 2)
 }
 
+// mayUseInstance reports whether the instance of a server that has answered may be used. A
+// later owner may have been told by the instance before, whose end made the server forget
+// that owner's fencing token. It has not if a call to the log that shows no later claim
+// began after this instance's first answer, or after its entry was seen. At an owner's
+// first answer of a server the time counts as well that lies between two instances.
+func (c *Core) mayUseInstance(s *server, list PollResponse) bool {
+	first := s.polledAt.IsZero() && !s.over
+	restarted := s.over || list.StartedAtMS != 0 && s.startedAtMS != 0 && list.StartedAtMS != s.startedAtMS
+	if !first && !restarted {
+		return true
+	}
+	if list.StartedAtMS == 0 || list.StartedAtMS != s.metStartedAtMS {
+		s.metStartedAtMS, s.metAt = list.StartedAtMS, c.now
+	}
+	confirmed := c.tenure.confirmedAt()
+	needed := s.metAt
+	if first {
+		needed = needed.Add(-c.bounds.ReuseAfter)
+	}
+	listedBefore := list.StartedAtMS != 0 && list.StartedAtMS == s.info.StartedAtMS && !s.entrySeenAt.IsZero() && !confirmed.Before(s.entrySeenAt)
+	if listedBefore || !confirmed.Before(needed) {
+		return true
+	}
+	c.confirmationDue = true
+	s.synced = false
+	return false
+}
+
 // refusalProvesEnd reports whether the refusal of an order by another instance proves that
 // the server's own has ended. It does at the address at which that one answered, or at
 // which earlier owners used it, if its entry still names that address. An entry may name
