--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -57,7 +57,7 @@
 	member := partition.NewMember(oneOwner{}, "a", time.Second, time.Now, func(error) {}, func() {}, func([]string) bool { return false })
 	member.Refresh(t.Context())
 	e := New(Options{
-		Member: member, Tenures: tenure.New(tenure.Options{Peers: peers}), Peers: peers, PartitionCount: 1, Now: time.Now,
+		Member: member, Tenures: tenure.New(tenure.Options{Peers: peers, Now: time.Now}), Peers: peers, PartitionCount: 1, Now: time.Now,
 		Layout:   func(string) (shard.Layout, bool) { return shard.Layout{Shards: 1}, true },
 		Isolated: func() bool { return false },
 	})
