A submission refused after a call without an answer is told as "may have run"

Cause: Router.callOwner repeats a call that got no answer and returned any reply to the next one as it was. A refusal speaks of that one call; the earlier one still waits at its daemon and may be accepted later.

Now such a refusal ends the call with the verdict MayHaveRun: 504 with the refusal's reason and Retry-After, so that the caller sends the same ID again. It works whoever refuses, the same owner or a new one, since it needs no knowledge of where the earlier copy is. A submission whose only call was refused, or whose earlier calls were certainly not handled, is refused at once as before; an acceptance is always passed on; status and cancel are unchanged.

--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,28 +18,35 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// oneOwner is a group in which daemon b holds the only partition.
-type oneOwner struct{}
+// oneOwner is a group in which one daemon holds the only partition: each of the named
+// ones in turn, a look at the group later, and the last one from then on.
+type oneOwner struct {
+	owners []string
+	looks  int
+}
 
-func (oneOwner) Join(context.Context, string, uint64, time.Duration) (partition.Assignment, error) {
+func (*oneOwner) Join(context.Context, string, uint64, time.Duration) (partition.Assignment, error) {
 	return partition.Assignment{}, nil
 }
-func (oneOwner) Leave(context.Context, string) error { return nil }
-func (oneOwner) Holders(context.Context) ([]partition.Holder, error) {
-	return []partition.Holder{{ID: partitionID(shard.PartitionOf("pool", 0, 1)), Member: "b"}}, nil
+func (*oneOwner) Leave(context.Context, string) error { return nil }
+func (g *oneOwner) Holders(context.Context) ([]partition.Holder, error) {
+	owner := g.owners[min(g.looks, len(g.owners)-1)]
+	g.looks++
+	return []partition.Holder{{ID: partitionID(shard.PartitionOf("pool", 0, 1)), Member: owner}}, nil
 }
 
 // scriptedPeers answers the calls of one method one after another.
 type scriptedPeers struct {
 	answers []func() (scheduler.Reply, error)
-	calls   int
+	// called are the daemons that were called.
+	called []string
 }
 
 func (p *scriptedPeers) Handle(string, roles.PeerHandler) {}
 
-func (p *scriptedPeers) Call(_ context.Context, _, _ string, _, result any) error {
-	answer := p.answers[min(p.calls, len(p.answers)-1)]
-	p.calls++
+func (p *scriptedPeers) Call(_ context.Context, daemon, _ string, _, result any) error {
+	answer := p.answers[min(len(p.called), len(p.answers)-1)]
+	p.called = append(p.called, daemon)
 	r, err := answer()
 	if err != nil {
 		return err
@@ -50,17 +58,24 @@
 	return json.Unmarshal(data, result)
 }
 
-// submitScripted submits through a Router whose owner gives the answers to its calls one
-// after another.
-func submitScripted(t *testing.T, answers ...func() (scheduler.Reply, error)) (scheduler.Reply, error) {
-	peers := &scriptedPeers{answers: answers}
-	member := partition.NewMember(oneOwner{}, "a", time.Second, time.Now, func(error) {}, func() {}, func([]string) bool { return false })
+// scriptedRouter returns a Router whose calls to the owners get the peers' answers.
+func scriptedRouter(t *testing.T, peers *scriptedPeers, owners ...string) *Router {
+	member := partition.NewMember(&oneOwner{owners: owners}, "a", time.Second, time.Now, func(error) {}, func() {}, func([]string) bool { return false })
 	member.Refresh(t.Context())
-	e := New(Options{
+	return New(Options{
 		Member: member, Tenures: tenure.New(tenure.Options{Peers: peers, Now: time.Now}), Peers: peers, PartitionCount: 1, Now: time.Now,
 		Layout:   func(string) (shard.Layout, bool) { return shard.Layout{Shards: 1}, true },
 		Isolated: func() bool { return false },
 	})
+}
+
+// submitScripted submits through a Router whose owner gives the answers to its calls one
+// after another.
+func submitScripted(t *testing.T, answers ...func() (scheduler.Reply, error)) (scheduler.Reply, error) {
+	return submitTo(scriptedRouter(t, &scriptedPeers{answers: answers}, "b"), t)
+}
+
+func submitTo(e *Router, t *testing.T) (scheduler.Reply, error) {
 	return e.Submit(t.Context(), &workload.Submission{ID: "00000000000000aa", Service: "pool"})
 }
 
@@ -92,6 +107,8 @@
 		{"unavailable after no answer", script{unanswered, replied(scheduler.OutcomeUnavailable)}},
 		{"refused after no answer", script{unanswered, replied(scheduler.OutcomeRefused)}},
 		{"refused after no answer and a call that was not sent", script{unanswered, notSent, replied(scheduler.OutcomeRefused)}},
+		{"no queue after no answer", script{unanswered, replied(scheduler.OutcomeNotFound)}},
+		{"invalid after no answer", script{unanswered, replied(scheduler.OutcomeInvalid)}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -99,6 +116,9 @@
 				if verdict.Of(err) != verdict.MayHaveRun {
 					t.Errorf("outcome %d, error %v, want an error with verdict %v", r.Outcome, err, verdict.MayHaveRun)
 				}
+				if reason, after := verdict.ReasonOf(err), verdict.RetryAfterOf(err); reason != "store_down" || after != time.Second {
+					t.Errorf("reason %q, retry after %v, want those of the refusal: store_down, 1s", reason, after)
+				}
 			})
 		})
 	}
@@ -127,3 +147,43 @@
 		})
 	}
 }
+
+// The refusal of a new owner does not say what becomes of a call that the earlier one
+// left unanswered: that daemon may own the partition again while the call is queued there.
+func TestRouter_RefusalOfTheNextOwnerMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := &scriptedPeers{answers: script{unanswered, replied(scheduler.OutcomeRefused)}}
+		e := scriptedRouter(t, peers, "b", "c")
+		time.Sleep(time.Second)
+		r, err := submitTo(e, t)
+		if verdict.Of(err) != verdict.MayHaveRun {
+			t.Errorf("outcome %d, error %v, want an error with verdict %v", r.Outcome, err, verdict.MayHaveRun)
+		}
+		if want := []string{"b", "c"}; !slices.Equal(peers.called, want) {
+			t.Errorf("called %v, want %v", peers.called, want)
+		}
+	})
+}
+
+// A call about an earlier submission has no refusal: that the owner does not know the
+// submission is the answer, whatever became of an earlier copy of the call.
+func TestRouter_UnknownSubmissionAfterNoAnswerIsPassedOn(t *testing.T) {
+	for name, do := range map[string]func(context.Context, *Router) (scheduler.Reply, error){
+		"status": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
+			return e.Status(ctx, "pool", "00000000000000aa")
+		},
+		"cancel": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
+			return e.Cancel(ctx, "pool", "00000000000000aa")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := scriptedRouter(t, &scriptedPeers{answers: script{unanswered, replied(scheduler.OutcomeNotFound)}}, "b")
+				r, err := do(t.Context(), e)
+				if err != nil || r.Outcome != scheduler.OutcomeNotFound {
+					t.Errorf("outcome %d, error %v, want outcome %d", r.Outcome, err, scheduler.OutcomeNotFound)
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -98,9 +98,10 @@
 	return e
 }
 
-// Submit submits to the owner and returns its reply. An error always has the
-// verdict MayHaveRun: only the owner knows whether an attempt through another
-// daemon was accepted.
+// Submit submits to the owner and returns its reply. A refusal, which is any
+// reply but OutcomeDone, says that no call to an owner was accepted or will be.
+// An error always has the verdict MayHaveRun: only the owner knows whether an
+// attempt through another daemon was accepted.
 func (e *Router) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
 	r, err := e.callShardOwner(ctx, methodSubmit, call{Service: sub.Service, ID: sub.ID, Submission: sub})
 	if err == nil {
@@ -177,7 +178,9 @@
 }
 
 // callOwner routes a call to the owner of its partition. All calls are
-// idempotent, so that one without an answer is repeated with the next owner.
+// idempotent, so that one without an answer is repeated with the next owner. A
+// submission that is refused after a call without an answer may have run: that call may
+// still wait at its daemon, and be accepted after the refusal.
 func (e *Router) callOwner(ctx context.Context, method string, c call) (scheduler.Reply, error) {
 	if _, here := e.o.Tenures.Engine(c.partition()); !here && e.o.Isolated() {
 		return scheduler.Reply{}, verdict.New(verdict.NotRun, ReasonNoOwner, "no other daemon answers").WithRetryAfter(ownerRetryAfter)
@@ -186,7 +189,10 @@
 	mayHaveRun := false
 	for {
 		r, err := e.attempt(ctx, method, c)
-		if err == nil {
+		switch {
+		case err == nil && mayHaveRun && method == methodSubmit && r.Outcome != scheduler.OutcomeDone:
+			return scheduler.Reply{}, refusedAfterNoAnswer(r)
+		case err == nil:
 			return r, nil
 		}
 		if verdict.Of(err) != verdict.NotRun {
@@ -202,6 +208,13 @@
 	}
 }
 
+// refusedAfterNoAnswer returns the error of a submission that was refused by r after a
+// call of it got no answer. Only a refusal of every call says that it never runs.
+func refusedAfterNoAnswer(r scheduler.Reply) error {
+	err := verdict.New(verdict.MayHaveRun, verdict.Reason(r.Reason), "refused after a call without an answer")
+	return err.WithRetryAfter(time.Duration(r.RetryAfterMS) * time.Millisecond)
+}
+
 // combinedVerdict gives a call's error the verdict of all its attempts.
 func combinedVerdict(err error, maybe bool) error {
 	if maybe && verdict.Of(err) == verdict.NotRun {
