--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -124,6 +124,7 @@
 	drainIgnoresDeferred  bool // drain without waiting for deferred uses
 	attestWithoutEnd      bool // extend a lease by attestations however old the newest read is
 	trustForgetful        bool // accept attestations of a witness that restarted since the newest read
+	switchWitnessesEarly  bool // use other witnesses before the log is known to have them
 }
 
 // majority returns how many of n witnesses form a majority.
--- a/ownership/share_state.go
+++ b/ownership/share_state.go
@@ -222,6 +222,9 @@
 // ones, since a claimant asks those that it reads there.
 func (p Protocol) ReplaceWitnesses(s ShareState, witnesses []string) ShareState {
 	s.Pending = Tenure{Epoch: s.Tenure.Epoch + 1, Holder: s.Tenure.Holder, Witnesses: witnesses}
+	if p.faults.switchWitnessesEarly {
+		return p.WitnessesReplaced(s)
+	}
 	return s
 }
 
