scheduler: explore owners in turn with their real Cores

A world in virtual time runs the Core of each owner: four daemons as owners and witnesses, two servers whose clocks run up to 2% fast or slow, a log that fences by epoch. It checks at each start, and at each server that is dropped from the log, that the leases that earlier owners sent there are over or the server has answered the new owner; the deadlines are those of the orders and polls that the Cores send. Events: claims at any moment, the log away for one daemon or all, cuts between daemons and servers and between daemons, pauses (what is ready leaves after the owner wakes), witnesses that restart and forget, servers that leave the list, are dropped and come back. Answers of servers, of witnesses and of the log come up to a lease late and in any order.

Eight mutations (tenureFaults) are each seen: no wait, wait from the claim, no promises, leases by any answer, evidence dated at the answer, recorded waits from the claim, owners before the last forgotten, a server declared unheard that is leased.

Not covered: instances of servers that follow each other, one-way cuts between owner and server, owners' clocks that drift, suspended machines, other witnesses stored after the claim.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -160,6 +160,7 @@
 	// openTasks is the last result of countOpenTasks, plus the tasks accepted
 	// since, by priority. It is kept while sendingHeldUp.
 	openTasks map[int]int
+	faults    tenureFaults
 }
 
 // storedCallback waits until a write and all before it are in the log.
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -51,6 +51,7 @@
 	stopped map[string]bool
 	// updateStored is set once the log has that the leases of earlier owners are over.
 	updateStored bool
+	faults       tenureFaults
 }
 
 // newTenure returns the tenure of an owner with a claim in the log whose append began at
@@ -78,6 +79,19 @@
 	return t
 }
 
+// tenureFaults disables single steps of the protocol in a Core. Only tests set them, to show
+// that the exploration detects the resulting violation.
+type tenureFaults struct {
+	noWait          bool // wait for no lease of an earlier owner
+	waitFromClaim   bool // count that wait from the claim, not from the promises
+	noPromises      bool // take all earlier owners for over without a promise
+	anyAnswer       bool // extend leases by the answer of any one daemon
+	dateAtAnswer    bool // date evidence at its arrival
+	recordFromClaim bool // record what this owner waited since its claim, not since the promises
+	forgetOwners    bool // wait only for the last of the earlier owners
+	leaseDeclared   bool // send leases to a server that the record declares unheard
+}
+
 // holderOf identifies one owner. A daemon may own a partition several times.
 func holderOf(epoch uint64, daemon string) string { return fmt.Sprintf("%s/%d", daemon, epoch) }
 
@@ -133,12 +147,20 @@
 // priorSilentFor returns how long no earlier owner can have extended a lease, or false if
 // one still may.
 func (t *tenure) priorSilentFor(now time.Time) (time.Duration, bool) {
+	if t.faults.noPromises || t.faults.waitFromClaim && len(t.state.Prior) == 0 {
+		return now.Sub(t.began), true
+	}
 	since, over := t.protocol.PriorOver(t.state)
 	return t.instant(now).Sub(since), over
 }
 
 // takeoverWait is how long leases last at most once no owner extends them.
-func (t *tenure) takeoverWait() time.Duration { return t.protocol.Timing.TakeoverWait }
+func (t *tenure) takeoverWait() time.Duration {
+	if t.faults.noWait {
+		return 0
+	}
+	return t.protocol.Timing.TakeoverWait
+}
 
 // witnesses returns the daemons that may attest for this owner.
 func (t *tenure) witnesses() []string {
@@ -190,7 +212,11 @@
 
 // SetClaim sets this owner's claim, whose append began at the given time.
 func (c *Core) SetClaim(claim workload.PartitionOwner, began time.Time) {
+	if c.faults.forgetOwners && len(claim.Prior) > 1 {
+		claim.Prior = claim.Prior[len(claim.Prior)-1:]
+	}
 	c.tenure = newTenure(claim, began, c.now)
+	c.tenure.faults = c.faults
 	c.maxLeaseSent = c.bounds.lease()
 	for _, p := range claim.Prior {
 		c.maxLeaseSent = max(c.maxLeaseSent, msDuration(p.LeaseMS))
@@ -200,6 +226,9 @@
 // SetOwnershipConfirmed sets when the newest call to the log began that a later claim
 // would have made fail.
 func (c *Core) SetOwnershipConfirmed(at time.Time) {
+	if c.faults.dateAtAnswer {
+		at = c.now
+	}
 	if at.After(c.resumedAt) {
 		c.tenure.confirmed(at, c.now)
 	}
@@ -208,6 +237,12 @@
 // AttestationReceived handles a witness's statement that it knows of no later claim and has
 // been up for the given time.
 func (c *Core) AttestationReceived(witness string, askedAt, answeredAt time.Time, up time.Duration) {
+	if c.faults.dateAtAnswer {
+		askedAt = answeredAt
+	}
+	if c.faults.anyAnswer {
+		c.tenure.confirmed(askedAt, c.now)
+	}
 	if askedAt.After(c.resumedAt) {
 		c.tenure.attested(witness, askedAt, answeredAt, up)
 	}
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -61,7 +61,10 @@
 func (c *Core) unheardServers() map[string]int64 {
 	waited := make(map[string]int64)
 	for id, s := range c.servers {
-		if silent, known := c.unheardFor(s); known && s.inherited && !s.heard && !c.recovered {
+		if silent, known := c.unheardFor(s); (known || c.faults.recordFromClaim) && s.inherited && !s.heard && !c.recovered {
+			if c.faults.recordFromClaim {
+				silent = s.waitedBefore + c.now.Sub(c.started)
+			}
 			waited[id] = silent.Milliseconds()
 		}
 	}
@@ -83,7 +86,7 @@
 func (c *Core) mayLease(s *server) bool {
 	first := !s.heard
 	s.heard = true
-	if !c.declaredUnheard[s.info.ID] {
+	if !c.declaredUnheard[s.info.ID] || c.faults.leaseDeclared {
 		return true
 	}
 	if first {
