--- a/internal/scheduler/tenure_explore_test.go
+++ b/internal/scheduler/tenure_explore_test.go
@@ -162,6 +162,7 @@
 		v.rate = 0.98 + 0.02*float64(w.rng.IntN(3))
 	}
 	w.slow = []time.Duration{0, 300 * time.Millisecond, tenureLease}[w.rng.IntN(3)]
+	w.lossy = w.rng.IntN(2) == 0
 	events := allTenureEvents()
 	for range 24 {
 		w.apply(events[w.rng.IntN(len(events))])
--- a/internal/scheduler/tenureserver_test.go
+++ b/internal/scheduler/tenureserver_test.go
@@ -43,6 +43,9 @@
 
 var errFenced = verdict.New(verdict.NotRun, ReasonFenced, "fenced")
 
+// answerLost reports whether a server's answer is lost after it has done what it was told.
+func (w *tenureWorld) answerLost() bool { return w.lossy && w.rng.IntN(6) == 0 }
+
 // handle lets a server carry out an order, and answers it.
 func (w *tenureWorld) handle(c tenureCall) {
 	v, o, sent := c.server, c.from, w.now
@@ -68,6 +71,9 @@
 			err = w.begin(v, o, a.Order)
 		}
 		clock := w.clock(v)
+		if err == nil && w.answerLost() {
+			err = errNoAnswer
+		}
 		w.reply(o, func(c *Core) { told(); c.StartCompleted(a.To, a.Order, clock, err) })
 	case StopTask:
 		if key := (runKey{a.Order.Task, a.Order.Run}); err == nil {
@@ -86,6 +92,9 @@
 			for key := range v.runs {
 				list.Running = append(list.Running, ActiveRun{Task: key.task, Run: key.run})
 			}
+			if w.answerLost() {
+				err = errNoAnswer
+			}
 		}
 		w.calls = append(w.calls, tenureCall{due: w.now.Add(tenureStep + w.delay()), from: o, answer: func(c *Core) {
 			told()
--- a/internal/scheduler/tenureworld_test.go
+++ b/internal/scheduler/tenureworld_test.go
@@ -48,6 +48,8 @@
 	ownWitnesses bool
 	// slow lets answers take up to that long.
 	slow time.Duration
+	// lossy loses some answers of servers.
+	lossy bool
 	// laterStarts counts the starts that owners after the first sent.
 	laterStarts int
 	trace       []string
