Tenures: names for what a newcomer had to guess; the scheduler's use of them has a file of its own

What a tenure knows and what the scheduler decides by it are two files. The same word stood for an owner's and a server's silence, and one name for two facts; a question also wrote a record. No decision changes.

--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -282,7 +282,7 @@
 	if now := e.o.Now(); now.Sub(e.candidatesAt) >= candidatesInterval {
 		e.candidatesAt = now
 		candidates := e.o.Witnesses.Candidates()
-		e.core.SetWitnessCandidates(chooseWitnesses(e.o.Partition, e.o.Daemon, candidates), candidates)
+		e.core.UpdateWitnesses(chooseWitnesses(e.o.Partition, e.o.Daemon, candidates), candidates)
 	}
 	witnesses := e.core.tenure.witnesses()
 	e.witnesses.Store(&witnesses)
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -100,6 +100,7 @@
 		s.ackedEnd = s.ackInFlight
 	}
 	s.failedPolls = 0
+	c.noteHeard(s)
 	if !c.mayLease(s) {
 		return
 	}
--- a/internal/scheduler/recovery.go
+++ b/internal/scheduler/recovery.go
@@ -21,7 +21,8 @@
 }
 
 // mayHoldInheritedRuns reports whether a server may hold a run of an earlier owner that
-// it has not listed to this one.
+// it has not listed to this one. One that no owner has sent a lease holds none, nor does
+// one whose instance has ended.
 func (c *Core) mayHoldInheritedRuns(s *server) bool {
 	unused := !s.inherited && s.leaseDeadlineMS == 0
 	listedAll := s.synced && s.endsComplete
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/ownership"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
@@ -104,9 +103,9 @@
 	t.state = t.protocol.Suspended(t.state, missed)
 }
 
-// confirmed records a call to the log, begun at the given time, that a later claim would
+// applyConfirmation records a call to the log, begun at the given time, that a later claim would
 // have made fail.
-func (t *tenure) confirmed(at, now time.Time) {
+func (t *tenure) applyConfirmation(at, now time.Time) {
 	own := ownership.Entry{Tenure: t.state.Tenure}
 	t.state = t.protocol.ApplyRead(t.state, own.Holder, own, t.instant(at), t.instant(now))
 }
@@ -116,18 +115,18 @@
 	return t.began.Add(t.state.ReadEvidence.Sub(instantOrigin))
 }
 
-// attested records that a witness, which had been up for the given time when it answered,
+// applyAttestation records that a witness, which had been up for the given time when it answered,
 // knows of no later claim.
-func (t *tenure) attested(witness string, askedAt, answeredAt time.Time, up time.Duration) {
+func (t *tenure) applyAttestation(witness string, askedAt, answeredAt time.Time, up time.Duration) {
 	now := t.instant(answeredAt)
 	if t.protocol.WitnessRemembers(t.state, up, now) {
 		t.state = t.protocol.ApplyAttestation(t.state, witness, t.state.Tenure.Epoch, t.instant(askedAt), now)
 	}
 }
 
-// promised records that a daemon attests for no earlier owner any more, and whether none
+// applyPromise records that a daemon attests for no earlier owner any more, and whether none
 // runs on it.
-func (t *tenure) promised(daemon string, stopped bool, now time.Time) {
+func (t *tenure) applyPromise(daemon string, stopped bool, now time.Time) {
 	t.state = t.protocol.ApplyConsent(t.state, daemon, t.state.Tenure.Epoch)
 	if stopped {
 		t.stopped[daemon] = true
@@ -154,13 +153,13 @@
 	return t.protocol.EvidenceUntil(t.state).Sub(t.instant(now))
 }
 
-// priorSilentFor returns how long no earlier owner can have extended a lease, or false if
+// sinceLastPriorRenewal returns how long no earlier owner can have extended a lease, or false if
 // one still may.
-func (t *tenure) priorSilentFor(now time.Time) (time.Duration, bool) {
+func (t *tenure) sinceLastPriorRenewal(now time.Time) (time.Duration, bool) {
 	if t.faults.noPromises || t.faults.waitFromClaim && len(t.state.Prior) == 0 {
 		return now.Sub(t.began), true
 	}
-	since, over := t.protocol.PriorOver(t.state)
+	since, over := t.protocol.PriorCannotRenew(t.state)
 	return t.instant(now).Sub(since), over
 }
 
@@ -195,7 +194,7 @@
 	if update.Epoch == before.Epoch && len(update.Witnesses) > 0 {
 		before.Witnesses = update.Witnesses
 	}
-	if update.Epoch != before.Epoch || !update.PriorOver {
+	if update.Epoch != before.Epoch || !update.PriorExpired {
 		claim.Prior = before.Prior
 	}
 	last := workload.PriorOwner{Epoch: before.Epoch, Daemon: before.Daemon, LeaseMS: before.LeaseMS, Witnesses: before.Witnesses}
@@ -219,163 +218,3 @@
 	}
 	return append([]workload.PriorOwner{oldest}, prior[excess+1:]...)
 }
-
-// SetClaim sets this owner's claim, whose append began at the given time of both clocks or
-// later.
-func (c *Core) SetClaim(claim workload.PartitionOwner, began time.Time, wallBegan int64) {
-	if c.faults.forgetOwners && len(claim.Prior) > 1 {
-		claim.Prior = claim.Prior[len(claim.Prior)-1:]
-	}
-	c.tenure = newTenure(claim, began, c.now)
-	c.tenure.faults = c.faults
-	if missed := suspension(began, wallBegan, c.now, c.wall); missed > 0 {
-		c.resumedAt = c.now
-		c.tenure.suspended(missed)
-	}
-	c.maxLeaseSent = c.bounds.lease()
-	for _, p := range claim.Prior {
-		c.maxLeaseSent = max(c.maxLeaseSent, msDuration(p.LeaseMS))
-	}
-}
-
-// SetOwnershipConfirmed sets when the newest call to the log began that a later claim
-// would have made fail.
-func (c *Core) SetOwnershipConfirmed(at time.Time) {
-	if c.faults.dateAtAnswer {
-		at = c.now
-	}
-	if at.After(c.resumedAt) {
-		c.tenure.confirmed(at, c.now)
-	}
-}
-
-// AttestationReceived handles a witness's statement that it knows of no later claim and has
-// been up for the given time.
-func (c *Core) AttestationReceived(witness string, askedAt, answeredAt time.Time, up time.Duration) {
-	if c.faults.dateAtAnswer {
-		askedAt = answeredAt
-	}
-	if c.faults.anyAnswer {
-		c.tenure.confirmed(askedAt, c.now)
-	}
-	if askedAt.After(c.resumedAt) {
-		c.tenure.attested(witness, askedAt, answeredAt, up)
-	}
-}
-
-// PromiseReceived handles a daemon's promise to attest for no earlier owner. Stopped says
-// that none of them runs on it.
-func (c *Core) PromiseReceived(daemon string, stopped bool) {
-	c.tenure.promised(daemon, stopped, c.now)
-}
-
-// PriorLeasesExpired reports whether all leases of earlier owners have expired.
-func (c *Core) PriorLeasesExpired() bool {
-	silent, over := c.tenure.priorSilentFor(c.now)
-	return over && silent >= c.tenure.takeoverWait()
-}
-
-// leaseLeft returns the longest lease that may be sent now; 0 or less if none may.
-func (c *Core) leaseLeft() time.Duration { return c.tenure.leaseLeft(c.now) }
-
-// mayStartTasks reports whether the leases that may be sent now are long enough for new
-// tasks.
-func (c *Core) mayStartTasks() bool { return c.leaseLeft() >= c.bounds.lease()/minStartFraction }
-
-// unheardFor returns how long no earlier owner can have extended a lease on a server that
-// has not answered this owner, or false if one still may.
-func (c *Core) unheardFor(s *server) (time.Duration, bool) {
-	if s.waitRecorded {
-		return s.waitedBefore + c.now.Sub(c.started), true
-	}
-	return c.tenure.priorSilentFor(c.now)
-}
-
-// leasesExpired reports whether all leases ever sent to a server have expired. A later
-// owner may have heard the server and renewed them, so that a call to the log must have
-// shown since that there is none. Attestations do not: a later owner needs no promises to
-// renew what it has adopted.
-func (c *Core) leasesExpired(s *server) bool {
-	if s.over {
-		return true
-	}
-	expiry, known := c.ownLeasesExpiry(s)
-	if !known || !c.now.After(expiry) {
-		return false
-	}
-	confirmed := !c.tenure.confirmedAt().Before(expiry)
-	c.confirmationDue = c.confirmationDue || !confirmed
-	return confirmed
-}
-
-// ownLeasesExpiry returns when the leases that this and earlier owners have sent to a
-// server have expired, or false if an earlier owner may still extend one.
-func (c *Core) ownLeasesExpiry(s *server) (time.Time, bool) {
-	if !s.inherited || !s.polledAt.IsZero() {
-		return s.leaseExpiry(), true
-	}
-	silent, over := c.unheardFor(s)
-	return c.now.Add(c.tenure.takeoverWait() - silent), over
-}
-
-// TakeConfirmationDue reports whether a decision waits for a call to the log that shows no
-// later claim, once for each time.
-func (c *Core) TakeConfirmationDue() bool {
-	due := c.confirmationDue
-	c.confirmationDue = false
-	return due
-}
-
-// noteLeaseRenewal logs when this owner stops renewing leases for want of evidence, and
-// when it renews them again.
-func (c *Core) noteLeaseRenewal() {
-	left := c.leaseLeft()
-	if renewed := left > 0; renewed != c.leasesRenewed {
-		c.leasesRenewed = renewed
-		c.log.Log(events.LeaseRenewalChanged, "epoch", c.epoch, "renewed", renewed, "evidenceAge", (c.bounds.lease() - left).Milliseconds())
-	}
-}
-
-// storeUpdate stores that the leases of earlier owners are over, so that the next owner
-// need not ask about them.
-func (c *Core) storeUpdate() {
-	if c.tenure.updateStored || !c.PriorLeasesExpired() {
-		return
-	}
-	c.tenure.updateStored = true
-	c.writeUpdate(nil)
-}
-
-// SetWitnessCandidates sets the daemons that can witness claims now. Other witnesses are
-// stored if one of the present ones is not among them, or if there are too few.
-func (c *Core) SetWitnessCandidates(chosen []string, candidates []string) {
-	t := c.tenure
-	gone := slices.ContainsFunc(t.state.Tenure.Witnesses, func(w string) bool { return !slices.Contains(candidates, w) })
-	if !gone && len(t.state.Tenure.Witnesses) >= len(chosen) || t.state.Pending.Epoch != 0 {
-		c.witnessesStaleAt = time.Time{}
-		return
-	}
-	if c.witnessesStaleAt.IsZero() {
-		c.witnessesStaleAt = c.now
-	}
-	if c.now.Sub(c.witnessesStaleAt) < witnessSettleTime {
-		return
-	}
-	c.witnessesStaleAt = time.Time{}
-	t.state = t.protocol.ReplaceWitnesses(t.state, chosen)
-	c.writeUpdate(func() { t.state = t.protocol.WitnessesReplaced(t.state) })
-}
-
-// witnessSettleTime is how long other witnesses must be due before they are stored:
-// daemons that restart are back within it.
-const witnessSettleTime = 3 * time.Second
-
-// writeUpdate stores what has changed since this owner's claim.
-func (c *Core) writeUpdate(then func()) {
-	witnesses := c.tenure.state.Tenure.Witnesses
-	if pending := c.tenure.state.Pending; pending.Epoch != 0 {
-		witnesses = pending.Witnesses
-	}
-	u := workload.OwnerUpdate{Epoch: c.epoch, Witnesses: witnesses, PriorOver: c.tenure.updateStored}
-	c.write([]partition.Record{recordOf(keyUpdate, "", u)}, then)
-}
--- a/internal/scheduler/tenure_test.go
+++ b/internal/scheduler/tenure_test.go
@@ -41,16 +41,16 @@
 		over bool
 	}{
 		{"nobody has promised", func(*tenure, time.Time) {}, false},
-		{"one of three", func(o *tenure, now time.Time) { o.promised("b", false, now) }, false},
-		{"two of three", func(o *tenure, now time.Time) { o.promised("b", false, now); o.promised("c", false, now) }, true},
-		{"one twice", func(o *tenure, now time.Time) { o.promised("b", false, now); o.promised("b", false, now) }, false},
-		{"the earlier owner has ended", func(o *tenure, now time.Time) { o.promised("a", true, now) }, true},
-		{"its daemon has promised and still runs it", func(o *tenure, now time.Time) { o.promised("a", false, now) }, false},
+		{"one of three", func(o *tenure, now time.Time) { o.applyPromise("b", false, now) }, false},
+		{"two of three", func(o *tenure, now time.Time) { o.applyPromise("b", false, now); o.applyPromise("c", false, now) }, true},
+		{"one twice", func(o *tenure, now time.Time) { o.applyPromise("b", false, now); o.applyPromise("b", false, now) }, false},
+		{"the earlier owner has ended", func(o *tenure, now time.Time) { o.applyPromise("a", true, now) }, true},
+		{"its daemon has promised and still runs it", func(o *tenure, now time.Time) { o.applyPromise("a", false, now) }, false},
 	} {
 		o := newTenure(testClaim(), timeAt(0), timeAt(0))
 		told := timeAt(5 * time.Second)
 		tc.tell(o, told)
-		silent, over := o.priorSilentFor(told.Add(time.Second))
+		silent, over := o.sinceLastPriorRenewal(told.Add(time.Second))
 		if over != tc.over || over && silent != time.Second {
 			t.Errorf("%s: no extension for %s, %t; want %t and 1 s", tc.name, silent, over, tc.over)
 		}
@@ -62,12 +62,12 @@
 func TestTenure_WaitEndsIfNobodyIsReached(t *testing.T) {
 	o := newTenure(testClaim(), timeAt(0), timeAt(0))
 	o.advance(timeAt(maxAttested))
-	if _, over := o.priorSilentFor(timeAt(maxAttested)); over {
+	if _, over := o.sinceLastPriorRenewal(timeAt(maxAttested)); over {
 		t.Errorf("no extension after %s by this clock, which may run fast", maxAttested)
 	}
 	late := timeAt(maxAttested * 12 / 10)
 	o.advance(late)
-	if _, over := o.priorSilentFor(late); !over {
+	if _, over := o.sinceLastPriorRenewal(late); !over {
 		t.Errorf("the earlier owner may extend leases %s after the claim, want at most about %s", late.Sub(tenureStart), maxAttested)
 	}
 }
@@ -83,23 +83,23 @@
 		left time.Duration
 	}{
 		{"the claim, from its start", func(*tenure) {}, 4 * time.Second, 2 * time.Second},
-		{"a read, from its start", func(o *tenure) { o.confirmed(timeAt(2*time.Second), timeAt(4*time.Second)) }, 4 * time.Second, 4 * time.Second},
-		{"one witness", func(o *tenure) { o.attested("a", timeAt(3*time.Second), timeAt(4*time.Second), long) }, 4 * time.Second, 2 * time.Second},
+		{"a read, from its start", func(o *tenure) { o.applyConfirmation(timeAt(2*time.Second), timeAt(4*time.Second)) }, 4 * time.Second, 4 * time.Second},
+		{"one witness", func(o *tenure) { o.applyAttestation("a", timeAt(3*time.Second), timeAt(4*time.Second), long) }, 4 * time.Second, 2 * time.Second},
 		{"two witnesses, from the earlier question", func(o *tenure) {
-			o.attested("a", timeAt(2*time.Second), timeAt(4*time.Second), long)
-			o.attested("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
+			o.applyAttestation("a", timeAt(2*time.Second), timeAt(4*time.Second), long)
+			o.applyAttestation("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
 		}, 4 * time.Second, 4 * time.Second},
 		{"a witness that has restarted since", func(o *tenure) {
-			o.attested("a", timeAt(3*time.Second), timeAt(4*time.Second), time.Second)
-			o.attested("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
+			o.applyAttestation("a", timeAt(3*time.Second), timeAt(4*time.Second), time.Second)
+			o.applyAttestation("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
 		}, 4 * time.Second, 2 * time.Second},
 		{"a daemon that is no witness", func(o *tenure) {
-			o.attested("x", timeAt(3*time.Second), timeAt(4*time.Second), long)
-			o.attested("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
+			o.applyAttestation("x", timeAt(3*time.Second), timeAt(4*time.Second), long)
+			o.applyAttestation("b", timeAt(3*time.Second), timeAt(4*time.Second), long)
 		}, 4 * time.Second, 2 * time.Second},
 		{"attestations long after the last call to the log", func(o *tenure) {
 			for _, w := range []string{"a", "b", "c"} {
-				o.attested(w, timeAt(40*time.Second), timeAt(40*time.Second), long)
+				o.applyAttestation(w, timeAt(40*time.Second), timeAt(40*time.Second), long)
 			}
 		}, 32 * time.Second, maxAttested + testTenureLease - 32*time.Second},
 	} {
@@ -134,11 +134,11 @@
 	if last := nextClaim(records(), "d5", bounds, nil).Prior[4]; !slices.Equal(last.Witnesses, []string{"x", "y"}) {
 		t.Errorf("witnesses %v of the last owner, want those that it stored after its claim", last.Witnesses)
 	}
-	put(recordOf(keyUpdate, "", workload.OwnerUpdate{Epoch: 5, PriorOver: true}))
+	put(recordOf(keyUpdate, "", workload.OwnerUpdate{Epoch: 5, PriorExpired: true}))
 	if prior := nextClaim(records(), "d5", bounds, nil).Prior; len(prior) != 1 || prior[0].Daemon != "d4" {
 		t.Errorf("owners %v named although only the leases of the last one may last", prior)
 	}
-	put(recordOf(keyUpdate, "", workload.OwnerUpdate{Epoch: 4, PriorOver: true}))
+	put(recordOf(keyUpdate, "", workload.OwnerUpdate{Epoch: 4, PriorExpired: true}))
 	if prior := nextClaim(records(), "d5", bounds, nil).Prior; len(prior) != 5 {
 		t.Errorf("%d owners named after an update of the owner before the last, want 5", len(prior))
 	}
@@ -156,8 +156,8 @@
 		t.Errorf("%d owners named, want %d", len(claim.Prior), maxPriorOwners)
 	}
 	o := newTenure(claim, timeAt(0), timeAt(0))
-	o.promised("d", true, timeAt(time.Second))
-	if _, over := o.priorSilentFor(timeAt(time.Second)); over {
+	o.applyPromise("d", true, timeAt(time.Second))
+	if _, over := o.sinceLastPriorRenewal(timeAt(time.Second)); over {
 		t.Error("the owners that are not named any more count as over")
 	}
 }
@@ -236,7 +236,7 @@
 	claim := testClaim()
 	h.core.SetClaim(claim, h.now, h.wall)
 	now := []string{"a", "b", "d"}
-	set := func() { h.do(func(c *Core) { c.SetWitnessCandidates(now, now) }) }
+	set := func() { h.do(func(c *Core) { c.UpdateWitnesses(now, now) }) }
 	set()
 	h.advance(witnessSettleTime - time.Second)
 	set()
--- a/internal/scheduler/unheard.go
+++ b/internal/scheduler/unheard.go
@@ -61,11 +61,11 @@
 func (c *Core) unheardServers() map[string]int64 {
 	waited := make(map[string]int64)
 	for id, s := range c.servers {
-		if silent, known := c.unheardFor(s); (known || c.faults.recordFromClaim) && s.inherited && !s.heard && !c.recovered {
+		if since, known := c.sinceLastRenewal(s); (known || c.faults.recordFromClaim) && s.inherited && !s.heard && !c.recovered {
 			if c.faults.recordFromClaim {
-				silent = s.waitedBefore + c.now.Sub(c.started)
+				since = s.waitedBefore + c.now.Sub(c.started)
 			}
-			waited[id] = silent.Milliseconds()
+			waited[id] = since.Milliseconds()
 		}
 	}
 	return waited
@@ -81,18 +81,20 @@
 	}
 }
 
-// mayLease reports whether a server that has answered may be used, and starts what is
-// needed if not: a record that names it as unheard must be replaced first.
-func (c *Core) mayLease(s *server) bool {
+// noteHeard notes that a server has answered this owner. A record that names it as unheard
+// is replaced.
+func (c *Core) noteHeard(s *server) {
 	first := !s.heard
 	s.heard = true
-	if !c.declaredUnheard[s.info.ID] || c.faults.leaseDeclared {
-		return true
-	}
-	if first {
+	if first && c.declaredUnheard[s.info.ID] {
 		c.writeUnheard()
 	}
-	return false
+}
+
+// mayLease reports whether a server may get leases: no stored record may say that it has
+// not answered this owner.
+func (c *Core) mayLease(s *server) bool {
+	return !c.declaredUnheard[s.info.ID] || c.faults.leaseDeclared
 }
 
 // loadUnheard returns, by server, how long no earlier owner can have extended a lease
--- a/ownership/partition_explore_test.go
+++ b/ownership/partition_explore_test.go
@@ -221,7 +221,7 @@
 	}
 	o := &w.owners[i]
 	x.answer(w, partLate{kind: lateConfirm, owner: i, askedAt: w.clock(o.daemon)}, "owner %d reads", i+1)
-	if since, over := x.protocol.PriorOver(o.state); over && !o.priorOver && w.clock(o.daemon).Sub(since) >= x.protocol.takeoverWait() {
+	if since, over := x.protocol.PriorCannotRenew(o.state); over && !o.priorOver && w.clock(o.daemon).Sub(since) >= x.protocol.takeoverWait() {
 		c := w.clone()
 		c.owners[i].priorOver = true
 		x.push(c, "owner %d stores that earlier leases are over", i+1)
--- a/ownership/partition_model_test.go
+++ b/ownership/partition_model_test.go
@@ -196,7 +196,7 @@
 			continue
 		}
 		o.leaseUntil = max(o.leaseUntil, until+w.daemons[o.daemon].clockLag)
-		if since, over := p.PriorOver(o.state); !over || now.Sub(since) < p.takeoverWait() {
+		if since, over := p.PriorCannotRenew(o.state); !over || now.Sub(since) < p.takeoverWait() {
 			continue
 		}
 		starts = starts || i > 0
--- a/ownership/share_state.go
+++ b/ownership/share_state.go
@@ -219,7 +219,8 @@
 
 // ReplaceWitnesses prepares other witnesses for the claim. Until it is known whether the
 // log has them, attestations count only with a majority of the former and of the new
-// ones, since a claimant asks those that it reads there.
+// ones, since a claimant asks those that it reads there. The epoch of the pending tenure
+// only marks it as unknown; no such claim is made.
 func (p Protocol) ReplaceWitnesses(s ShareState, witnesses []string) ShareState {
 	s.Pending = Tenure{Epoch: s.Tenure.Epoch + 1, Holder: s.Tenure.Holder, Witnesses: witnesses}
 	if p.faults.switchWitnessesEarly {
@@ -234,9 +235,10 @@
 	return s
 }
 
-// PriorOver reports since when no earlier holder can get new evidence, or false if one
-// still may. Their leases end within Timing.TakeoverWait of that.
-func (p Protocol) PriorOver(s ShareState) (since Instant, over bool) {
+// PriorCannotRenew reports since when no earlier holder can get new evidence, or false if one
+// still may. Their leases end within Timing.TakeoverWait of that. WaitUntil is that much
+// later than the moment at which the last of them was known to get none.
+func (p Protocol) PriorCannotRenew(s ShareState) (since Instant, over bool) {
 	return s.WaitUntil.Add(-p.takeoverWait()), s.Tenure.Epoch > 0 && len(s.Prior) == 0
 }
 
--- a/workload/record.go
+++ b/workload/record.go
@@ -112,8 +112,8 @@
 	Epoch uint64 `cbor:"1,keyasint"`
 	// Witnesses replace those of the claim.
 	Witnesses []string `cbor:"2,keyasint,omitempty"`
-	// PriorOver is set once the leases of all owners before have expired.
-	PriorOver bool `cbor:"3,keyasint,omitempty"`
+	// PriorExpired is set once the leases of all owners before have expired.
+	PriorExpired bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Encode returns v in CBOR. The error is that of the CBOR encoder.
