--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -333,6 +334,8 @@
 type route struct {
 	name, service string
 	priority      int
+	// targetMS is the target latency; 0 means 3 s.
+	targetMS int
 }
 
 // configure writes a version of the config, as the operator does.
@@ -340,7 +343,7 @@
 	var rs, ss []map[string]any
 	for _, r := range routes {
 		rs = append(rs, map[string]any{"name": r.name, "host": "desk.example", "path_prefix": "/" + r.name + "/", "service": r.service, "kind": "unsafe",
-			"timeout_ms": 3000, "priority": r.priority, "attempts": 3, "stretch": 4.0, "target_latency_ms": 3000})
+			"timeout_ms": 3000, "priority": r.priority, "attempts": 3, "stretch": 4.0, "target_latency_ms": cmp.Or(r.targetMS, 3000)})
 	}
 	for _, s := range services {
 		ss = append(ss, map[string]any{"name": s, "admission_check": false})
