--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -113,6 +113,18 @@
 	return len(c.active[task]) > 0, c.last[task]
 }
 
+// atRest reports whether no task runs on any runner.
+func (c *checker) atRest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, runs := range c.active {
+		if len(runs) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *checker) counts() (started, done int, twice []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
