Each event of a batch is applied at its own time

Cause: a run counts as lost if the server does not list it in a poll that was sent after the start's answer. A poll that left while a batch was applied seemed newer than an answer that had come before it in fact only later.

Fix: the loop reads the clocks before each event, so that an answer is dated after its arrival. Both times are readings of one monotonic clock, the poll's before it left and the answer's after it came; "answer before poll" is then a fact whatever the length of a batch, and not one of a smaller window.

The same cause elsewhere, each with the direction that is safe: a server's clock was dated before it was read, so that its leases expired early (late is safe); a restarted instance was met before it had answered, so that an older call to the log could clear it for use (late is safe); promises of witnesses likewise. Tickets were valid from the time at which their answer was applied; they are from its arrival (early is safe).

--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -210,9 +210,7 @@
 				return partition.ErrFenced
 			}
 		case ev := <-e.events.C():
-			e.setTime()
-			ev.apply(e.core)
-			e.drain()
+			e.applyBatch(ev)
 		case <-tick.C:
 			e.setTime()
 			if now := e.o.Config(); now != config {
@@ -251,12 +249,16 @@
 	}
 }
 
-// drain applies the events that are already queued, so that they share one
-// placement pass.
-func (e *Engine) drain() {
+// applyBatch applies an event and those that are already queued, so that they share one
+// placement pass. Each gets a time of its own: what an event reports has happened by the
+// time at which it is applied, so that a poll that was sent later must show it.
+func (e *Engine) applyBatch(ev event) {
+	e.setTime()
+	ev.apply(e.core)
 	for range maxEventBurst {
 		select {
-		case ev := <-e.events.C():
+		case ev = <-e.events.C():
+			e.setTime()
 			ev.apply(e.core)
 		default:
 			return
@@ -327,7 +329,7 @@
 	tickets, validity, err := client.Authorize(ctx, a.Step.StepName(), a.Servers)
 	done(err)
 	e.o.Metrics.authorizationTime.Update(e.o.Now().Sub(began).Seconds())
-	e.push(authorizedEvent{a, tickets, validity, err})
+	e.push(authorizedEvent{a, tickets, e.o.Now().Add(validity), err})
 }
 
 type storedEvent struct{ writeID uint64 }
@@ -372,14 +374,14 @@
 func (ev polledEvent) apply(c *Core) { c.PollCompleted(ev.to, ev.sent, ev.list, ev.err) }
 
 type authorizedEvent struct {
-	action   RequestAuthorization
-	tickets  []Ticket
-	validity time.Duration
-	err      error
+	action     RequestAuthorization
+	tickets    []Ticket
+	validUntil time.Time
+	err        error
 }
 
 func (ev authorizedEvent) apply(c *Core) {
-	c.AuthorizationCompleted(ev.action.Step, ev.action.Servers, ev.tickets, ev.validity, ev.err)
+	c.AuthorizationCompleted(ev.action.Step, ev.action.Servers, ev.tickets, ev.validUntil.Sub(c.now), ev.err)
 }
 
 // Epoch returns the Engine's epoch, or 0 before the claim.
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -156,8 +156,8 @@
 	state  attemptState
 	// sentAt is when the first start order was sent.
 	sentAt time.Time
-	// answeredAt is when the server confirmed the last order. A poll sent later
-	// must list the run or its end.
+	// answeredAt is when the server had confirmed the last order, by the time at which
+	// the Core learned of it or later. A poll sent after it must list the run or its end.
 	answeredAt time.Time
 	need       workload.Resources
 	ticket     string
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -28,7 +28,7 @@
 	// polling is set while a poll is in flight or scheduled.
 	polling bool
 	// clockMS is a reading of the instance's clock in milliseconds, taken at
-	// clockAt or later.
+	// clockAt or earlier, so that leases end no later than clockAt makes them.
 	clockMS int64
 	clockAt time.Time
 	// answeredClockMS is the clock at the last answer to a poll, which was given
