Occurrences are built when they are due, within a memory budget

Cause: all occurrences of a submission were built when it was accepted or loaded, 23 MB for such a one (466 MB of live heap for 20, before), and their sum had no bound.

Fix, one mechanism: an occurrence is built when it is due, or when a server lists a run of it, and dropped when it is done. What is done is kept as ranges, in memory and in the record, so that a submission costs the same in its last week as in its first; before, its progress grew by a row for each step of each occurrence and was written again with each end. What was stored of an occurrence that is not built is kept as stored. Due times stand in a heap; a tick looks at what is due only.

Accepted work that is large in itself (wide steps, many submissions) is bounded by a budget: a quarter of the memory of the smallest VM that is known, over all partitions, since one daemon may own them all. A submission is accepted if the budget has room for it with one of its occurrences; else it is refused at once, not run, with the bound named (429, or 400 where the whole budget is too small). A partition that holds more, from the versions before or after a change of VMs, is loaded all the same: the oldest work is built first, the rest is known, can be cancelled and waits (event memory_budget).

Handovers need daemons that know the ranges, so that the question whether all do has another name.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -21,32 +21,38 @@
 	minLargerDaemons = 4
 )
 
+// capacity is what a daemon's VM has.
 type capacity struct {
+	// CPU is in thousandths of a core.
 	CPU int64 `json:"cpu"`
+	// MemoryMB is in mebibytes; 0 if it is not known.
+	MemoryMB int64 `json:"memoryMB,omitempty"`
 }
 
-// Capacities tracks the CPU of the other daemons' VMs. Where VMs differ,
-// daemons on small ones yield partitions to those on large ones.
+// Capacities tracks the CPU and the memory of the other daemons' VMs. Where VMs differ,
+// daemons on small ones yield partitions to those on large ones, and no daemon accepts more
+// than the smallest one can hold.
 type Capacities struct {
 	self  string
-	own   int64
+	own   capacity
 	peers Daemons
 
 	mu       sync.Mutex
-	cpus     map[string]int64
+	others   map[string]capacity
 	querying map[string]bool
 	yielding bool
 	// changed is called when this daemon starts or stops yielding.
 	changed func(yields bool, larger, holders int)
 }
 
-// NewCapacities returns the Capacities of a daemon with own thousandths of a
-// core, and registers its method with the peers.
-func NewCapacities(self string, own int64, peers Daemons, decided func(yields bool, larger, holders int)) *Capacities {
-	c := &Capacities{self: self, own: own, peers: peers, changed: decided, cpus: make(map[string]int64), querying: make(map[string]bool)}
+// NewCapacities returns the Capacities of a daemon with the given thousandths of a core and
+// mebibytes of memory, and registers its method with the peers.
+func NewCapacities(self string, cpu, memoryMB int64, peers Daemons, decided func(yields bool, larger, holders int)) *Capacities {
+	own := capacity{cpu, memoryMB}
+	c := &Capacities{self: self, own: own, peers: peers, changed: decided, others: make(map[string]capacity), querying: make(map[string]bool)}
 	peers.Handle(methodCapacity, roles.TypedHandler(reasonBadCall, func(_ context.Context, from string, asker capacity) (any, error) {
-		c.record(from, asker.CPU)
-		return capacity{own}, nil
+		c.record(from, asker)
+		return own, nil
 	}))
 	return c
 }
@@ -67,15 +73,15 @@
 		if name == c.self {
 			continue
 		}
-		cpu, ok := c.cpus[name]
+		other, ok := c.others[name]
 		if !ok {
 			c.query(name)
 		}
-		if ok && cpu >= largerFactor*c.own {
+		if ok && other.CPU >= largerFactor*c.own.CPU {
 			larger++
 		}
 	}
-	if yields := larger >= minLargerDaemons && others && c.own > 0; yields != c.yielding {
+	if yields := larger >= minLargerDaemons && others && c.own.CPU > 0; yields != c.yielding {
 		c.yielding = yields
 		c.changed(yields, larger, len(names))
 	}
@@ -92,8 +98,8 @@
 		}
 		wg.Go(func() {
 			var got capacity
-			if err := c.peers.Call(ctx, name, methodCapacity, capacity{c.own}, &got); err == nil {
-				c.record(name, got.CPU)
+			if err := c.peers.Call(ctx, name, methodCapacity, c.own, &got); err == nil {
+				c.record(name, got)
 			}
 		})
 	}
@@ -111,11 +117,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), capacityTimeout)
 		defer cancel()
 		var got capacity
-		err := c.peers.Call(ctx, name, methodCapacity, capacity{c.own}, &got)
+		err := c.peers.Call(ctx, name, methodCapacity, c.own, &got)
 		// A daemon that did not answer is queried again by the next
 		// ShouldYield.
 		if err == nil {
-			c.record(name, got.CPU)
+			c.record(name, got)
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -123,8 +129,22 @@
 	}()
 }
 
-func (c *Capacities) record(name string, cpu int64) {
+func (c *Capacities) record(name string, of capacity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cpus[name] = cpu
+	c.others[name] = of
+}
+
+// SmallestMemoryMB returns the least memory of this VM and of those that are known, in
+// mebibytes; 0 if this one's is not known.
+func (c *Capacities) SmallestMemoryMB() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	least := c.own.MemoryMB
+	for _, other := range c.others {
+		if other.MemoryMB > 0 {
+			least = min(least, other.MemoryMB)
+		}
+	}
+	return least
 }
--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return verdict.New(verdict.NotRun, "peer_unreachable", "gone")
 	}
-	data, err := json.Marshal(capacity{cpu})
+	data, err := json.Marshal(capacity{CPU: cpu, MemoryMB: cpu})
 	if err != nil {
 		return err
 	}
@@ -56,7 +56,7 @@
 					peers[name] = cpu
 					holders = append(holders, name)
 				}
-				c := NewCapacities("me", tt.own, peers, func(bool, int, int) {})
+				c := NewCapacities("me", tt.own, 284, peers, func(bool, int, int) {})
 				if c.ShouldYield(holders) {
 					t.Error("yields to daemons of unknown capacity")
 				}
@@ -93,7 +93,7 @@
 // VMs only a few hold a partition, whatever their size.
 func TestCapacities_YieldsToLargerDaemonsThatQuery(t *testing.T) {
 	p := &connectedPeers{capacityPeers: make(capacityPeers)}
-	c := NewCapacities("me", 192, p, func(bool, int, int) {})
+	c := NewCapacities("me", 192, 284, p, func(bool, int, int) {})
 	// A small holder that has queried this daemon is known, so that no query
 	// runs in the background.
 	if _, err := p.handler(t.Context(), "other", json.RawMessage(`{"CPU":192}`)); err != nil {
@@ -108,7 +108,7 @@
 		}
 		name := fmt.Sprintf("d%d", i)
 		answer, err := p.handler(t.Context(), name, json.RawMessage(`{"CPU":800}`))
-		if err != nil || answer != (capacity{192}) {
+		if err != nil || answer != (capacity{CPU: 192, MemoryMB: 284}) {
 			t.Fatalf("%v, %v", answer, err)
 		}
 		p.capacityPeers[name] = 800
@@ -117,3 +117,19 @@
 		t.Error("a malformed query was answered")
 	}
 }
+
+// The next owner of a partition may be on the smallest VM, which must be able to hold what
+// the owners before it have accepted.
+func TestCapacities_SmallestMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers := capacityPeers{"large": 536, "small": 184}
+		c := NewCapacities("me", 400, 284, peers, func(bool, int, int) {})
+		if got := c.SmallestMemoryMB(); got != 284 {
+			t.Errorf("the smallest VM has %d MB before any other is known, want 284", got)
+		}
+		c.Learn(t.Context(), []string{"large", "small", "gone"})
+		if got := c.SmallestMemoryMB(); got != 184 {
+			t.Errorf("the smallest VM has %d MB, want 184", got)
+		}
+	})
+}
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -19,8 +19,9 @@
 	methodRoom     = "shard.room"
 	methodHandOver = "shard.handOver"
 	methodHeld     = "shard.held"
-	// methodHandsOver is answered by daemons that know the records of a handover.
-	methodHandsOver = "shard.handsOver"
+	// methodHandsOver is answered by daemons that know the records of a handover, with
+	// its ranges of occurrences that are done.
+	methodHandsOver = "shard.handsOverRanges"
 )
 
 const (
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -25,6 +25,12 @@
 		Fields:  []string{"id", "queue", "status", "age"},
 		Meaning: "The final state of a submission was stored and is returned to callers from now on.",
 	}
+	MemoryBudgetChanged = Event{
+		Number: 6067, Level: slog.LevelWarn, Name: "memory_budget",
+		Fields:  []string{"epoch", "exceeded", "held", "limit", "jobs"},
+		Meaning: "Accepted work that is due waits for memory, since the partition holds more than this owner's budget of limit bytes: it was filled under a larger one. What was accepted first goes on. Or, if exceeded is false, nothing waits for memory any more.",
+		Action:  "Cancel what is not needed, or replace the smallest VMs by larger ones: the budget follows their memory.",
+	}
 	SubmissionHandedOver = Event{
 		Number: 6060, Level: slog.LevelInfo, Name: "submission_handed_over",
 		Fields:  []string{"id", "queue", "to", "number", "why", "waited"},
@@ -232,7 +238,7 @@
 
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
-	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded,
+	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged,
 	SubmissionHandedOver, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -73,6 +73,7 @@
 	health    *storeHealth
 	metrics   *scheduler.Metrics
 
+	capacities    *entry.Capacities
 	member        *partition.Member
 	tenures       *tenure.Manager
 	peers         *peer.Peers
@@ -145,13 +146,13 @@
 }
 
 func (h *Host) newMember(store *relay.Relay, peers *peer.Peers, s platform.Settings) *partition.Member {
-	capacities := entry.NewCapacities(h.base.Self.Name, s.CPU, peers, func(yields bool, larger, holders int) {
+	h.capacities = entry.NewCapacities(h.base.Self.Name, s.CPU, s.MemoryMB, peers, func(yields bool, larger, holders int) {
 		h.o.Events.Log(events.MemberYieldChanged, "yields", yields, "larger", larger, "holders", holders, "cpu", s.CPU)
 	})
 	// A daemon that was killed and restarts within its member TTL has its partitions
 	// immediately. Epochs distinguish the runs of the daemon.
-	m := partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.reporter("join"), func() { h.tenures.TriggerReconcile() }, capacities.ShouldYield)
-	m.LearnFirst(capacities.Learn)
+	m := partition.NewMember(store, h.base.Self.Name, s.MinMemberTTL, time.Now, h.health.reporter("join"), func() { h.tenures.TriggerReconcile() }, h.capacities.ShouldYield)
+	m.LearnFirst(h.capacities.Learn)
 	return m
 }
 
@@ -203,7 +204,8 @@
 			MaxRecordBytes: h.o.Settings.MaxRecordBytes,
 		},
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
-		Shards: h.entry.ShardsOf(id), Witnesses: h.tenures.Witnesses(id),
+		MemoryBudget: h.memoryBudget,
+		Shards:       h.entry.ShardsOf(id), Witnesses: h.tenures.Witnesses(id),
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
 			return h.watchServers(ctx, id, onChange)
 		},
@@ -211,6 +213,20 @@
 	})
 }
 
+const (
+	// submissionsFraction is the fraction of a VM's memory that may be taken by the
+	// submissions of all partitions, since one daemon may come to own all.
+	submissionsFraction = 0.25
+	megabyte            = 1 << 20
+)
+
+// memoryBudget returns how many bytes the submissions of one partition may take: what the
+// smallest VM can hold, which may own the partition next.
+func (h *Host) memoryBudget() int64 {
+	partitions := min(max(h.shards.Count(), 1), h.o.Settings.StorePartitions)
+	return int64(submissionsFraction*float64(h.capacities.SmallestMemoryMB()*megabyte)) / int64(partitions)
+}
+
 // otherDaemons lists the other known daemons.
 func (h *Host) otherDaemons() []string { return h.policyClients.OtherDaemons() }
 
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -348,7 +348,7 @@
 	if j == nil || j.ending != "" {
 		return
 	}
-	t := j.task(e.Task)
+	t := c.task(j, e.Task)
 	if t == nil {
 		return
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -32,6 +32,8 @@
 	// ReuseAfter is the shortest time between the end of a server instance and
 	// the start of another one under the same ID.
 	ReuseAfter time.Duration
+	// MemoryBytes is the budget for what is held of submissions; 0 means none.
+	MemoryBytes int64
 	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
 	// if that is not known.
 	MaxRecordBytes int
@@ -89,8 +91,10 @@
 	finalStates map[string]workload.FinalState
 	// finalOrder lists the IDs in finalStates, oldest first.
 	finalOrder []string
-	// scheduled holds the occurrences that are not due yet.
-	scheduled []*occurrence
+	// scheduled holds the jobs with occurrences that were not activated yet.
+	scheduled dueQueue
+	// memory is what the submissions take of the budget for them.
+	memory memoryUse
 	// queued holds the steps with tasks to place.
 	queued []*step
 
@@ -188,6 +192,7 @@
 		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
+	c.memory.limit = bounds.MemoryBytes
 	claim := nextClaim(records, "", bounds, nil)
 	claim.Epoch = epoch
 	c.SetClaim(claim, now, wall)
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -245,7 +245,7 @@
 func (h *harness) occupy(server string, cpu int64, age time.Duration) *attempt {
 	h.t.Helper()
 	s := h.core.servers[server]
-	t := &newJob(&subOf("00000000000000ee").sub, h.now).occurrences[0].steps[0].tasks[0]
+	t := &newJob(&subOf("00000000000000ee").sub, h.now).build(0).steps[0].tasks[0]
 	a := &attempt{task: t, run: 1, server: s, state: running, sentAt: h.now.Add(-age), need: oneTask(cpu).Need}
 	s.reserve(a)
 	return a
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -180,20 +180,8 @@
 	}
 }
 
-// loadExposures finds the runs that an earlier owner recorded as exposed, and what it
-// knew of their servers.
-func (c *Core) loadExposures(j *job) {
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			for i := range st.tasks {
-				if st.tasks[i].exposure != nil {
-					c.loadExposure(&st.tasks[i])
-				}
-			}
-		}
-	}
-}
-
+// loadExposure finds a run that an earlier owner recorded as exposed, and what that owner
+// knew of its server.
 func (c *Core) loadExposure(t *task) {
 	e := t.exposure
 	c.exposed[e.Server] = append(c.exposed[e.Server], t)
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -17,7 +17,7 @@
 	Jobs          int          `json:"jobs"`
 	Ended         int          `json:"ended"`
 	Queued        int          `json:"queuedSteps"`
-	Scheduled     int          `json:"timedOccurrences"`
+	Scheduled     int          `json:"timedSubmissions"`
 	PendingWrites int          `json:"unstoredWrites"`
 	OpenRequests  int          `json:"openQuestions"`
 	Trials        int          `json:"trials"`
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -61,9 +61,13 @@
 	Log       partition.Log
 	Partition partition.ID
 	// Daemon is this daemon's name in the claim record.
-	Daemon  string
-	Bounds  Bounds
-	Servers ServerClient
+	Daemon string
+	// Bounds holds for as long as the Engine runs, but for the memory's.
+	Bounds Bounds
+	// MemoryBudget returns how many bytes the partition's submissions may take now; 0
+	// means that there is no bound. It may be nil.
+	MemoryBudget func() int64
+	Servers      ServerClient
 	// Forwarder is used while this daemon's link is the bottleneck. It may be
 	// nil.
 	Forwarder StartForwarder
@@ -121,6 +125,9 @@
 	if o.Shards == nil {
 		o.Shards = noShards{}
 	}
+	if o.MemoryBudget == nil {
+		o.MemoryBudget = func() int64 { return 0 }
+	}
 	if o.Witnesses == nil {
 		o.Witnesses = noWitnesses{}
 	}
@@ -175,7 +182,9 @@
 		return claim, errors.Wrapf(err, "claim partition %d after epoch %d of %q", e.o.Partition.Part, before.Epoch, before.Daemon)
 	}
 	e.writer.OnRejected(func(writeID uint64, err error) { e.push(rejectedEvent{writeID, err}) })
-	e.core = NewCore(epoch, e.o.Bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
+	bounds := e.o.Bounds
+	bounds.MemoryBytes = e.o.MemoryBudget()
+	e.core = NewCore(epoch, bounds, records, e.o.Events, e.o.Metrics, e.o.Now(), e.o.Wall())
 	e.o.Events.Log(events.OwnerClaimed, "partition", e.o.Partition.Part, "epoch", epoch, "offset", end, "before", before.Daemon,
 		"records", len(records), "took", e.o.Now().Sub(began).Milliseconds())
 	e.core.SetClaim(claim, e.writer.ConfirmedAt(), wallBegan+e.writer.ConfirmedAt().Sub(began).Milliseconds())
@@ -219,6 +228,7 @@
 			}
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
 			e.core.SetSharded(e.o.Shards.Several)
+			e.core.SetMemoryLimit(e.o.MemoryBudget())
 			e.orders.observe()
 			e.updateEvidence()
 			e.core.Tick()
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -71,19 +71,6 @@
 	return t.MaxRun + int(epoch-t.Epoch)*runsPerEpoch
 }
 
-// maxRun returns the highest run number of the job's tasks.
-func (j *job) maxRun() int {
-	highest := 0
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for i := range s.tasks {
-				highest = max(highest, s.tasks[i].run)
-			}
-		}
-	}
-	return highest
-}
-
 // handOver begins to hand a job without attempts over to another partition.
 func (c *Core) handOver(j *job, to int, reason handoverReason) {
 	c.concludeExposures(j)
@@ -92,10 +79,11 @@
 	}}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyHandover, id, d.record), tombstone(keyAccepted, id)}
-	if p := j.progress(); j.progressParts > 0 || len(p.Steps)+len(p.Tasks) > 0 {
+	if j.progressParts > 0 || !j.progress().Empty() {
 		records = append(records, c.progressRecords(j)...)
 	}
 	j.ending = statusDeparting
+	c.unschedule(j)
 	delete(c.jobs, id)
 	c.departures[id] = d
 	c.metric.handedOver(reason)
@@ -166,6 +154,11 @@
 // concludeExposures counts the runs whose servers have been silent for a lease as ended
 // by a crash. Nobody will look for these servers on the submission's behalf any more.
 func (c *Core) concludeExposures(j *job) {
+	for index, kept := range j.saved {
+		if slices.ContainsFunc(kept.Tasks, func(m workload.TaskProgress) bool { return m.Exposure != nil }) {
+			c.build(j, index)
+		}
+	}
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			for i := range st.tasks {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -29,10 +29,22 @@
 	// ending is the final state that is being stored.
 	ending workload.Status
 	// waiters are callers that wait for the submission to be stored.
-	waiters     []func(Reply)
-	occurrences []*occurrence
-	// open counts the occurrences that are not done.
-	open int
+	waiters []func(Reply)
+	// occurrences holds, by index, those that are due or that a server has listed, and
+	// that are not done. The others are built once they are due.
+	occurrences map[int]*occurrence
+	// done holds the occurrences that are done.
+	done intervals
+	// saved holds the stored progress of occurrences that are not built.
+	saved map[int]workload.Progress
+	// nextDue is the first occurrence that was not activated yet.
+	nextDue int
+	// dueIndex is the job's index in the dueQueue, or notScheduled.
+	dueIndex int
+	// minRun is a run number that all runs under earlier owners are at most.
+	minRun int
+	// recordBytes is the length of the submission's record.
+	recordBytes int
 	// accepted is when the submission arrived, on this daemon's clock.
 	accepted time.Time
 	// criticalPath is the declared time of the longest chain of dependent
@@ -52,17 +64,6 @@
 	handoverRejected bool
 }
 
-// occurrence is one execution of all steps.
-type occurrence struct {
-	job   *job
-	index int
-	steps []*step
-	// open counts the steps that are not done.
-	open int
-	// due is set once the occurrence's start time has come.
-	due bool
-}
-
 // step is one step of an occurrence.
 type step struct {
 	occurrence *occurrence
@@ -113,29 +114,14 @@
 }
 
 func newJob(sub *workload.Submission, now time.Time) *job {
-	j := &job{sub: sub, accepted: now, started: sub.Transfer != nil && sub.Transfer.Started}
-	for k := range sub.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, k))
+	j := &job{
+		sub: sub, accepted: now, started: sub.Transfer != nil && sub.Transfer.Started, occurrences: make(map[int]*occurrence), dueIndex: notScheduled,
+		recordBytes: recordBytes(recordOf(keyAccepted, sub.ID, sub)),
 	}
-	j.open = len(j.occurrences)
 	j.criticalPath, j.criticalPathSteps = criticalPathOf(sub.Steps)
 	return j
 }
 
-func newOccurrence(j *job, index int) *occurrence {
-	o := &occurrence{job: j, index: index, open: len(j.sub.Steps)}
-	for i := range j.sub.Steps {
-		spec := &j.sub.Steps[i]
-		s := &step{occurrence: o, index: i, spec: spec, tasks: make([]task, spec.Count), attemptsPerServer: make(map[*server]int)}
-		for n := range s.tasks {
-			s.tasks[n].step = s
-			s.tasks[n].index = n
-		}
-		o.steps = append(o.steps, s)
-	}
-	return o
-}
-
 // criticalPathOf returns the declared time and the number of steps of the
 // longest chain of dependent steps.
 func criticalPathOf(steps []workload.Step) (longest time.Duration, depth int) {
@@ -208,13 +194,13 @@
 	return slices.ContainsFunc(j.sub.Steps, func(s workload.Step) bool { return s.LongRunning })
 }
 
-// taskCount returns the number of tasks of all occurrences.
+// taskCount returns the number of tasks of one occurrence.
 func (j *job) taskCount() int {
 	n := 0
 	for i := range j.sub.Steps {
 		n += j.sub.Steps[i].Count
 	}
-	return n * len(j.occurrences)
+	return n
 }
 
 // targetTime returns when the submission should be completed. Declared run
@@ -254,20 +240,6 @@
 	r.mean += time.Duration(runTimeWeight * float64(took-r.mean))
 }
 
-// progress returns the state of the job's tasks that the next owner needs.
-func (j *job) progress() workload.Progress {
-	var p workload.Progress
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.done > 0 {
-				p.Steps = append(p.Steps, workload.StepProgress{Occurrence: o.index, Step: s.index, Done: s.doneBits()})
-			}
-			p.Tasks = s.taskProgress(p.Tasks)
-		}
-	}
-	return p
-}
-
 func (s *step) doneBits() []byte {
 	bits := make([]byte, (len(s.tasks)+7)/8)
 	for i := range s.tasks {
@@ -296,58 +268,6 @@
 	return to
 }
 
-// restore applies stored progress.
-func (j *job) restore(p workload.Progress) {
-	for _, m := range p.Steps {
-		s := j.step(m.Occurrence, m.Step)
-		if s == nil {
-			continue
-		}
-		for i := range s.tasks {
-			if i/8 < len(m.Done) && m.Done[i/8]&(1<<(i%8)) != 0 {
-				s.markDone(&s.tasks[i])
-			}
-		}
-	}
-	for _, m := range p.Tasks {
-		t := j.task(workload.TaskID{Occurrence: m.Occurrence, Step: m.Step, Index: m.Index})
-		if t == nil {
-			continue
-		}
-		t.run, t.failedRuns, t.checkpoint, t.exposure = m.Run, m.FailedRuns, m.Checkpoint, m.Exposure
-		if m.Crashes != nil {
-			t.crashes = *m.Crashes
-		}
-	}
-}
-
-// skipRunsThrough makes the next runs of all tasks be numbered above n.
-func (j *job) skipRunsThrough(n int) {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for i := range s.tasks {
-				s.tasks[i].run = max(s.tasks[i].run, n)
-			}
-		}
-	}
-}
-
-func (j *job) step(occurrence, index int) *step {
-	if occurrence < 0 || occurrence >= len(j.occurrences) || index < 0 || index >= len(j.sub.Steps) {
-		return nil
-	}
-	return j.occurrences[occurrence].steps[index]
-}
-
-// task returns the task with the given ID, or nil.
-func (j *job) task(id workload.TaskID) *task {
-	s := j.step(id.Occurrence, id.Step)
-	if s == nil || id.Index < 0 || id.Index >= len(s.tasks) {
-		return nil
-	}
-	return &s.tasks[id.Index]
-}
-
 // markDone marks a task as done. It does nothing if the task already is.
 func (s *step) markDone(t *task) {
 	if t.done {
@@ -360,6 +280,6 @@
 	}
 	s.occurrence.open--
 	if s.occurrence.open == 0 {
-		s.occurrence.job.open--
+		s.occurrence.finished()
 	}
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -273,7 +273,7 @@
 func (c *Core) adoptRun(s *server, r ActiveRun) {
 	var t *task
 	if j := c.jobs[r.Task.Submission]; j != nil {
-		t = j.task(r.Task)
+		t = c.task(j, r.Task)
 	}
 	if t == nil {
 		s.unknownRuns++
@@ -355,21 +355,6 @@
 	}
 }
 
-// startDueOccurrences activates the occurrences that are due.
-func (c *Core) startDueOccurrences() {
-	remaining := c.scheduled[:0]
-	for _, o := range c.scheduled {
-		switch {
-		case o.job.ending != "":
-		case o.job.sub.Due(o.index) <= c.wall:
-			c.activate(o)
-		default:
-			remaining = append(remaining, o)
-		}
-	}
-	c.scheduled = remaining
-}
-
 // PollAll polls every server. The Engine calls it once, after the claim.
 func (c *Core) PollAll() {
 	for _, s := range c.servers {
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -80,7 +80,7 @@
 	if len(p.Steps) == 1 {
 		half = 1
 	}
-	before := workload.Progress{Steps: p.Steps[:half], Tasks: p.Tasks[:tasks]}
+	before := workload.Progress{Steps: p.Steps[:half], Tasks: p.Tasks[:tasks], Done: p.Done}
 	after := workload.Progress{Steps: p.Steps[half:], Tasks: p.Tasks[tasks:]}
 	return append(splitProgress(j, before, limit), splitProgress(j, after, limit)...)
 }
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -1,6 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/workload"
@@ -106,13 +110,19 @@
 			j.progressParts = max(j.progressParts, part+1)
 		}
 	}
-	for _, j := range c.jobs {
-		c.loadExposures(j)
+	for _, j := range c.oldestJobs() {
 		j.skipRunsThrough(j.inheritedRun(c.epoch))
 		c.admit(j)
 	}
 }
 
+// oldestJobs returns all jobs, the one that was accepted first at the front.
+func (c *Core) oldestJobs() []*job {
+	return slices.SortedFunc(maps.Values(c.jobs), func(x, y *job) int {
+		return cmp.Or(cmp.Compare(x.sub.Accepted, y.sub.Accepted), cmp.Compare(x.sub.ID, y.sub.ID))
+	})
+}
+
 // runsPerEpoch exceeds the number of starts of one task under one owner.
 const runsPerEpoch = 4096
 
@@ -139,6 +149,7 @@
 		j.accepted = c.now.Add(-msDuration(age))
 	}
 	c.jobs[sub.ID] = j
+	c.memory.accepted(j)
 	return nil
 }
 
--- a/internal/scheduler/rejected_test.go
+++ b/internal/scheduler/rejected_test.go
@@ -93,7 +93,7 @@
 		h.confirmStart(a)
 		a := a
 		h.do(func(c *Core) {
-			c.saveCheckpoint(c.jobs[id1].task(a.Order.Task), fmt.Sprintf("%016x", i))
+			c.saveCheckpoint(c.task(c.jobs[id1], a.Order.Task), fmt.Sprintf("%016x", i))
 			c.markDirty(c.jobs[id1])
 		})
 	}
@@ -112,7 +112,7 @@
 	}
 	h.takeOver()
 	for i, a := range starts {
-		if got, want := h.core.jobs[id1].task(a.Order.Task).checkpoint, fmt.Sprintf("%016x", i); got != want {
+		if got, want := h.core.task(h.core.jobs[id1], a.Order.Task).checkpoint, fmt.Sprintf("%016x", i); got != want {
 			t.Fatalf("checkpoint %q of task %s after the take-over, want %q", got, a.Order.Task, want)
 		}
 	}
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -28,7 +28,8 @@
 type Fit uint8
 
 const (
-	// FitNever: no servers of the shard could, if they were empty.
+	// FitNever: no servers of the shard could, if they were empty, or its owner has no
+	// memory for the submission.
 	FitNever Fit = iota
 	// FitLater: its servers could, but too few have enough free capacity.
 	FitLater
@@ -57,7 +58,9 @@
 func (c *Core) Room(q RoomQuestion) RoomAnswer {
 	a := RoomAnswer{Fits: make([]Fit, len(q.Needs))}
 	for i, needs := range q.Needs {
-		a.Fits[i] = c.fit(q.Service, needs, nil)
+		if c.hasMemoryFor(needs) {
+			a.Fits[i] = c.fit(q.Service, needs, nil)
+		}
 	}
 	for _, s := range c.servers {
 		if s.info.Service == q.Service && s.stored && s.usable(c.now) {
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -47,10 +47,15 @@
 	}
 	j := newJob(sub, c.now)
 	c.assignQueue(j)
+	if r, refused := c.checkMemory(j); refused {
+		c.refuse(sub, r, reply)
+		return
+	}
 	if r, refused := c.checkBacklog(j); refused {
 		c.refuse(sub, r, reply)
 		return
 	}
+	c.memory.accepted(j)
 	j.waiters = []func(Reply){reply}
 	c.jobs[sub.ID] = j
 	c.writeOr([]partition.Record{accepted}, func() {
@@ -102,6 +107,7 @@
 	}
 	// The final state keeps the steps from being placed.
 	j.withdrawn, j.ending = true, workload.StatusCancelled
+	c.unschedule(j)
 	if c.jobs[j.sub.ID] == j {
 		delete(c.jobs, j.sub.ID)
 	}
@@ -157,27 +163,10 @@
 // that are not due.
 func (c *Core) admit(j *job) {
 	c.assignQueue(j)
-	for _, o := range j.occurrences {
-		if o.open == 0 {
-			continue
-		}
-		if due := j.sub.Due(o.index); due > c.wall {
-			c.scheduled = append(c.scheduled, o)
-			continue
-		}
-		c.activate(o)
-	}
+	c.schedule(j)
 	c.completeIfDone(j)
 }
 
-// activate queues the ready steps of a due occurrence.
-func (c *Core) activate(o *occurrence) {
-	o.due = true
-	for _, s := range o.steps {
-		c.enqueue(s)
-	}
-}
-
 // enqueue queues a step if it is ready and has tasks to place.
 func (c *Core) enqueue(s *step) {
 	if s.queued || s.done == len(s.tasks) || s.job().ending != "" || !s.ready() {
@@ -254,7 +243,7 @@
 
 // completeIfDone completes a job whose tasks are all done.
 func (c *Core) completeIfDone(j *job) {
-	if j.open == 0 && j.ending == "" {
+	if j.open() == 0 && j.ending == "" {
 		c.finishJob(j, workload.StatusCompleted)
 	}
 }
@@ -263,6 +252,7 @@
 // and stops its running tasks.
 func (c *Core) finishJob(j *job, status workload.Status) {
 	j.ending = status
+	c.unschedule(j)
 	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue, Transferred: j.sub.Transfer != nil}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -52,7 +52,7 @@
 	j.skipRunsThrough(h.MaxRun)
 	j.waiters = []func(Reply){reply}
 	records := []partition.Record{recordOf(keyAccepted, id, &sub)}
-	if len(h.Progress.Steps)+len(h.Progress.Tasks) > 0 {
+	if !h.Progress.Empty() {
 		records = append(records, c.progressRecords(j)...)
 	}
 	if d := c.departures[id]; d != nil {
@@ -66,6 +66,7 @@
 		records = append(records, tombstone(keyForward, id))
 	}
 	c.jobs[id] = j
+	c.memory.accepted(j)
 	c.writeOr(records, func() { c.takenOver(j) }, func(err error) { c.takeOverRejected(j, err) })
 	c.admit(j)
 }
@@ -86,6 +87,7 @@
 // hands it over keeps it and tries again.
 func (c *Core) takeOverRejected(j *job, err error) {
 	j.withdrawn, j.ending = true, statusDeparting
+	c.unschedule(j)
 	delete(c.jobs, j.sub.ID)
 	for _, reply := range j.waiters {
 		c.reply(reply, Reply{Outcome: OutcomeInvalid, Reason: "submission_too_large", Detail: err.Error()})
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -84,6 +84,15 @@
 	return l, ok
 }
 
+// Count returns the number of shards of all services.
+func (k *Manager) Count() int {
+	n := 0
+	for _, l := range *k.table.Load() {
+		n += l.Shards
+	}
+	return n
+}
+
 // Version rises whenever a layout may have changed. It is 0 until the layouts
 // have been read.
 func (k *Manager) Version() uint64 { return k.version.Load() }
--- a/workload/record.go
+++ b/workload/record.go
@@ -52,6 +52,18 @@
 type Progress struct {
 	Steps []StepProgress `cbor:"1,keyasint,omitempty"`
 	Tasks []TaskProgress `cbor:"2,keyasint,omitempty"`
+	// Done are the occurrences whose steps are all done, in ascending order. Steps and
+	// Tasks have no entries for them.
+	Done []OccurrenceRange `cbor:"3,keyasint,omitempty"`
+}
+
+// Empty reports whether nothing has been done.
+func (p Progress) Empty() bool { return len(p.Steps)+len(p.Tasks)+len(p.Done) == 0 }
+
+// OccurrenceRange names the occurrences from From to the one before To.
+type OccurrenceRange struct {
+	From int `cbor:"1,keyasint"`
+	To   int `cbor:"2,keyasint"`
 }
 
 // FinalState is the stored state of a submission that has ended.
