What is placed before a submission is looked up, not counted

Cause: backlogBefore went through the whole queue for each submission. Fix: placement passes sort the queue anyway; they leave the sums of work up to each step, so that a submission costs a binary search. Steps that are queued after a pass are counted one by one, at most as many as are indexed and 256.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -36,30 +36,6 @@
 	retrySpread = 0.5
 )
 
-// backlog is the work that is placed before a new submission.
-type backlog struct {
-	// tasks counts the tasks without an attempt, and cpuTime is their expected
-	// time on one core.
-	tasks   int
-	cpuTime time.Duration
-}
-
-// backlogBefore returns the work of the same service that is placed before a
-// job.
-func (c *Core) backlogBefore(j *job) backlog {
-	var b backlog
-	order := c.orderOf(j)
-	for _, st := range c.queued {
-		if st.job().ending != "" || st.job().sub.Service != j.sub.Service || c.placementOrderOf(st).compare(order) > 0 {
-			continue
-		}
-		n := st.unplacedTasks()
-		b.tasks += n
-		b.cpuTime += time.Duration(float64(n) * cores(st.spec.Reserved().CPU) * float64(st.expectedRunTime()))
-	}
-	return b
-}
-
 // cores converts thousandths of a core.
 func cores(cpu int64) float64 { return float64(cpu) / 1000 }
 
--- /dev/null
+++ b/internal/scheduler/backlog.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+)
+
+// backlog is the work that is placed before a new submission.
+type backlog struct {
+	// tasks counts the tasks without an attempt, and cpuTime is their expected
+	// time on one core.
+	tasks   int
+	cpuTime time.Duration
+}
+
+func (b *backlog) add(o backlog) {
+	b.tasks += o.tasks
+	b.cpuTime += o.cpuTime
+}
+
+// workOf returns what n unplaced tasks of a step add to the backlog.
+func workOf(st *step, n int) backlog {
+	return backlog{tasks: n, cpuTime: time.Duration(float64(n) * cores(st.spec.Reserved().CPU) * float64(st.expectedRunTime()))}
+}
+
+// backlogIndex answers what is placed before a submission without a look at every queued
+// step. Placement passes, which go through the queue anyway, renew it; it is as old as the
+// last one, but for the steps that were queued since.
+type backlogIndex struct {
+	services map[string]*serviceBacklog
+	// recent are the steps that were queued since the index was renewed.
+	recent []*step
+}
+
+// serviceBacklog holds the queued steps of a service in placement order.
+type serviceBacklog struct {
+	orders []placementOrder
+	// sums holds, for each step, its work and that of all before it.
+	sums []backlog
+}
+
+// maxRecentSteps is how many steps may be queued before the index is renewed without a
+// placement pass, beyond as many as it holds.
+const maxRecentSteps = 256
+
+// append adds the next step in placement order.
+func (s *serviceBacklog) append(order placementOrder, work backlog) {
+	if n := len(s.sums); n > 0 {
+		work.add(s.sums[n-1])
+	}
+	s.orders, s.sums = append(s.orders, order), append(s.sums, work)
+}
+
+// before returns the work of the steps that come no later than order.
+func (s *serviceBacklog) before(order placementOrder) backlog {
+	n := sort.Search(len(s.orders), func(i int) bool { return s.orders[i].compare(order) > 0 })
+	if n == 0 {
+		return backlog{}
+	}
+	return s.sums[n-1]
+}
+
+// indexBacklog renews the index from the queue, which must be sorted.
+func (c *Core) indexBacklog() {
+	x := &c.backlog
+	for _, s := range x.services {
+		s.orders, s.sums = s.orders[:0], s.sums[:0]
+	}
+	if x.services == nil {
+		x.services = make(map[string]*serviceBacklog)
+	}
+	clear(x.recent)
+	x.recent = x.recent[:0]
+	for _, st := range c.queued {
+		service := st.job().sub.Service
+		if x.services[service] == nil {
+			x.services[service] = &serviceBacklog{}
+		}
+		x.services[service].append(c.placementOrderOf(st), workOf(st, st.unplacedTasks()))
+	}
+}
+
+// backlogBefore returns the work of the same service that is placed before a job.
+func (c *Core) backlogBefore(j *job) backlog {
+	x := &c.backlog
+	if indexed := len(c.queued) - len(x.recent); len(x.recent) > maxRecentSteps+indexed {
+		c.dropPlacedSteps()
+		c.sortQueued()
+		c.indexBacklog()
+	}
+	order := c.orderOf(j)
+	var b backlog
+	if s := x.services[j.sub.Service]; s != nil {
+		b = s.before(order)
+	}
+	for _, st := range x.recent {
+		if st.job().ending == "" && st.job().sub.Service == j.sub.Service && c.placementOrderOf(st).compare(order) <= 0 {
+			b.add(workOf(st, st.unplacedTasks()))
+		}
+	}
+	return b
+}
--- a/internal/scheduler/batch_test.go
+++ b/internal/scheduler/batch_test.go
@@ -43,11 +43,6 @@
 	return &batchHarness{h, e}
 }
 
-// pass lets time pass while an event is applied.
-func (h *batchHarness) pass(d time.Duration) {
-	h.now, h.wall = h.now.Add(d), h.wall+d.Milliseconds()
-}
-
 // apply applies events as the Engine's loop does.
 func (h *batchHarness) apply(batch ...event) {
 	h.engine.core = h.core
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,8 +95,9 @@
 	scheduled dueQueue
 	// memory is what the submissions take of the budget for them.
 	memory memoryUse
-	// queued holds the steps with tasks to place.
-	queued []*step
+	// queued holds the steps with tasks to place, and backlog sums up their work.
+	queued  []*step
+	backlog backlogIndex
 
 	// departures holds the submissions that are being handed over to other partitions,
 	// and forwards says which partition has taken over those that were.
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -94,6 +94,11 @@
 	h.do(func(c *Core) { c.Tick() })
 }
 
+// pass lets time pass without an event.
+func (h *harness) pass(d time.Duration) {
+	h.now, h.wall = h.now.Add(d), h.wall+d.Milliseconds()
+}
+
 // do passes an event to the Core and collects its actions.
 func (h *harness) do(f func(c *Core)) {
 	h.core.SetTime(h.now, h.wall)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -37,6 +37,7 @@
 	}
 	c.heldForGangs = p.held
 	c.dropPlacedSteps()
+	c.indexBacklog()
 }
 
 // dropPlacedSteps removes steps without tasks to place from the queue.
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -177,6 +177,7 @@
 	}
 	s.queued = true
 	c.queued = append(c.queued, s)
+	c.backlog.recent = append(c.backlog.recent, s)
 	c.placementNeeded = true
 }
 
