A submission stays known when its queue is led to another service

Cause: a submission lies in the partition of the service that its queue had when it was accepted; calls looked for it under the service that the queue has now.

Fix: the first service to which a queue led is stored as the queue's home (one record a queue in keyed.shards, the first one counts). The home's partition alone decides whether an ID is new, whatever configuration a daemon has. What belongs to another service by then is passed on under a forward that is stored first, so that one partition at a time may accept it. Reads and cancels begin at the home, and "not found" is answered only after the partitions of all services have said so. A submission with nothing running moves to the service of its queue by the handover that shards use; what runs goes on where it is. The version of the configuration travels with it, so that an owner with an older one does not send it back. Partitions of services that were dropped keep their owners. Where both services share a partition, the record names the new service.

Cost: one append per queue, once; on sites with one service nothing else. A queue that left its home costs a forward (30 bytes) and a hop for each submission.

Also found: a submission whose handover the log rejects was not queued again if a placement pass had dropped its steps meanwhile (admit queues what is built).

--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -66,9 +66,25 @@
 		Member: member, Tenures: tenure.New(tenure.Options{Peers: peers, Now: time.Now}), Peers: peers, PartitionCount: 1, Now: time.Now,
 		Layout:   func(string) (shard.Layout, bool) { return shard.Layout{Shards: 1}, true },
 		Isolated: func() bool { return false },
+		Homes:    storedHomes{"checks": "pool"},
 	})
 }
 
+// storedHomes are the homes of queues that are known.
+type storedHomes map[string]string
+
+func (h storedHomes) Home(queue string) (string, bool) {
+	service, ok := h[queue]
+	return service, ok
+}
+
+func (h storedHomes) StoreHome(_ context.Context, queue, service string) error {
+	h[queue] = service
+	return nil
+}
+
+func (h storedHomes) Services() []string { return []string{"pool"} }
+
 // submitScripted submits through a Router whose owner gives the answers to its calls one
 // after another.
 func submitScripted(t *testing.T, answers ...func() (scheduler.Reply, error)) (scheduler.Reply, error) {
@@ -76,7 +92,7 @@
 }
 
 func submitTo(e *Router, t *testing.T) (scheduler.Reply, error) {
-	return e.Submit(t.Context(), &workload.Submission{ID: "00000000000000aa", Service: "pool"})
+	return e.Submit(t.Context(), &workload.Submission{ID: "00000000000000aa", Queue: "checks", Service: "pool"})
 }
 
 func unanswered() (scheduler.Reply, error) {
@@ -170,10 +186,10 @@
 func TestRouter_UnknownSubmissionAfterNoAnswerIsPassedOn(t *testing.T) {
 	for name, do := range map[string]func(context.Context, *Router) (scheduler.Reply, error){
 		"status": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
-			return e.Status(ctx, "pool", "00000000000000aa")
+			return e.Status(ctx, "checks", "pool", "00000000000000aa")
 		},
 		"cancel": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
-			return e.Cancel(ctx, "pool", "00000000000000aa")
+			return e.Cancel(ctx, "checks", "pool", "00000000000000aa")
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -60,8 +60,9 @@
 	Queue      string               `json:"queue,omitempty"`
 	Submission *workload.Submission `json:"submission,omitempty"`
 	// Handover is the number of the handover by which the last partition that passed
-	// the call on gave the submission away; 0 if none did.
+	// the call on, which is From, gave the submission away; 0 if none did.
 	Handover int `json:"handover,omitempty"`
+	From     int `json:"from,omitempty"`
 }
 
 func (c call) partition() partition.ID { return partitionID(c.Part) }
@@ -75,6 +76,7 @@
 	Now            func() time.Time
 	// Layout returns a service's shard layout, or false if it is not known.
 	Layout func(service string) (shard.Layout, bool)
+	Homes  Homes
 	// Daemons lists the other daemons.
 	Daemons func() []string
 	// Isolated reports whether neither the store nor another daemon answers
@@ -82,6 +84,16 @@
 	Isolated func() bool
 }
 
+// Homes knows where the submissions of queues are looked for. shard.Manager implements it.
+type Homes interface {
+	// Home returns the service whose shard decides whether an ID of a queue is new.
+	Home(queue string) (service string, ok bool)
+	// StoreHome stores the home of a queue that has none.
+	StoreHome(ctx context.Context, queue, service string) error
+	// Services lists the services that ever had a layout.
+	Services() []string
+}
+
 // Router routes calls to the owners of partitions.
 type Router struct {
 	o        Options
@@ -98,85 +110,6 @@
 	return e
 }
 
-// Submit submits to the owner and returns its reply. A refusal, which is any
-// reply but OutcomeDone, says that no call to an owner was accepted or will be.
-// An error always has the verdict MayHaveRun: only the owner knows whether an
-// attempt through another daemon was accepted.
-func (e *Router) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
-	r, err := e.callShardOwner(ctx, methodSubmit, call{Service: sub.Service, ID: sub.ID, Submission: sub})
-	if err == nil {
-		return r, nil
-	}
-	unknown := verdict.New(verdict.MayHaveRun, verdict.ReasonOf(err), "%v", err)
-	return r, unknown.WithRetryAfter(verdict.RetryAfterOf(err))
-}
-
-// Status returns a submission's state.
-func (e *Router) Status(ctx context.Context, service, id string) (scheduler.Reply, error) {
-	return e.callShardOwner(ctx, methodStatus, call{Service: service, ID: id})
-}
-
-// Cancel cancels a submission.
-func (e *Router) Cancel(ctx context.Context, service, id string) (scheduler.Reply, error) {
-	return e.callShardOwner(ctx, methodCancel, call{Service: service, ID: id})
-}
-
-// Pending returns how many of a queue's submissions have not started, summed
-// over all shards.
-func (e *Router) Pending(ctx context.Context, service, queue string) (scheduler.Reply, error) {
-	layout, ok := e.awaitLayout(ctx, service)
-	if !ok {
-		return scheduler.Reply{}, noLayout(service)
-	}
-	type part struct {
-		reply scheduler.Reply
-		err   error
-	}
-	parts := make(chan part, layout.Shards)
-	for number := range layout.Shards {
-		go func() {
-			c := call{Service: service, Queue: queue, Part: shard.PartitionOf(service, number, e.o.PartitionCount)}
-			r, err := e.callOwner(ctx, methodPending, c)
-			parts <- part{r, err}
-		}()
-	}
-	var sum scheduler.Reply
-	for range layout.Shards {
-		p := <-parts
-		if p.err != nil {
-			return scheduler.Reply{}, p.err
-		}
-		sum.Pending += p.reply.Pending
-	}
-	return sum, nil
-}
-
-func noLayout(service string) error {
-	return verdict.New(verdict.NotRun, ReasonNoLayout, "no layout of service %q yet", service).WithRetryAfter(ownerRetryAfter)
-}
-
-// callShardOwner routes a call about one submission to the owner of its shard.
-func (e *Router) callShardOwner(ctx context.Context, method string, c call) (scheduler.Reply, error) {
-	layout, ok := e.awaitLayout(ctx, c.Service)
-	if !ok {
-		return scheduler.Reply{}, noLayout(c.Service)
-	}
-	c.Part = shard.PartitionOf(c.Service, layout.ShardOfSubmission(c.ID), e.o.PartitionCount)
-	return e.callOwner(ctx, method, c)
-}
-
-// awaitLayout returns a service's layout. It waits up to ownerSearchTimeout,
-// since a daemon that has just started has not read the layouts yet.
-func (e *Router) awaitLayout(ctx context.Context, service string) (shard.Layout, bool) {
-	began := e.o.Now()
-	for {
-		layout, ok := e.o.Layout(service)
-		if ok || e.o.Now().Sub(began) > ownerSearchTimeout || !duty.Sleep(ctx, ownerSearchInterval) {
-			return layout, ok
-		}
-	}
-}
-
 // callOwner routes a call to the owner of its partition. All calls are
 // idempotent, so that one without an answer is repeated with the next owner. A
 // submission that is refused after a call without an answer may have run: that call may
@@ -260,7 +193,7 @@
 	}
 	switch method {
 	case methodSubmit:
-		return engine.Submit(ctx, c.Submission)
+		return engine.Submit(ctx, c.passedOn())
 	case methodStatus:
 		return engine.Status(ctx, c.ID)
 	case methodCancel:
@@ -270,6 +203,16 @@
 	}
 }
 
+// passedOn returns the submission of a call with how often it was passed on.
+func (c call) passedOn() *workload.Submission {
+	if c.Handover == 0 {
+		return c.Submission
+	}
+	sub := *c.Submission
+	sub.Transfer = &workload.Transfer{Number: c.Handover, From: c.From}
+	return &sub
+}
+
 // handle returns the handler of another daemon's calls.
 func (e *Router) handle(method string) roles.PeerHandler {
 	return roles.TypedHandler(reasonBadCall, func(ctx context.Context, _ string, c call) (any, error) {
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -122,6 +122,26 @@
 	return ok && layout.Shards > 1
 }
 
+// Locate implements scheduler.Shards.
+func (s *Shards) Locate(service, id string) (scheduler.Location, int) {
+	layout, ok := s.router.o.Layout(service)
+	if !ok {
+		return scheduler.LocationUnknown, 0
+	}
+	parts := s.router.o.PartitionCount
+	for number := range layout.Shards {
+		if shard.PartitionOf(service, number, parts) == s.self {
+			return scheduler.LocationHere, s.self
+		}
+	}
+	return scheduler.LocationElsewhere, shard.PartitionOf(service, layout.ShardOfSubmission(id), parts)
+}
+
+// MayHandOver implements scheduler.Shards.
+func (s *Shards) MayHandOver() bool {
+	return s.router.versions.knownToHandOver(s.router.o.Daemons())
+}
+
 // Ask implements scheduler.Shards.
 func (s *Shards) Ask(ctx context.Context, q scheduler.RoomQuestion) []scheduler.RoomAnswer {
 	e := s.router
@@ -173,7 +193,7 @@
 
 // follow passes a call on to the partition to which the called one forwards it.
 func (e *Router) follow(ctx context.Context, method string, c call, at scheduler.Reply) (scheduler.Reply, error) {
-	c.Part, c.Handover = at.Partition, at.Number
+	c.From, c.Part, c.Handover = c.Part, at.Partition, at.Number
 	r, err := e.attempt(ctx, method, c)
 	if err != nil || r.Outcome != scheduler.OutcomeNotFound || at.Delivered {
 		return r, err
@@ -193,6 +213,8 @@
 
 	mu    sync.Mutex
 	known map[string]version
+	// asking holds the daemons that are being asked in the background.
+	asking map[string]bool
 }
 
 type version struct {
@@ -206,7 +228,7 @@
 		call: func(ctx context.Context, daemon string) error {
 			return peers.Call(ctx, daemon, methodHandsOver, struct{}{}, &struct{}{})
 		},
-		now: now, known: make(map[string]version),
+		now: now, known: make(map[string]version), asking: make(map[string]bool),
 	}
 }
 
@@ -233,6 +255,27 @@
 	return true
 }
 
+// knownToHandOver reports the same of what is known, and asks the daemons in the background
+// of which nothing is.
+func (v *versions) knownToHandOver(daemons []string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all := true
+	for _, name := range daemons {
+		known, ok := v.known[name]
+		all = all && ok && !known.lacks
+		if !v.now().Before(known.until) && !v.asking[name] {
+			v.asking[name] = true
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), handleTimeout)
+				defer cancel()
+				v.query(ctx, name)
+			}()
+		}
+	}
+	return all
+}
+
 func (v *versions) query(ctx context.Context, daemon string) {
 	err := v.call(ctx, daemon)
 	got := version{until: v.now().Add(handsOverTTL)}
@@ -243,4 +286,5 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.known[daemon] = got
+	delete(v.asking, daemon)
 }
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -33,8 +33,8 @@
 	}
 	SubmissionHandedOver = Event{
 		Number: 6060, Level: slog.LevelInfo, Name: "submission_handed_over",
-		Fields:  []string{"id", "queue", "to", "number", "why", "waited"},
-		Meaning: "This shard cannot run a submission, or is full, and hands it over to the shard of the partition to, which has room. The field number counts the submission's handovers; waited is how long nothing of it has run, in milliseconds.",
+		Fields:  []string{"id", "queue", "to", "number", "why", "service", "waited"},
+		Meaning: "This shard cannot run a submission, or is full, and hands it over to the shard of the partition to, which has room; or its queue leads to another service, and the partition to is that service's. The field number counts the submission's handovers; waited is how long nothing of it has run, in milliseconds.",
 		Action:  "None. If many submissions are incapable, the servers that they need are in few racks: spread them.",
 	}
 	SubmissionTakenOver = Event{
@@ -42,6 +42,11 @@
 		Fields:  []string{"id", "queue", "from", "number"},
 		Meaning: "A submission that the shard of the partition from handed over is stored here and runs here from now on.",
 	}
+	SubmissionRerouted = Event{
+		Number: 6068, Level: slog.LevelInfo, Name: "submission_rerouted",
+		Fields:  []string{"id", "queue", "service"},
+		Meaning: "A version of the configuration leads the queue to another service, whose servers belong to the same owner; what is left of the submission runs there.",
+	}
 	HandoverDelayed = Event{
 		Number: 6062, Level: slog.LevelWarn, Name: "handover_delayed",
 		Fields:  []string{"id", "to", "number", "error"},
@@ -239,7 +244,7 @@
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged,
-	SubmissionHandedOver, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
+	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -158,12 +158,12 @@
 
 func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, peers *peer.Peers, s platform.Settings) *tenure.Manager {
 	return tenure.New(tenure.Options{
-		Member: member, Daemon: h.base.Self.Name, OtherDaemons: h.otherDaemons, Now: time.Now, PartitionCount: s.StorePartitions, Config: h.config.Load, Layout: shards.Layout, New: h.newEngine, Peers: peers, Events: h.o.Events,
+		Member: member, Daemon: h.base.Self.Name, OtherDaemons: h.otherDaemons, Now: time.Now, PartitionCount: s.StorePartitions, Config: h.config.Load, Layout: shards.Layout, Services: shards.Services, New: h.newEngine, Peers: peers, Events: h.o.Events,
 	})
 }
 
 func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Manager, peers *peer.Peers, shards *shard.Manager, s platform.Settings) *entry.Router {
-	return entry.New(entry.Options{Member: member, Isolated: store.Isolated, Layout: shards.Layout, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now, Daemons: h.otherDaemons})
+	return entry.New(entry.Options{Member: member, Isolated: store.Isolated, Layout: shards.Layout, Homes: shards, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now, Daemons: h.otherDaemons})
 }
 
 func (h *Host) newPolicyClients(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.PolicyClients {
--- a/internal/scheduler/clients.go
+++ b/internal/scheduler/clients.go
@@ -167,6 +167,12 @@
 type Shards interface {
 	// Several reports whether a service has several shards. It does no I/O.
 	Several(service string) bool
+	// Locate returns whether the partition holds a shard of a service, and else which
+	// partition a submission of it lies in. It does no I/O.
+	Locate(service, id string) (Location, int)
+	// MayHandOver reports whether all daemons are known to understand the records of a
+	// handover. It does not wait for those that were not asked yet.
+	MayHandOver() bool
 	// Ask returns the answers of the owners that answered. It returns none while
 	// submissions cannot be handed over.
 	Ask(ctx context.Context, question RoomQuestion) []RoomAnswer
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -112,6 +112,11 @@
 	// retention is over and of which that is not known.
 	handoverConfirmed map[string]bool
 	unconfirmedFinals []string
+	// misrouted holds the jobs whose queues lead to another service now. locate and
+	// mayHandOver say whether they can move there; locate is nil if that is not known.
+	misrouted   map[*job]bool
+	locate      func(service, id string) (Location, int)
+	mayHandOver bool
 	// sharded reports whether a service has several shards; nil if that is not known.
 	sharded func(service string) bool
 	// roomAsked is set while a question to other shards is open, which was asked at
@@ -190,7 +195,7 @@
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now, leasesRenewed: true,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
-		pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
+		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	c.memory.limit = bounds.MemoryBytes
@@ -359,6 +364,7 @@
 		if q, ok := config.Queue(j.sub.Queue); ok {
 			j.queue = *q
 		}
+		c.noteRoute(j)
 	}
 }
 
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -197,6 +197,7 @@
 	config := e.o.Config()
 	e.setTime()
 	e.updateEvidence()
+	e.core.SetLocate(e.o.Shards.Locate)
 	if config != nil {
 		e.core.Configure(config)
 	}
@@ -229,6 +230,7 @@
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
 			e.core.SetSharded(e.o.Shards.Several)
 			e.core.SetMemoryLimit(e.o.MemoryBudget())
+			e.core.SetMayHandOver(e.core.Misrouted() && e.o.Shards.MayHandOver())
 			e.orders.observe()
 			e.updateEvidence()
 			e.core.Tick()
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -54,12 +54,7 @@
 const statusDeparting workload.Status = "departing"
 
 // handoverNumber returns how often the job was handed over before.
-func (j *job) handoverNumber() int {
-	if j.sub.Transfer == nil {
-		return 0
-	}
-	return j.sub.Transfer.Number
-}
+func (j *job) handoverNumber() int { return transferNumber(j.sub) }
 
 // inheritedRun is a run number above all that earlier owners, of this partition and of
 // those that held the submission before, may have used.
@@ -71,27 +66,39 @@
 	return t.MaxRun + int(epoch-t.Epoch)*runsPerEpoch
 }
 
-// handOver begins to hand a job without attempts over to another partition.
-func (c *Core) handOver(j *job, to int, reason handoverReason) {
+// handOver begins to hand a job without attempts over to another partition, as a submission
+// of the given service.
+func (c *Core) handOver(j *job, to int, service string, reason handoverReason) {
 	c.concludeExposures(j)
 	d := &departure{job: j, record: workload.Handover{
 		Submission: *j.sub, To: to, Number: j.handoverNumber() + 1, MaxRun: j.maxRun(), Started: j.started,
 	}}
+	if service != j.sub.Service {
+		d.record.Submission.Service, d.record.Submission.ConfigVersion = service, c.config.Version
+	}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyHandover, id, d.record), tombstone(keyAccepted, id)}
 	if j.progressParts > 0 || !j.progress().Empty() {
 		records = append(records, c.progressRecords(j)...)
 	}
 	j.ending = statusDeparting
-	c.unschedule(j)
+	c.forget(j)
 	delete(c.jobs, id)
 	c.departures[id] = d
 	c.metric.handedOver(reason)
 	c.log.Log(events.SubmissionHandedOver, "id", id, "queue", j.sub.Queue, "to", to, "number", d.record.Number, "why", string(reason),
-		"waited", c.now.Sub(j.stuckSince).Milliseconds())
+		"service", service, "waited", c.waited(j).Milliseconds())
 	c.writeOr(records, func() { c.sendHandover(d) }, func(error) { c.keepDeparture(d) })
 }
 
+// waited returns for how long nothing of a job has run, as far as that is known.
+func (c *Core) waited(j *job) time.Duration {
+	if j.stuckSince.IsZero() {
+		return 0
+	}
+	return c.now.Sub(j.stuckSince)
+}
+
 // keepDeparture makes a submission this partition's again whose handover the log does
 // not accept.
 func (c *Core) keepDeparture(d *departure) {
--- a/internal/scheduler/handover_evidence_test.go
+++ b/internal/scheduler/handover_evidence_test.go
@@ -24,7 +24,7 @@
 // handOverBegun hands the job over to partition 1 and returns what is sent there.
 func (h *harness) handOverBegun() Handover {
 	h.t.Helper()
-	h.do(func(c *Core) { c.handOver(c.jobs[id1], 1, handoverIncapable) })
+	h.do(func(c *Core) { c.handOver(c.jobs[id1], 1, testService, handoverIncapable) })
 	for _, a := range h.shardCalls {
 		if send, ok := a.(SendHandover); ok {
 			return send.Handover
--- a/internal/scheduler/handover_test.go
+++ b/internal/scheduler/handover_test.go
@@ -260,7 +260,7 @@
 	h.submit(id1, labelled("b", 1))
 	h.advance(roomInterval)
 	h.holdStores = true
-	h.do(func(c *Core) { c.handOver(c.jobs[id1], 1, handoverIncapable) })
+	h.do(func(c *Core) { c.handOver(c.jobs[id1], 1, testService, handoverIncapable) })
 	rejected := h.stores[0]
 	h.stores = nil
 	h.do(func(c *Core) { c.WriteRejected(rejected.WriteID, errNoAnswer) })
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -28,7 +28,7 @@
 			break
 		}
 		switch {
-		case !c.queueRouted(st) || !p.worthTrying(st):
+		case !p.worthTrying(st):
 		case c.mayStart(st):
 			p.place(st)
 		default:
@@ -54,18 +54,10 @@
 	c.queued = kept
 }
 
-// queueRouted reports whether the step's queue still routes to the service for
-// which the submission was accepted.
-func (c *Core) queueRouted(st *step) bool {
-	sub := st.job().sub
-	q, ok := c.config.Queue(sub.Queue)
-	return ok && q.Service == sub.Service
-}
-
 // mayStart reports whether tasks of the step may start now.
 func (c *Core) mayStart(st *step) bool {
 	j := st.job()
-	return j.stored && (!j.inherited || c.recovered) && c.queueRouted(st)
+	return j.stored && (!j.inherited || c.recovered) && c.startsHere(j)
 }
 
 // placementOrder is the sort key of a step: first the queue's priority, then
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -314,6 +314,7 @@
 	c.startDeferredTrials()
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
+	c.reroute()
 	c.seekRoom()
 	c.checkForwards()
 	c.expireFinalStates()
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -42,8 +42,11 @@
 // notScheduled is the index of a job that is not in the dueQueue.
 const notScheduled = -1
 
-// unschedule removes a job from the queue of those with occurrences to come.
-func (c *Core) unschedule(j *job) {
+// forget removes a job that is ending from what is still to be done. The next placement
+// pass drops its steps from the queue.
+func (c *Core) forget(j *job) {
+	c.placementNeeded = true
+	delete(c.misrouted, j)
 	if j.dueIndex != notScheduled {
 		heap.Remove(&c.scheduled, j.dueIndex)
 	}
--- a/internal/scheduler/shards.go
+++ b/internal/scheduler/shards.go
@@ -133,6 +133,10 @@
 
 func (noShards) Several(string) bool { return false }
 
+func (noShards) Locate(string, string) (Location, int) { return LocationUnknown, 0 }
+
+func (noShards) MayHandOver() bool { return false }
+
 func (noShards) Ask(context.Context, RoomQuestion) []RoomAnswer { return nil }
 
 func (noShards) HandOver(context.Context, int, Handover) error {
--- a/internal/scheduler/stuck.go
+++ b/internal/scheduler/stuck.go
@@ -37,6 +37,8 @@
 	handoverIncapable handoverReason = "incapable"
 	// handoverLoad: the shard is full, and another one has room.
 	handoverLoad handoverReason = "load"
+	// handoverRerouted: the queue leads to another service.
+	handoverRerouted handoverReason = "rerouted"
 )
 
 // stuckJob is a job that waits with nothing running.
@@ -183,7 +185,7 @@
 		}
 		if to, reason := chooseShard(s, i, answers); to != nil {
 			to.FreeCPU -= spareFactor * s.cpu()
-			c.handOver(j, to.Partition, reason)
+			c.handOver(j, to.Partition, j.sub.Service, reason)
 			left--
 		}
 	}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -24,7 +24,11 @@
 		c.reply(reply, Reply{})
 		return
 	}
-	if _, elsewhere := c.forwarded(sub.ID); elsewhere {
+	if f, elsewhere := c.forwarded(sub.ID); elsewhere && f.Number > transferNumber(sub) {
+		if c.forwards[sub.ID].Pending {
+			c.replyForwarded(sub.ID, reply)
+			return
+		}
 		c.reply(reply, Reply{})
 		return
 	}
@@ -40,6 +44,12 @@
 		c.refuse(sub, r, reply)
 		return
 	}
+	if c.passOn(sub, reply) {
+		return
+	}
+	if sub.Transfer != nil {
+		sub.Transfer.Epoch = c.epoch
+	}
 	accepted := recordOf(keyAccepted, sub.ID, sub)
 	if n := recordBytes(accepted); c.bounds.MaxRecordBytes > 0 && n > c.bounds.MaxRecordBytes {
 		c.refuse(sub, tooLarge(fmt.Sprintf("a record of %d bytes, at most %d", n, c.bounds.MaxRecordBytes)), reply)
@@ -58,7 +68,13 @@
 	c.memory.accepted(j)
 	j.waiters = []func(Reply){reply}
 	c.jobs[sub.ID] = j
-	c.writeOr([]partition.Record{accepted}, func() {
+	records := []partition.Record{accepted}
+	if _, back := c.forwards[sub.ID]; back {
+		// It was passed on from here, and has come back.
+		delete(c.forwards, sub.ID)
+		records = append(records, tombstone(keyForward, sub.ID))
+	}
+	c.writeOr(records, func() {
 		if !j.withdrawn {
 			c.submissionStored(j)
 		}
@@ -107,7 +123,7 @@
 	}
 	// The final state keeps the steps from being placed.
 	j.withdrawn, j.ending = true, workload.StatusCancelled
-	c.unschedule(j)
+	c.forget(j)
 	if c.jobs[j.sub.ID] == j {
 		delete(c.jobs, j.sub.ID)
 	}
@@ -156,13 +172,19 @@
 		if q, ok := c.config.Queue(j.sub.Queue); ok {
 			j.queue = *q
 		}
+		c.noteRoute(j)
 	}
 }
 
 // admit queues the steps of a job that are ready, and schedules the occurrences
-// that are not due.
+// that are not due. A job that stays after all is admitted again.
 func (c *Core) admit(j *job) {
 	c.assignQueue(j)
+	for _, o := range j.built() {
+		if o.due {
+			c.activate(o)
+		}
+	}
 	c.schedule(j)
 	c.completeIfDone(j)
 }
@@ -239,6 +261,11 @@
 			n++
 		}
 	}
+	for _, d := range c.departures {
+		if sub := d.record.Submission; sub.Queue == queue && !d.record.Started && !sub.Timed() {
+			n++
+		}
+	}
 	c.reply(reply, Reply{Pending: n})
 }
 
@@ -253,7 +280,7 @@
 // and stops its running tasks.
 func (c *Core) finishJob(j *job, status workload.Status) {
 	j.ending = status
-	c.unschedule(j)
+	c.forget(j)
 	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue, Transferred: j.sub.Transfer != nil}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
--- a/internal/tenure/manager.go
+++ b/internal/tenure/manager.go
@@ -50,6 +50,8 @@
 	// Layout returns how a service is divided into shards, and false if that
 	// is unknown.
 	Layout func(service string) (shard.Layout, bool)
+	// Services lists the services that ever had a layout.
+	Services func() []string
 	// New creates a scheduler for a partition.
 	New    func(id partition.ID) *scheduler.Engine
 	Peers  roles.Peers
@@ -150,15 +152,15 @@
 	}
 }
 
-// servingPartitions returns the partitions of the services in the
-// configuration.
+// servingPartitions returns the partitions of the services in the configuration, and of
+// those before: they may hold submissions that were accepted then.
 func (t *Manager) servingPartitions() map[partition.ID]bool {
 	ids := make(map[partition.ID]bool)
 	config := t.o.Config()
 	if config == nil {
 		return ids
 	}
-	for _, service := range config.ServiceNames() {
+	for _, service := range slices.Concat(config.ServiceNames(), t.o.Services()) {
 		// The owner of the first shard decides the layout, so the first shard
 		// is served while the layout is unknown.
 		layout, _ := t.o.Layout(service)
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,9 @@
 type Manager struct {
 	o     Options
 	table atomic.Pointer[Table]
+	homes atomic.Pointer[homes]
+	// storingHome is set while a home is being stored.
+	storingHome atomic.Bool
 
 	// version counts the changes of the table.
 	version atomic.Uint64
@@ -75,6 +79,7 @@
 func NewManager(o Options) *Manager {
 	k := &Manager{o: o, observed: make(map[string]observation)}
 	k.table.Store(&Table{})
+	k.homes.Store(&homes{})
 	return k
 }
 
@@ -84,6 +89,9 @@
 	return l, ok
 }
 
+// Services returns the sorted names of all services with a layout.
+func (k *Manager) Services() []string { return slices.Sorted(maps.Keys(*k.table.Load())) }
+
 // Count returns the number of shards of all services.
 func (k *Manager) Count() int {
 	n := 0
@@ -105,8 +113,16 @@
 
 // apply applies records. It skips a layout that contradicts the one in force.
 func (k *Manager) apply(records []partition.Record) {
-	next := maps.Clone(*k.table.Load())
+	next, nextHomes := maps.Clone(*k.table.Load()), maps.Clone(*k.homes.Load())
 	for _, r := range records {
+		if queue, service, isHome, err := nextHomes.decode(r); isHome {
+			if err != nil {
+				k.o.Rejected(r.Key, err)
+				continue
+			}
+			nextHomes[queue] = service
+			continue
+		}
 		var l Layout
 		if err := workload.Decode(r.Value, &l); err != nil {
 			k.o.Rejected(r.Key, err)
@@ -119,6 +135,7 @@
 		next[r.Key] = l
 	}
 	k.table.Store(&next)
+	k.homes.Store(&nextHomes)
 	k.version.Add(1)
 	k.mu.Lock()
 	k.loaded = true
--- a/workload/handover.go
+++ b/workload/handover.go
@@ -29,10 +29,14 @@
 	Started bool `cbor:"5,keyasint,omitempty"`
 }
 
-// Forward is the stored record of a submission that another partition has taken over.
+// Forward is the stored record of a submission that another partition has taken over, or
+// that only that one may accept.
 type Forward struct {
 	To     int `cbor:"1,keyasint"`
 	Number int `cbor:"2,keyasint"`
 	// At is when the handover was complete, in Unix milliseconds.
 	At int64 `cbor:"3,keyasint"`
+	// Pending is set if the submission was passed on before it was accepted: the other
+	// partition may have refused it.
+	Pending bool `cbor:"4,keyasint,omitempty"`
 }
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -133,6 +133,9 @@
 	// Transfer is set if the partition that holds the submission took it over from
 	// another one.
 	Transfer *Transfer `cbor:"10,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration by which the queue leads to
+	// Service; 0 if it is not known.
+	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Occurrences returns the number of times that the steps run.
