Leases are counted by what a restarted server may have granted

The rule now: a lease lasts until max_hold_ms after the last call with a deadline of an owner can have been carried out by any instance under the server's ID. - The next owner waits that long for a server that it does not hear, and counts from there for one that it hears for the first time. - An owner counts that long for a run whose start got no answer, or an answer of a clock that has begun anew. Its other runs are over with the leases that were sent. - A start is not sent again to a server that answers no polls: each copy could be granted anew. It is sent once the server answers. - A run with an unanswered copy on a server that has restarted is stopped on the new instance before its task starts elsewhere.

Weighed: the same only for servers with a restart on record (a restart that nobody saw before the cut leaves none; an append per restart); no deadline on the first call to an instance (does not help against calls meant for the former one); longer leases (not needed). Price: 4 s more where a server is silent to a next owner, on sites whose max_hold_ms is over 6 s. A call that is carried out seconds after it was sent, by a new instance that the next owner does not hear, is not covered.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -136,12 +136,19 @@
 	a.startResults++
 	current := c.serverOf(to) != nil
 	if err == nil {
+		if clock < a.server.clockMS {
+			// The next instance may have answered, whose clock has begun anew.
+			c.mayBeGranted(a)
+		}
 		if current {
 			a.server.updateClock(clock, c.now)
 		}
 		c.startConfirmed(a)
 		return
 	}
+	if verdict.Of(err) != verdict.NotRun {
+		c.mayBeGranted(a)
+	}
 	c.metric.orderFailed(err)
 	c.log.Log(events.CommandFailed, "task", o.Task.String(), "run", o.Run, "server", to.ID, "order", "start",
 		"reason", string(verdict.ReasonOf(err)), "verdict", verdict.Of(err).String(), "error", err.Error())
@@ -174,14 +181,30 @@
 
 // startUnanswered resends a start order, or sends a stop where the task may not
 // start any more. Once the stop is confirmed, a delayed copy of the start has
-// no effect.
+// no effect. To a server that does not answer polls either, nothing is sent: it may have
+// restarted, and would grant each copy its longest lease anew.
 func (c *Core) startUnanswered(a *attempt) {
-	if a.server.info.Draining || !a.server.listed || !a.server.entryCurrent() || a.server.overcommitted() || !c.mayStart(a.task.step) {
+	s := a.server
+	switch {
+	case s.info.Draining || !s.listed || !s.entryCurrent() || s.overcommitted() || !c.mayStart(a.task.step):
 		c.stop(a)
-	} else {
+	case s.unresponsiveSince.IsZero():
 		c.sendStart(a)
+	default:
+		a.resendDue = true
+	}
+	c.poll(s)
+}
+
+// resendStarts resends the starts that were held back while their server did not answer,
+// but for those that it lists.
+func (c *Core) resendStarts(s *server) {
+	for _, a := range s.attempts {
+		if a.resendDue && a.state == startSent {
+			a.resendDue = false
+			c.startUnanswered(a)
+		}
 	}
-	c.poll(a.server)
 }
 
 // StartNotSent handles a start order that was not sent, because it expired
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -80,9 +80,9 @@
 	declaredUnheard map[string]bool
 	unheardAt       time.Time
 
-	// maxLeaseSent is the longest lease that this or an earlier owner may have
-	// sent.
-	maxLeaseSent time.Duration
+	// maxLeaseGranted is the longest lease that a server may have granted to this or an
+	// earlier owner, whatever was sent.
+	maxLeaseGranted time.Duration
 
 	// listRead is set once the platform's server list has been read.
 	listRead    bool
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -15,16 +15,20 @@
 	if c.faults.forgetOwners && len(claim.Prior) > 1 {
 		claim.Prior = claim.Prior[len(claim.Prior)-1:]
 	}
-	c.tenure = newTenure(claim, began, c.now)
+	c.maxLeaseGranted = c.bounds.MaxLease
+	for _, p := range claim.Prior {
+		c.maxLeaseGranted = max(c.maxLeaseGranted, msDuration(p.LeaseMS))
+	}
+	granted := c.maxLeaseGranted
+	if c.faults.countSentLeases {
+		granted = c.bounds.lease()
+	}
+	c.tenure = newTenure(claim, granted, began, c.now)
 	c.tenure.faults = c.faults
 	if missed := suspension(began, wallBegan, c.now, c.wall); missed > 0 {
 		c.resumedAt = c.now
 		c.tenure.suspended(missed)
 	}
-	c.maxLeaseSent = c.bounds.lease()
-	for _, p := range claim.Prior {
-		c.maxLeaseSent = max(c.maxLeaseSent, msDuration(p.LeaseMS))
-	}
 }
 
 // SetOwnershipConfirmed sets when the newest call to the log began that a later claim
@@ -97,6 +101,44 @@
 	return confirmed
 }
 
+// mayBeGranted notes that the next instance of a server may have carried out a start that was
+// meant for the one before. It grants the longest lease, since the start's deadline is far
+// ahead of its clock.
+func (c *Core) mayBeGranted(a *attempt) {
+	if c.faults.countAnswered {
+		return
+	}
+	lease := time.Duration(float64(c.maxLeaseGranted)*maxClockDrift) + leaseExpirySlack
+	a.grantedUntil = latest(a.grantedUntil, c.now.Add(lease))
+}
+
+// mayRunElsewhere reports whether a run whose instance is over, or whose leases there have
+// expired, can last on no later instance either.
+func (c *Core) mayRunElsewhere(a *attempt) bool { return !c.now.Before(a.grantedUntil) }
+
+// allMayRunElsewhere reports the same for all runs of a server.
+func (c *Core) allMayRunElsewhere(s *server) bool {
+	for _, a := range s.attempts {
+		if !c.mayRunElsewhere(a) {
+			return false
+		}
+	}
+	return true
+}
+
+// stopOnNextInstance stops a run on the instance that follows the one on which it was
+// confirmed: a copy of its start may still reach the server. Once the stop is confirmed, such
+// a copy has no effect.
+func (c *Core) stopOnNextInstance(a *attempt) {
+	a.state = running
+	c.stop(a)
+	c.poll(a.server)
+	if a.task.step.spec.Gang {
+		a.task.step.markRunEnded(a.run)
+		c.stopGang(a.task.step)
+	}
+}
+
 // ownLeasesExpiry returns when the leases that this and earlier owners have sent to a
 // server have expired, or false if an earlier owner may still extend one.
 func (c *Core) ownLeasesExpiry(s *server) (time.Time, bool) {
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -130,11 +130,12 @@
 	c.reviewTrial(s)
 	if !s.synced {
 		s.synced = true
-		// An earlier owner may have sent its longest lease just before.
-		s.leaseDeadlineMS = max(s.leaseDeadlineMS, list.ClockMS+c.maxLeaseSent.Milliseconds())
+		// The longest lease may have been granted to an earlier owner just before.
+		s.leaseDeadlineMS = max(s.leaseDeadlineMS, list.ClockMS+c.maxLeaseGranted.Milliseconds())
 		c.placementNeeded = true
 	}
 	s.polledAt = c.now
+	c.resendStarts(s)
 }
 
 func (c *Core) pollFailed(s *server, to Instance, err error) {
@@ -146,7 +147,7 @@
 	if verdict.ReasonOf(err) == ReasonWrongInstance && !s.over && s.refusalProvesEnd(to) {
 		c.instanceEnded(s)
 	}
-	if !s.listed && c.leasesExpired(s) {
+	if !s.listed && c.leasesExpired(s) && c.allMayRunElsewhere(s) {
 		c.removeServer(s)
 		return
 	}
@@ -186,15 +187,23 @@
 	for _, r := range list.Running {
 		listed[runKey{r.Task, r.Run}] = true
 	}
+	var stops []*attempt
 	for key, a := range s.attempts {
-		if a.state != startSent && !listed[key] {
+		switch {
+		case a.state == startSent || listed[key]:
+		case c.mayRunElsewhere(a):
 			c.markLost(a, lossRestarted)
+		default:
+			stops = append(stops, a)
 		}
 	}
 	s.session = c.newSession()
+	for _, a := range stops {
+		c.stopOnNextInstance(a)
+	}
 	// A poll with a deadline on the former instance's clock may have reached this one, and
 	// got the longest lease that servers grant.
-	s.leaseDeadlineMS = list.ClockMS + max(c.maxLeaseSent, c.bounds.MaxLease).Milliseconds()
+	s.leaseDeadlineMS = list.ClockMS + c.maxLeaseGranted.Milliseconds()
 	for key, a := range s.attempts {
 		if a.state == startSent && !listed[key] && a.task.history().Suspect() {
 			// The order must not reach the new instance outside a trial.
@@ -327,8 +336,10 @@
 	unresponsive := !s.unresponsiveSince.IsZero()
 	if unresponsive && len(s.attempts) > 0 && c.leasesExpired(s) {
 		for _, a := range s.attempts {
-			c.keepExposure(a)
-			c.markLost(a, lossLeaseExpired)
+			if c.mayRunElsewhere(a) {
+				c.keepExposure(a)
+				c.markLost(a, lossLeaseExpired)
+			}
 		}
 		s.synced = false
 	}
--- a/internal/scheduler/restart_lease_test.go
+++ b/internal/scheduler/restart_lease_test.go
@@ -81,3 +81,111 @@
 	}
 	t.Error("the task does not start again")
 }
+
+// lateLease is how long the longest lease lasts by this clock, at most.
+const lateLease = 10*time.Second*102/100 + leaseExpirySlack
+
+// The next instance of a server confirms a start that was meant for the one before, and then
+// answers nothing any more. Its clock, which has begun anew, shows that the lease may be the
+// longest that servers grant. The task must not start elsewhere before that is over.
+func TestCore_StartConfirmedByTheNextInstanceKeepsItsTask(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	h.do(func(c *Core) { c.StartCompleted(start.To, start.Order, 7, nil) })
+	confirmed := h.now
+	for range 400 {
+		h.advance(50 * time.Millisecond)
+		h.silence(start.To.ID)
+		for _, again := range h.takeStarts() {
+			if waited := h.now.Sub(confirmed); waited < lateLease {
+				t.Errorf("the task starts on %s %s after the next instance has confirmed it, want %s", again.To.ID, waited, lateLease)
+			}
+			return
+		}
+	}
+	t.Error("the task does not start again")
+}
+
+// silence lets a poll of a server in flight get no answer, and answers those of the others.
+func (h *harness) silence(server string) {
+	for _, s := range h.servers {
+		poll, polled := h.polls[s.ID]
+		switch {
+		case !polled:
+		case s.ID == server:
+			delete(h.polls, s.ID)
+			h.do(func(c *Core) {
+				c.PollCompleted(poll.To, h.now, PollResponse{}, verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer"))
+			})
+		default:
+			h.answerPoll(s.ID, PollResponse{})
+		}
+	}
+}
+
+// One copy of a start is lost on its way, the next one is confirmed, and the server restarts.
+// The first copy may reach the new instance: the task starts again only after that one has
+// confirmed a stop.
+func TestCore_RestartedServerIsToldToStopBeforeTheTaskStartsAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	h.do(func(c *Core) {
+		c.StartCompleted(start.To, start.Order, 0, verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer"))
+	})
+	h.confirmStart(h.takeStarts()[0])
+	h.relist(start.To.ID, restartedAtMS)
+	h.advance(2 * time.Second)
+	h.answerPoll(start.To.ID, PollResponse{ClockMS: 5, StartedAtMS: restartedAtMS})
+	for range 4 {
+		h.advance(50 * time.Millisecond)
+	}
+	if starts := h.takeStarts(); len(starts) > 0 {
+		t.Fatalf("run %d starts while a copy of run %d may reach the server", starts[0].Order.Run, start.Order.Run)
+	}
+	if len(h.stops) != 1 || h.stops[0].Order.Run != start.Order.Run {
+		t.Fatalf("stops %+v, want one of run %d", h.stops, start.Order.Run)
+	}
+	h.do(func(c *Core) { c.StopCompleted(h.stops[0].To, h.stops[0].Order, nil) })
+	h.advance(time.Millisecond)
+	h.answerPoll(start.To.ID, PollResponse{ClockMS: 300, StartedAtMS: restartedAtMS})
+	// The task may be suspected of the crash, so that its start is a trial, which is stored.
+	h.advance(time.Second)
+	if n := len(h.takeStarts()); n != 1 {
+		t.Errorf("%d starts after the stop was confirmed, want 1", n)
+	}
+}
+
+// A server that answers the next owner for the first time may have granted the longest lease
+// to an earlier one just before. It falls silent again.
+func TestCore_InheritedServerCountsForTheLongestLease(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	start := h.runOne(id1, 1000)
+	takeOverFrom(h)
+	h.answerPoll("s0", PollResponse{Running: runningOn("s0", start)})
+	h.answerPoll("s1", PollResponse{Running: runningOn("s1", start)})
+	heard := h.now
+	for range 400 {
+		h.advance(50 * time.Millisecond)
+		h.silence(start.To.ID)
+		for range h.takeStarts() {
+			if waited := h.now.Sub(heard); waited < 10*time.Second {
+				t.Errorf("the task starts again %s after its server was heard, want 10 s", waited)
+			}
+			return
+		}
+	}
+	t.Error("the task does not start again")
+}
+
+// runningOn lists a run if it is on the given server.
+func runningOn(server string, start StartTask) []ActiveRun {
+	if start.To.ID != server {
+		return nil
+	}
+	return []ActiveRun{runOf(start)}
+}
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -161,6 +161,11 @@
 	answeredAt time.Time
 	need       workload.Resources
 	ticket     string
+	// grantedUntil is until when the run may last under a start that its server's next
+	// instance has carried out, or may yet; zero if none can have.
+	grantedUntil time.Time
+	// resendDue is set while a further copy of the start waits for its server to answer.
+	resendDue bool
 	// startResults counts the start orders whose outcome was reported,
 	// including those without an answer.
 	startResults int
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -10,9 +10,14 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// The rule that tenures keep: when an owner starts an inherited task, every lease that an
-// earlier owner can have sent to any server has expired, or that server has answered this
-// owner and refuses the earlier ones since.
+// The rule that tenures keep: when an owner starts an inherited task, every lease that a
+// server can have granted on a call of an earlier owner has expired, or that server has
+// answered this owner and refuses the earlier ones since.
+//
+// What was granted may be more than what was sent. A server that restarts under its ID takes
+// calls that were meant for the instance before. Their deadline is a time on that one's clock,
+// far ahead of a clock that begins anew, so that it grants the longest lease that servers
+// grant, from the time at which it carries the call out.
 //
 // An owner extends leases for their length from its newest evidence that nobody has claimed
 // the partition after it: a call to the log, or attestations of a majority of the witnesses
@@ -54,17 +59,14 @@
 }
 
 // newTenure returns the tenure of an owner with a claim in the log whose append began at
-// the given time and ended now.
-func newTenure(claim workload.PartitionOwner, began, now time.Time) *tenure {
+// the given time and ended now. Granted is the longest lease that a server may have granted
+// to an earlier owner.
+func newTenure(claim workload.PartitionOwner, granted time.Duration, began, now time.Time) *tenure {
 	lease := msDuration(claim.LeaseMS)
-	longest := lease
-	for _, p := range claim.Prior {
-		longest = max(longest, msDuration(p.LeaseMS))
-	}
 	const drift = (1 + ownership.MaxClockDrift) / (1 - ownership.MaxClockDrift)
 	t := &tenure{
 		protocol: ownership.Protocol{Timing: ownership.Timing{
-			LeaseDuration: lease, TakeoverWait: time.Duration(float64(longest)*drift) + takeoverSlack,
+			LeaseDuration: lease, TakeoverWait: time.Duration(float64(granted)*drift) + takeoverSlack,
 			HandoverLease: lease, AttestedDuration: maxAttested,
 		}},
 		prior: claim.Prior, began: began, stopped: make(map[string]bool), updateStored: len(claim.Prior) == 0,
@@ -89,6 +91,8 @@
 	recordFromClaim bool // record what this owner waited since its claim, not since the promises
 	forgetOwners    bool // wait only for the last of the earlier owners
 	leaseDeclared   bool // send leases to a server that the record declares unheard
+	countSentLeases bool // wait for the leases that earlier owners sent, not for those granted
+	countAnswered   bool // count no lease under starts that got no answer
 }
 
 // holderOf identifies one owner. A daemon may own a partition several times.
