A server that is back under its ID after 0.5 s is not used on older evidence

Cause, found on the way: an owner used a server that answered it for the first time on evidence that began up to reuse_after_s (2 s) before, as the time that lies between two instances. A later owner that claims within 2 s, and that the instance before had answered, was overlooked, and the earlier one started a task a second time. Fix: a quarter of that bound counts, half of what acknowledgements use. Owners still use servers that answer within 0.5 s of their claim at once.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -29,8 +29,8 @@
 	// StatusRetention is how long the state of an ended submission stays
 	// readable.
 	StatusRetention time.Duration
-	// ReuseAfter is the shortest time between the end of a server instance and
-	// the start of another one under the same ID.
+	// ReuseAfter is the shortest time between the end of a server and the start of
+	// another one under its ID. The same server may be back sooner.
 	ReuseAfter time.Duration
 	// MemoryBytes is the budget for what is held of submissions; 0 means none.
 	MemoryBytes int64
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -110,11 +110,15 @@
 	return s.aliveAt.Add(c.bounds.ReuseAfter / 2)
 }
 
+// restartFraction: a server may be back under its own ID after this fraction of the time
+// after which another one may get the ID.
+const restartFraction = 4
+
 // mayUseInstance reports whether the instance of a server that has answered may be used. A
 // later owner may have been told by the instance before, whose end made the server forget
 // that owner's fencing token. It has not if a call to the log that shows no later claim
 // began after this instance's first answer, or after its entry was seen. At an owner's
-// first answer of a server the time counts as well that lies between two instances.
+// first answer of a server the time counts as well that lies between two instances at least.
 func (c *Core) mayUseInstance(s *server, list PollResponse) bool {
 	first := s.polledAt.IsZero() && !s.over
 	restarted := s.over || list.StartedAtMS != 0 && s.startedAtMS != 0 && list.StartedAtMS != s.startedAtMS
@@ -127,7 +131,7 @@
 	confirmed := c.tenure.confirmedAt()
 	needed := s.metAt
 	if first {
-		needed = needed.Add(-c.bounds.ReuseAfter)
+		needed = needed.Add(-c.bounds.ReuseAfter / restartFraction)
 	}
 	listedBefore := list.StartedAtMS != 0 && list.StartedAtMS == s.info.StartedAtMS && !s.entrySeenAt.IsZero() && !confirmed.Before(s.entrySeenAt)
 	if listedBefore || !confirmed.Before(needed) {
--- a/internal/scheduler/tenure_restart_test.go
+++ b/internal/scheduler/tenure_restart_test.go
@@ -105,3 +105,30 @@
 			again.To.ID, again.Order.LeaseDeadlineMS-met, starts[0].To.ID)
 	}
 }
+
+// As before, with a server that is back under its ID sooner than another one may get the ID.
+// The earlier owner has not heard the server before.
+func TestCore_EarlierOwnerUsesNoServerThatIsBackSoon(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerPoll("s0", PollResponse{})
+	running := h.runOne(id1, 32000)
+	h.submit(id2, oneTask(32000))
+	if len(h.takeStarts()) > 0 {
+		t.Fatal("a task starts without room")
+	}
+	earlier := isolate(h)
+	takeOverFrom(h)
+	h.answerPoll("s1", PollResponse{})
+	h.answerPoll("s0", PollResponse{Running: []ActiveRun{runOf(running)}})
+	starts := h.takeStarts()
+	if len(starts) != 1 || starts[0].Order.Task.Submission != id2 {
+		t.Fatalf("the next owner starts %v, want the waiting task", starts)
+	}
+	const gap = 600 * time.Millisecond
+	h.now, h.wall = h.now.Add(gap), h.wall+gap.Milliseconds()
+	met := h.clock()
+	for _, again := range earlier.meetRestarted("s1") {
+		t.Errorf("an earlier owner starts the task on %s under a lease of %d ms, which the next one has started",
+			again.To.ID, again.Order.LeaseDeadlineMS-met)
+	}
+}
