Placement passes leave the index of queued work to the next submission

Cause: every pass renewed the sums of queued work, submissions or not; and each submission was encoded twice for the length of its record. Change: the index is renewed for the first submission after a pass; the length is that of the record that is written; the Core is told of a confirmation of the ownership only when it has changed.

--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -24,9 +24,11 @@
 }
 
 // backlogIndex answers what is placed before a submission without a look at every queued
-// step. Placement passes, which go through the queue anyway, renew it; it is as old as the
-// last one, but for the steps that were queued since.
+// step. It is renewed for the first submission after a placement pass, which has sorted the
+// queue, and is as old as that pass, but for the steps that were queued since.
 type backlogIndex struct {
+	// stale is set if the queue was sorted since the index was renewed.
+	stale    bool
 	services map[string]*serviceBacklog
 	// recent are the steps that were queued since the index was renewed.
 	recent []*step
@@ -60,23 +62,31 @@
 	return s.sums[n-1]
 }
 
-// indexBacklog renews the index from the queue, which must be sorted.
+// queueSorted notes that the queue was sorted and holds no step without tasks to place.
+func (x *backlogIndex) queueSorted() {
+	x.stale = true
+	clear(x.recent)
+	x.recent = x.recent[:0]
+}
+
+// indexBacklog renews the index from the steps that were queued when the queue was sorted.
 func (c *Core) indexBacklog() {
 	x := &c.backlog
-	for _, s := range x.services {
-		s.orders, s.sums = s.orders[:0], s.sums[:0]
-	}
+	x.stale = false
 	if x.services == nil {
 		x.services = make(map[string]*serviceBacklog)
 	}
-	clear(x.recent)
-	x.recent = x.recent[:0]
-	for _, st := range c.queued {
+	for _, s := range x.services {
+		s.orders, s.sums = s.orders[:0], s.sums[:0]
+	}
+	for _, st := range c.queued[:len(c.queued)-len(x.recent)] {
 		service := st.job().sub.Service
 		if x.services[service] == nil {
 			x.services[service] = &serviceBacklog{}
 		}
-		x.services[service].append(c.placementOrderOf(st), workOf(st, st.unplacedTasks()))
+		if st.job().ending == "" {
+			x.services[service].append(c.placementOrderOf(st), workOf(st, st.unplacedTasks()))
+		}
 	}
 }
 
@@ -86,6 +96,9 @@
 	if indexed := len(c.queued) - len(x.recent); len(x.recent) > maxRecentSteps+indexed {
 		c.dropPlacedSteps()
 		c.sortQueued()
+		x.queueSorted()
+	}
+	if x.stale {
 		c.indexBacklog()
 	}
 	order := c.orderOf(j)
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -111,6 +111,8 @@
 	priorExpired chan struct{}
 	// witnesses are the daemons to ask for attestations.
 	witnesses atomic.Pointer[[]string]
+	// confirmedAt is the confirmation of the ownership that the Core was told of last.
+	confirmedAt time.Time
 	// evidenceWanted is set if the ownership is to be confirmed at once.
 	evidenceWanted atomic.Bool
 	// candidatesAt is when the candidates for witnesses were last looked at.
@@ -281,7 +283,10 @@
 func (e *Engine) setTime() {
 	now := e.o.Now()
 	e.core.SetTime(now, e.o.Wall())
-	e.core.SetOwnershipConfirmed(e.writer.ConfirmedAt())
+	if at := e.writer.ConfirmedAt(); at != e.confirmedAt {
+		e.confirmedAt = at
+		e.core.SetOwnershipConfirmed(at)
+	}
 }
 
 // updateEvidence tells the goroutines that gather evidence what the Core needs now.
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -199,7 +199,7 @@
 		return err
 	}
 	j := newJob(&h.Submission, c.now)
-	j.stored, j.started, j.ending = true, h.Started, statusDeparting
+	j.stored, j.started, j.ending, j.recordBytes = true, h.Started, statusDeparting, len(value)
 	c.departures[h.Submission.ID] = &departure{job: j, record: h}
 	return nil
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -116,7 +116,6 @@
 func newJob(sub *workload.Submission, now time.Time) *job {
 	j := &job{
 		sub: sub, accepted: now, started: sub.Transfer != nil && sub.Transfer.Started, occurrences: make(map[int]*occurrence), dueIndex: notScheduled,
-		recordBytes: recordBytes(recordOf(keyAccepted, sub.ID, sub)),
 	}
 	j.criticalPath, j.criticalPathSteps = criticalPathOf(sub.Steps)
 	return j
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -37,7 +37,7 @@
 	}
 	c.heldForGangs = p.held
 	c.dropPlacedSteps()
-	c.indexBacklog()
+	c.backlog.queueSorted()
 }
 
 // dropPlacedSteps removes steps without tasks to place from the queue.
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -144,7 +144,7 @@
 		return nil
 	}
 	j := newJob(&sub, c.now)
-	j.stored, j.inherited = true, true
+	j.stored, j.inherited, j.recordBytes = true, true, len(value)
 	if age := c.wall - sub.Accepted; age > 0 {
 		j.accepted = c.now.Add(-msDuration(age))
 	}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -56,6 +56,7 @@
 		return
 	}
 	j := newJob(sub, c.now)
+	j.recordBytes = recordBytes(accepted)
 	c.assignQueue(j)
 	if r, refused := c.checkMemory(j); refused {
 		c.refuse(sub, r, reply)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -52,6 +52,7 @@
 	j.skipRunsThrough(h.MaxRun)
 	j.waiters = []func(Reply){reply}
 	records := []partition.Record{recordOf(keyAccepted, id, &sub)}
+	j.recordBytes = recordBytes(records[0])
 	if !h.Progress.Empty() {
 		records = append(records, c.progressRecords(j)...)
 	}
