An answer by a clock that is behind counts for what it can have granted

Cause: answers overtake each other under load, so that a start's answer is often a few milliseconds behind the newest reading of its server's clock. Each such run then counted as one that may last for the longest lease on a next instance. Change: the lease that the answering instance can have granted is the start's deadline by its own clock, and the longest lease at most. A few milliseconds behind, that is what was sent. Comments say that a next instance's clock may be at any value, as the logs show.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -137,8 +137,9 @@
 	current := c.serverOf(to) != nil
 	if err == nil {
 		if clock < a.server.clockMS {
-			// The next instance may have answered, whose clock has begun anew.
-			c.mayBeGranted(a)
+			// The next instance may have answered, whose clock is behind. One that is ahead
+			// grants less than was sent.
+			c.mayBeGranted(a, msDuration(o.LeaseDeadlineMS-clock))
 		}
 		if current {
 			a.server.updateClock(clock, c.now)
@@ -147,7 +148,7 @@
 		return
 	}
 	if verdict.Of(err) != verdict.NotRun {
-		c.mayBeGranted(a)
+		c.mayBeGranted(a, c.maxLeaseGranted)
 	}
 	c.metric.orderFailed(err)
 	c.log.Log(events.CommandFailed, "task", o.Task.String(), "run", o.Run, "server", to.ID, "order", "start",
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -102,14 +102,14 @@
 }
 
 // mayBeGranted notes that the next instance of a server may have carried out a start that was
-// meant for the one before. It grants the longest lease, since the start's deadline is far
-// ahead of its clock.
-func (c *Core) mayBeGranted(a *attempt) {
+// meant for the one before, and have granted a lease by now. That may be the longest one,
+// since the start's deadline may be far ahead of its clock.
+func (c *Core) mayBeGranted(a *attempt, lease time.Duration) {
 	if c.faults.countAnswered {
 		return
 	}
-	lease := time.Duration(float64(c.maxLeaseGranted)*maxClockDrift) + leaseExpirySlack
-	a.grantedUntil = latest(a.grantedUntil, c.now.Add(lease))
+	lasts := time.Duration(float64(min(lease, c.maxLeaseGranted))*maxClockDrift) + leaseExpirySlack
+	a.grantedUntil = latest(a.grantedUntil, c.now.Add(lasts))
 }
 
 // mayRunElsewhere reports whether a run whose instance is over, or whose leases there have
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -16,8 +16,8 @@
 //
 // What was granted may be more than what was sent. A server that restarts under its ID takes
 // calls that were meant for the instance before. Their deadline is a time on that one's clock,
-// far ahead of a clock that begins anew, so that it grants the longest lease that servers
-// grant, from the time at which it carries the call out.
+// which may be far ahead of its own, so that it grants the longest lease that servers grant,
+// from the time at which it carries the call out.
 //
 // An owner extends leases for their length from its newest evidence that nobody has claimed
 // the partition after it: a call to the log, or attestations of a majority of the witnesses
