--- a/internal/scheduler/tenure_explore_test.go
+++ b/internal/scheduler/tenure_explore_test.go
@@ -230,9 +230,17 @@
 // The same for long random sequences of all kinds of events, answers that arrive up to a
 // lease late, and clocks of servers that are 2% off.
 func TestTenureExplore_RandomSequences(t *testing.T) {
-	seeds := tenureSeeds
+	playAllSeeds(t, tenureSeeds, func(t *testing.T, seed uint64) *tenureWorld { return playTenureSeed(t, seed, tenureFaults{}) })
+}
+
+// shortSeeds is the number of random sequences that are played in short tests.
+const shortSeeds = 64
+
+// playAllSeeds plays random sequences, and fails the test at the first breach of each part.
+func playAllSeeds(t *testing.T, seeds int, play func(t *testing.T, seed uint64) *tenureWorld) {
+	t.Helper()
 	if testing.Short() {
-		seeds = 64
+		seeds = shortSeeds
 	}
 	var laterStarts atomic.Int64
 	t.Run("seeds", func(t *testing.T) {
@@ -240,7 +248,7 @@
 			t.Run(strconv.Itoa(part), func(t *testing.T) {
 				t.Parallel()
 				for seed := part; seed < seeds; seed += tenureShards {
-					w := playTenureSeed(t, uint64(seed), tenureFaults{})
+					w := play(t, uint64(seed))
 					if w.breach != "" {
 						t.Fatalf("seed %d:\n  %s", seed, strings.Join(w.trace, "\n  "))
 					}
--- a/internal/scheduler/tenure_instance_test.go
+++ b/internal/scheduler/tenure_instance_test.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,26 +121,7 @@
 // meant for the one before, and was granted the longest lease: servers restart under their
 // IDs, owners follow each other, and servers are cut off from any of them.
 func TestTenureExplore_RestartedServers(t *testing.T) {
-	seeds := restartSeeds
-	if testing.Short() {
-		seeds = 64
-	}
-	var laterStarts atomic.Int64
-	t.Run("seeds", func(t *testing.T) {
-		for part := range tenureShards {
-			t.Run(strconv.Itoa(part), func(t *testing.T) {
-				t.Parallel()
-				for seed := part; seed < seeds; seed += tenureShards {
-					w := playRestartSeed(t, uint64(seed), tenureFaults{})
-					if w.breach != "" {
-						t.Fatalf("seed %d:\n  %s", seed, strings.Join(w.trace, "\n  "))
-					}
-					laterStarts.Add(int64(w.laterStarts))
-				}
-			})
-		}
-	})
-	t.Logf("%d seeds, %d starts by later owners", seeds, laterStarts.Load())
+	playAllSeeds(t, restartSeeds, func(t *testing.T, seed uint64) *tenureWorld { return playRestartSeed(t, seed, tenureFaults{}) })
 }
 
 // Each step of the mend must be needed in some sequence.
