--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -137,8 +137,8 @@
 	current := c.serverOf(to) != nil
 	if err == nil {
 		if clock < a.server.clockMS {
-			// The next instance may have answered, whose clock is behind. One that is ahead
-			// grants less than was sent.
+			// The next instance may have answered, by a clock that is behind, which is not
+			// taken over. By one that is ahead, updateClock counts the lease as granted.
 			c.mayBeGranted(a, msDuration(o.LeaseDeadlineMS-clock))
 		}
 		if current {
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -82,7 +82,7 @@
 		records = append(records, c.progressRecords(j)...)
 	}
 	j.ending = statusDeparting
-	c.forget(j)
+	c.withdrawPlans(j)
 	delete(c.jobs, id)
 	c.departures[id] = d
 	c.metric.handedOver(reason)
--- a/internal/scheduler/restart_lease_test.go
+++ b/internal/scheduler/restart_lease_test.go
@@ -277,3 +277,32 @@
 		}
 	}
 }
+
+// A server has been at rest, and unpolled, for a while when the next instance confirms a start
+// that was meant for the one before. Its clock is ahead of the last reading and behind what the
+// former clock would read by now, from which the start's deadline was made: the lease that it
+// grants is longer than the one sent. The owner counts it by that clock.
+func TestCore_StartConfirmedByAClockBehindTheEstimateKeepsItsTask(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	read := h.clock()
+	for range 50 {
+		h.advance(100 * time.Millisecond)
+	}
+	h.submit(id1, oneTask(1000))
+	start := h.takeStarts()[0]
+	clock := read + 100
+	leaseEnds := h.now.Add(min(msDuration(start.Order.LeaseDeadlineMS-clock), h.bounds.MaxLease))
+	h.do(func(c *Core) { c.StartCompleted(start.To, start.Order, clock, nil) })
+	for range 400 {
+		h.advance(50 * time.Millisecond)
+		h.silence(start.To.ID)
+		for _, again := range h.takeStarts() {
+			if left := leaseEnds.Sub(h.now); left > 0 {
+				t.Errorf("the task starts on %s %s before the end of the lease that the next instance granted", again.To.ID, left.Round(10*time.Millisecond))
+			}
+			return
+		}
+	}
+	t.Error("the task does not start again")
+}
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -42,9 +42,9 @@
 // notScheduled is the index of a job that is not in the dueQueue.
 const notScheduled = -1
 
-// forget removes a job that is ending from what is still to be done. The next placement
-// pass drops its steps from the queue.
-func (c *Core) forget(j *job) {
+// withdrawPlans removes a job that ends or leaves from the occurrences and the moves to come.
+// The next placement pass drops its steps from the queue, which makes room for others.
+func (c *Core) withdrawPlans(j *job) {
 	c.placementNeeded = true
 	delete(c.misrouted, j)
 	if j.dueIndex != notScheduled {
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -124,7 +124,7 @@
 	}
 	// The final state keeps the steps from being placed.
 	j.withdrawn, j.ending = true, workload.StatusCancelled
-	c.forget(j)
+	c.withdrawPlans(j)
 	if c.jobs[j.sub.ID] == j {
 		delete(c.jobs, j.sub.ID)
 	}
@@ -281,7 +281,7 @@
 // and stops its running tasks.
 func (c *Core) finishJob(j *job, status workload.Status) {
 	j.ending = status
-	c.forget(j)
+	c.withdrawPlans(j)
 	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue, Transferred: j.sub.Transfer != nil}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -88,7 +88,7 @@
 // hands it over keeps it and tries again.
 func (c *Core) takeOverRejected(j *job, err error) {
 	j.withdrawn, j.ending = true, statusDeparting
-	c.forget(j)
+	c.withdrawPlans(j)
 	delete(c.jobs, j.sub.ID)
 	for _, reply := range j.waiters {
 		c.reply(reply, Reply{Outcome: OutcomeInvalid, Reason: "submission_too_large", Detail: err.Error()})
