Tenants in the configuration, keys at the entry

A submission keeps its tenant in its record and its final state; a call about another tenant's is answered as if it did not exist, and an ID of another tenant is refused (409).

The placement order and the choice of a server move to files of their own, without a change.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -47,14 +47,14 @@
 	}
 }
 
-// Status returns the state of a submission to a queue that leads to a service now.
-func (e *Router) Status(ctx context.Context, queue, service, id string) (scheduler.Reply, error) {
-	return e.callHolder(ctx, methodStatus, queue, service, id)
+// Status returns the state of a submission.
+func (e *Router) Status(ctx context.Context, ref workload.Reference) (scheduler.Reply, error) {
+	return e.callHolder(ctx, methodStatus, ref)
 }
 
-// Cancel cancels a submission to a queue that leads to a service now.
-func (e *Router) Cancel(ctx context.Context, queue, service, id string) (scheduler.Reply, error) {
-	return e.callHolder(ctx, methodCancel, queue, service, id)
+// Cancel cancels a submission.
+func (e *Router) Cancel(ctx context.Context, ref workload.Reference) (scheduler.Reply, error) {
+	return e.callHolder(ctx, methodCancel, ref)
 }
 
 // callHolder routes a call about one submission to the partition that holds it. The queue's
@@ -62,23 +62,23 @@
 // accepted before the home was stored, or under another name of the queue: "not found" is
 // replied only if none of them holds it. One that moves meanwhile is found as well, since
 // its former partition forwards the call.
-func (e *Router) callHolder(ctx context.Context, method, queue, service, id string) (scheduler.Reply, error) {
-	first := service
-	if home, ok := e.o.Homes.Home(queue); ok {
+func (e *Router) callHolder(ctx context.Context, method string, ref workload.Reference) (scheduler.Reply, error) {
+	first := ref.Service
+	if home, ok := e.o.Homes.Home(ref.Queue); ok {
 		first = home
 	}
 	asked := make(map[int]bool)
-	for _, s := range slices.Concat([]string{first, service}, e.o.Homes.Services()) {
+	for _, s := range slices.Concat([]string{first, ref.Service}, e.o.Homes.Services()) {
 		layout, ok := e.awaitLayout(ctx, s)
 		if !ok {
 			return scheduler.Reply{}, noLayout(s)
 		}
-		part := shard.PartitionOf(s, layout.ShardOfSubmission(id), e.o.PartitionCount)
+		part := shard.PartitionOf(s, layout.ShardOfSubmission(ref.ID), e.o.PartitionCount)
 		if asked[part] {
 			continue
 		}
 		asked[part] = true
-		r, err := e.callOwner(ctx, method, call{Service: s, ID: id, Part: part})
+		r, err := e.callOwner(ctx, method, call{Service: s, ID: ref.ID, Tenant: ref.Tenant, Part: part})
 		if err != nil || r.Outcome != scheduler.OutcomeNotFound {
 			return r, err
 		}
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -186,10 +186,10 @@
 func TestRouter_UnknownSubmissionAfterNoAnswerIsPassedOn(t *testing.T) {
 	for name, do := range map[string]func(context.Context, *Router) (scheduler.Reply, error){
 		"status": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
-			return e.Status(ctx, "checks", "pool", "00000000000000aa")
+			return e.Status(ctx, workload.Reference{Queue: "checks", Service: "pool", ID: "00000000000000aa"})
 		},
 		"cancel": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
-			return e.Cancel(ctx, "checks", "pool", "00000000000000aa")
+			return e.Cancel(ctx, workload.Reference{Queue: "checks", Service: "pool", ID: "00000000000000aa"})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -55,9 +55,11 @@
 type call struct {
 	Service string `json:"service"`
 	// Part is the partition of the called shard.
-	Part       int                  `json:"part"`
-	ID         string               `json:"id,omitempty"`
-	Queue      string               `json:"queue,omitempty"`
+	Part  int    `json:"part"`
+	ID    string `json:"id,omitempty"`
+	Queue string `json:"queue,omitempty"`
+	// Tenant is the tenant that asks about the submission; empty if there is none.
+	Tenant     string               `json:"tenant,omitempty"`
 	Submission *workload.Submission `json:"submission,omitempty"`
 	// Handover is the number of the handover by which the last partition that passed
 	// the call on, which is From, gave the submission away; 0 if none did.
@@ -195,9 +197,9 @@
 	case methodSubmit:
 		return engine.Submit(ctx, c.passedOn())
 	case methodStatus:
-		return engine.Status(ctx, c.ID)
+		return engine.Status(ctx, c.ID, c.Tenant)
 	case methodCancel:
-		return engine.Cancel(ctx, c.ID)
+		return engine.Cancel(ctx, c.ID, c.Tenant)
 	default:
 		return engine.Pending(ctx, c.Queue)
 	}
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -107,6 +107,8 @@
 	// OutcomeForwarded means that another partition holds the submission, or is about
 	// to. It does not reach callers.
 	OutcomeForwarded
+	// OutcomeConflict means that another tenant's submission has the ID.
+	OutcomeConflict
 )
 
 // Reply is the answer to a call by a caller.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -34,15 +34,25 @@
 	})
 }
 
-// Cancel cancels a submission and returns once that is stored.
-func (e *Engine) Cancel(ctx context.Context, id string) (Reply, error) {
-	r, err := e.call(ctx, func(c *Core, reply func(Reply)) { c.Cancel(id, reply) })
+// Cancel cancels a submission and returns once that is stored. To a tenant that may not
+// see the submission, the reply is that there is none.
+func (e *Engine) Cancel(ctx context.Context, id, tenant string) (Reply, error) {
+	r, err := e.call(ctx, func(c *Core, reply func(Reply)) {
+		if c.mayAccess(id, tenant, reply) {
+			c.Cancel(id, reply)
+		}
+	})
 	return e.confirmNotFound(ctx, r, err)
 }
 
-// Status returns a submission's state.
-func (e *Engine) Status(ctx context.Context, id string) (Reply, error) {
-	r, err := e.call(ctx, func(c *Core, reply func(Reply)) { c.Status(id, reply) })
+// Status returns a submission's state. To a tenant that may not see the submission, the
+// reply is that there is none.
+func (e *Engine) Status(ctx context.Context, id, tenant string) (Reply, error) {
+	r, err := e.call(ctx, func(c *Core, reply func(Reply)) {
+		if c.mayAccess(id, tenant, reply) {
+			c.Status(id, reply)
+		}
+	})
 	return e.confirmNotFound(ctx, r, err)
 }
 
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -60,41 +59,6 @@
 	return j.stored && (!j.inherited || c.recovered) && c.startsHere(j)
 }
 
-// placementOrder is the sort key of a step: first the queue's priority, then
-// steps that can still meet their target before late ones, then the earliest
-// target.
-type placementOrder struct {
-	priority int
-	late     int
-	target   time.Time
-	id       string
-}
-
-// compare returns a negative number if a comes before b.
-func (a placementOrder) compare(b placementOrder) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.late, b.late), a.target.Compare(b.target), cmp.Compare(a.id, b.id))
-}
-
-func (c *Core) placementOrderOf(st *step) placementOrder { return c.orderOf(st.job()) }
-
-func (c *Core) orderOf(j *job) placementOrder {
-	u := placementOrder{priority: j.queue.Priority, target: j.targetTime(), id: j.sub.ID}
-	if c.now.After(u.target) && !j.sub.Timed() {
-		u.late = 1
-	}
-	return u
-}
-
-func (c *Core) sortQueued() {
-	keys := make(map[*step]placementOrder, len(c.queued))
-	for _, st := range c.queued {
-		keys[st] = c.placementOrderOf(st)
-	}
-	slices.SortFunc(c.queued, func(x, y *step) int {
-		return cmp.Or(keys[x].compare(keys[y]), cmp.Compare(x.index, y.index))
-	})
-}
-
 // placementPass is one pass of placement over the queue.
 type placementPass struct {
 	core *Core
@@ -267,39 +231,3 @@
 		p.requestTickets(st, need, open)
 	}
 }
-
-// best returns the server to place a task on: one where the task has not
-// failed, then one in the rack of the step's data, then one without capacity
-// held for a gang, then the fullest.
-func (p *placementPass) best(t *task, servers []*server) *server {
-	var best *server
-	for _, s := range servers {
-		if p.availableSlots(t.step, s) == 0 {
-			continue
-		}
-		if best == nil || p.preferred(t, s, best) {
-			best = s
-		}
-	}
-	return best
-}
-
-func (p *placementPass) preferred(t *task, a, b *server) bool {
-	if an, bn := t.failedOn[a.info.ID], t.failedOn[b.info.ID]; an != bn {
-		return bn
-	}
-	st := t.step
-	if st.spec.Rack != "" {
-		an, bn := a.hasLabel(st.spec.Rack), b.hasLabel(st.spec.Rack)
-		if an != bn {
-			return an
-		}
-	}
-	if an, bn := p.heldInLastPass(a), p.heldInLastPass(b); an != bn {
-		return bn
-	}
-	return a.free.CPU < b.free.CPU
-}
-
-// heldInLastPass reports whether the last pass held capacity of s for a gang.
-func (p *placementPass) heldInLastPass(s *server) bool { return p.heldBefore[s].CPU > 0 }
--- /dev/null
+++ b/internal/scheduler/prefer.go
@@ -0,0 +1,37 @@
+package scheduler
+
+// best returns the server to place a task on: one where the task has not
+// failed, then one in the rack of the step's data, then one without capacity
+// held for a gang, then the fullest.
+func (p *placementPass) best(t *task, servers []*server) *server {
+	var best *server
+	for _, s := range servers {
+		if p.availableSlots(t.step, s) == 0 {
+			continue
+		}
+		if best == nil || p.preferred(t, s, best) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (p *placementPass) preferred(t *task, a, b *server) bool {
+	if an, bn := t.failedOn[a.info.ID], t.failedOn[b.info.ID]; an != bn {
+		return bn
+	}
+	st := t.step
+	if st.spec.Rack != "" {
+		an, bn := a.hasLabel(st.spec.Rack), b.hasLabel(st.spec.Rack)
+		if an != bn {
+			return an
+		}
+	}
+	if an, bn := p.heldInLastPass(a), p.heldInLastPass(b); an != bn {
+		return bn
+	}
+	return a.free.CPU < b.free.CPU
+}
+
+// heldInLastPass reports whether the last pass held capacity of s for a gang.
+func (p *placementPass) heldInLastPass(s *server) bool { return p.heldBefore[s].CPU > 0 }
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -20,6 +20,10 @@
 // pending write has waited longer than maxStoreDelay, storeDelay being that wait,
 // or if it could not begin early enough to be of use.
 func (c *Core) Submit(sub *workload.Submission, storeDelay time.Duration, reply func(Reply)) {
+	if owner, known := c.tenantOf(sub.ID); known && !workload.VisibleTo(owner, sub.Tenant) {
+		c.refuse(sub, Reply{Outcome: OutcomeConflict, Reason: "id_taken"}, reply)
+		return
+	}
 	if _, ended := c.finalStates[sub.ID]; ended {
 		c.reply(reply, Reply{})
 		return
@@ -204,6 +208,32 @@
 	c.placementNeeded = true
 }
 
+// tenantOf returns the tenant of a submission that this partition holds, hands over or
+// has completed.
+func (c *Core) tenantOf(id string) (tenant string, known bool) {
+	if f, ok := c.finalStates[id]; ok {
+		return f.Tenant, true
+	}
+	if j := c.jobs[id]; j != nil {
+		return j.sub.Tenant, true
+	}
+	if d := c.departures[id]; d != nil {
+		return d.job.sub.Tenant, true
+	}
+	return "", false
+}
+
+// mayAccess reports whether a tenant may see a submission. If not, it replies that there
+// is none.
+func (c *Core) mayAccess(id, tenant string, reply func(Reply)) bool {
+	owner, known := c.tenantOf(id)
+	if !known || workload.VisibleTo(owner, tenant) {
+		return true
+	}
+	c.reply(reply, Reply{Outcome: OutcomeNotFound})
+	return false
+}
+
 // Status replies with a submission's state.
 func (c *Core) Status(id string, reply func(Reply)) {
 	if f, ok := c.finalStates[id]; ok {
@@ -282,7 +312,7 @@
 func (c *Core) finishJob(j *job, status workload.Status) {
 	j.ending = status
 	c.withdrawPlans(j)
-	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue, Transferred: j.sub.Transfer != nil}
+	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue, Transferred: j.sub.Transfer != nil, Tenant: j.sub.Tenant}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
 	c.write(append(records, j.progressTombstones(0)...), func() {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -40,6 +40,8 @@
 	Timeout time.Duration
 	// Policy is nil if every backend server may run the queue's tasks.
 	Policy *PolicyTiming
+	// Public queues take calls without a key.
+	Public bool
 }
 
 // Service is a pool of backend servers.
@@ -54,6 +56,8 @@
 	Services map[string]Service
 	// MaxBodyBytes bounds one request's body; 0 means no bound.
 	MaxBodyBytes int64
+	// Tenancy is nil if the deployment has no tenants. Calls need no key then.
+	Tenancy *Tenancy
 }
 
 // Match returns the queue of a request, which is the host's queue with the longest
--- a/workload/record.go
+++ b/workload/record.go
@@ -74,6 +74,8 @@
 	Queue string `cbor:"3,keyasint,omitempty"`
 	// Transferred is set if the submission was taken over from another partition.
 	Transferred bool `cbor:"4,keyasint,omitempty"`
+	// Tenant is the submission's tenant; empty if it has none.
+	Tenant string `cbor:"5,keyasint,omitempty"`
 }
 
 // ServerRecord is the stored record of a backend server that may run tasks.
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -136,8 +136,27 @@
 	// ConfigVersion is the version of the configuration by which the queue leads to
 	// Service; 0 if it is not known.
 	ConfigVersion uint64 `cbor:"11,keyasint,omitempty"`
+	// Tenant is the name of the tenant that sent the submission; empty if it came
+	// through a public queue, or if the deployment has no tenants.
+	Tenant string `cbor:"12,keyasint,omitempty"`
 }
 
+// Reference names a submission in a call about it.
+type Reference struct {
+	ID    string
+	Queue string
+	// Service is the one to which the queue leads now.
+	Service string
+	// Tenant is the tenant that asks; empty if the queue is public or the deployment
+	// has no tenants.
+	Tenant string
+}
+
+// VisibleTo reports whether a tenant may read and cancel a submission of owner. One that
+// has no tenant is visible to all, and a call without a tenant sees all submissions of
+// its queue.
+func VisibleTo(owner, tenant string) bool { return owner == "" || tenant == "" || owner == tenant }
+
 // Occurrences returns the number of times that the steps run.
 func (s *Submission) Occurrences() int { return max(s.Repeat, 1) }
 
