--- a/placement/quota/quota.go
+++ b/placement/quota/quota.go
@@ -17,8 +17,8 @@
 	"github.com/currantwinch/currantwinch/cluster"
 )
 
-// shareUnit is the share of a team that uses the whole cell.
-const shareUnit = 1_000_000_000
+// ShareUnit is the dominant share of one that uses everything.
+const ShareUnit = 1_000_000_000
 
 // Quota is the entitlement of one team.
 type Quota struct {
@@ -119,7 +119,7 @@
 // share returns the dominant share: the largest fraction of the cell that used
 // takes of any resource.
 func (l *Ledger) share(used cluster.Resources) uint64 {
-	return max(shareOf(used.CPU, l.total.CPU), shareOf(used.Memory, l.total.Memory), shareOf(used.Accelerators, l.total.Accelerators))
+	return DominantShare(amountsOf(used), amountsOf(l.total))
 }
 
 func shareOf(used, total int64) uint64 {
@@ -129,7 +129,7 @@
 	if total <= 0 {
 		return math.MaxUint32
 	}
-	hi, lo := bits.Mul64(uint64(used), shareUnit)
+	hi, lo := bits.Mul64(uint64(used), ShareUnit)
 	if hi >= uint64(total) {
 		return math.MaxUint64
 	}
@@ -167,11 +167,11 @@
 }
 
 func withinLimit(used, r, limit cluster.Resources) bool {
-	ok := func(used, more, limit int64) bool { return limit == 0 || more == 0 || used+more <= limit }
-	return ok(used.CPU, r.CPU, limit.CPU) && ok(used.Memory, r.Memory, limit.Memory) &&
-		ok(used.Accelerators, r.Accelerators, limit.Accelerators)
+	return Within(amountsOf(used), amountsOf(r), amountsOf(limit))
 }
 
+func amountsOf(r cluster.Resources) Amounts { return Amounts{r.CPU, r.Memory, r.Accelerators} }
+
 // MayReclaim reports whether a team that uses r more stays within its guarantee,
 // and may therefore reclaim what other teams borrow.
 func (l *Ledger) MayReclaim(name string, r cluster.Resources) bool {
