Caps of tenants, exact for one owner

Nothing kept a tenant from using the whole cluster. Every attempt now counts for its tenant from its start to the certain end, where its capacity is reserved and freed. A new owner counts the whole capacity of servers that have not listed their runs, and of those that list runs of unknown submissions, for every tenant. Single tasks, trials and gangs start within the cap; wide steps run in waves; a gang that waits keeps its room from later steps of its tenant. A gang that can never fit is refused (400) with the bound. A cap that falls stops nothing.

Several owners of one service each count their own starts only, as yet. Events 6090 and 6091.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -31,6 +31,17 @@
 		Meaning: "Accepted work that is due waits for memory, since the partition holds more than this owner's budget of limit bytes: it was filled under a larger one. What was accepted first goes on. Or, if exceeded is false, nothing waits for memory any more.",
 		Action:  "Cancel what is not needed, or replace the smallest VMs by larger ones: the budget follows their memory.",
 	}
+	TenantAtCap = Event{
+		Number: 6090, Level: slog.LevelInfo, Name: "tenant_at_cap",
+		Fields:  []string{"tenant", "step", "runs", "cpu", "memoryMB", "gpu", "unattributedCPU"},
+		Meaning: "A tenant's cap begins to hold back starts, that of step first. The tenant has so many runs, which reserve cpu, memoryMB and gpu; runs that are being stopped count until their end is certain. The field unattributedCPU is the capacity of servers whose runs are not known, which counts for every tenant.",
+		Action:  "None, or raise the tenant's cap. If unattributedCPU is large for long, find out which servers do not answer.",
+	}
+	TenantBelowCap = Event{
+		Number: 6091, Level: slog.LevelInfo, Name: "tenant_below_cap",
+		Fields:  []string{"tenant", "took"},
+		Meaning: "A tenant's cap holds back no more starts. The field took is for how long it did, in milliseconds.",
+	}
 	SubmissionHandedOver = Event{
 		Number: 6060, Level: slog.LevelInfo, Name: "submission_handed_over",
 		Fields:  []string{"id", "queue", "to", "number", "why", "service", "waited"},
@@ -243,7 +254,7 @@
 
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
-	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged,
+	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap,
 	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -37,6 +37,9 @@
 	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
 	// if that is not known.
 	MaxRecordBytes int
+	// ShareWindow is the time over which a tenant's rate of submissions counts; 0 means
+	// tenant.DefaultWindow.
+	ShareWindow time.Duration
 }
 
 // Core holds the state of one partition's submissions and its backend servers.
@@ -174,6 +177,8 @@
 	// since, by priority. It is kept while sendingHeldUp.
 	openTasks map[int]int
 	faults    tenureFaults
+	// tenants holds the starts of each tenant below its cap.
+	tenants *tenants
 }
 
 // storedCallback waits until a write and all before it are in the log.
@@ -199,6 +204,7 @@
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	c.memory.limit = bounds.MemoryBytes
+	c.tenants = newTenants(c)
 	claim := nextClaim(records, "", bounds, nil)
 	claim.Epoch = epoch
 	c.SetClaim(claim, now, wall)
@@ -210,6 +216,7 @@
 func (c *Core) SetTime(now time.Time, wall int64) {
 	c.checkSuspended(now, wall)
 	c.now, c.wall = now, wall
+	c.tenants.stale = true
 }
 
 // Fenced reports whether a later owner has sent orders or has written to the
@@ -237,6 +244,7 @@
 		return nil
 	}
 	c.checkRecovery()
+	c.tenants.stale = true
 	if c.placementNeeded && mayPlace {
 		c.placementNeeded = false
 		c.runPlacement()
@@ -359,6 +367,7 @@
 // Configure applies a new version of the configuration.
 func (c *Core) Configure(config *routing.Configuration) {
 	c.config = config
+	c.tenants.ledger.Configure(config.Tenancy, c.now)
 	c.placementNeeded = true
 	for _, j := range c.jobs {
 		if q, ok := config.Queue(j.sub.Queue); ok {
--- a/internal/scheduler/gangplace.go
+++ b/internal/scheduler/gangplace.go
@@ -44,6 +44,10 @@
 		// member of it is left.
 		return
 	}
+	if c.tenants.allows(st, len(missing)) < len(missing) {
+		st.reserved = nil
+		return
+	}
 	chosen := p.gangServers(st, len(missing))
 	if chosen == nil {
 		return
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -207,7 +207,7 @@
 			need++
 		}
 	}
-	if need == 0 {
+	if need = c.tenants.allows(st, need); need == 0 {
 		return
 	}
 	open, ticketed, _ := p.serversWithCapacity(st)
@@ -219,6 +219,9 @@
 		if c.startRoom <= 0 {
 			return
 		}
+		if need == 0 {
+			break
+		}
 		s := p.best(t, ticketed)
 		if s == nil {
 			break
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -286,6 +286,7 @@
 	}
 	if t == nil {
 		s.unknownRuns++
+		c.tenants.uncertain = true
 		c.emit(StopTask{To: s.instance(), Order: Order{Task: r.Task, Run: r.Run, Epoch: c.epoch}})
 		c.log.Log(events.RunOrphaned, "task", r.Task.String(), "run", r.Run, "server", s.info.ID, "born", s.startedAtMS)
 		return
@@ -320,6 +321,7 @@
 	c.tenure.advance(c.now)
 	c.recordUnheard()
 	c.storeUpdate()
+	c.tenants.tick()
 	c.startDeferredTrials()
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -171,6 +171,7 @@
 	}
 	s := newServer(ServerInfo{ID: id, Service: kept.Service, Address: kept.Address}, c.newSession())
 	s.recorded, s.stored, s.inherited = true, true, true
+	s.usage = c.tenants.ledger
 	s.recordedAddress = kept.Address
 	s.waitedBefore, s.waitRecorded = c.waitedBefore[id]
 	c.servers[id] = s
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/currantwinch/currantwinch/tenant"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
@@ -70,6 +71,8 @@
 	failures      int
 	lastFailedJob string
 	quarantines   int
+	// usage counts what the attempts of each tenant reserve.
+	usage *tenant.Ledger
 }
 
 func newServer(info ServerInfo, first *session) *server {
@@ -180,6 +183,7 @@
 	s.attempts[a.key()] = a
 	a.task.step.job().live++
 	s.free = s.free.Minus(a.need)
+	s.usage.Reserve(a.task.step.job().sub.Tenant, a.need)
 }
 
 // release removes an attempt from the server and frees its capacity.
@@ -190,6 +194,7 @@
 	delete(s.attempts, a.key())
 	a.task.step.job().live--
 	s.free = s.free.Plus(a.need)
+	s.usage.Release(a.task.step.job().sub.Tenant, a.need)
 }
 
 // resize applies a change of the server's capacity.
--- a/internal/scheduler/serverlist.go
+++ b/internal/scheduler/serverlist.go
@@ -32,6 +32,7 @@
 	}
 	if s == nil {
 		s = newServer(info, c.newSession())
+		s.usage = c.tenants.ledger
 		c.servers[info.ID] = s
 		c.log.Log(events.ServerListed, "server", info.ID, "service", info.Service, "zone", info.Zone, "cpu", info.Capacity.CPU)
 	}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -48,6 +48,10 @@
 		c.refuse(sub, r, reply)
 		return
 	}
+	if r, refused := c.tenants.refuseGang(sub); refused {
+		c.refuse(sub, r, reply)
+		return
+	}
 	if c.passOn(sub, reply) {
 		return
 	}
--- /dev/null
+++ b/internal/scheduler/tenants.go
@@ -0,0 +1,151 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/tenant"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// capHeldInterval is how long no start must have been held back by a tenant's cap before
+// the tenant counts as not held back any more. Placement examines waiting steps more often.
+const capHeldInterval = time.Second
+
+// tenants applies the caps of the tenants to the starts of a Core.
+type tenants struct {
+	core   *Core
+	ledger *tenant.Ledger
+	// gangs holds, by tenant, the gang that waits for room under the cap. Later steps of
+	// the tenant leave that room to it.
+	gangs map[string]*step
+	// held is the tenants whose starts their caps hold back.
+	held map[string]*capHold
+	// uncertain is set while runs of unknown submissions may be on a server, and stale
+	// once an event may have changed where.
+	uncertain, stale bool
+}
+
+// capHold is a time during which a tenant's cap holds back starts.
+type capHold struct{ since, last time.Time }
+
+func newTenants(c *Core) *tenants {
+	return &tenants{
+		core: c, ledger: tenant.NewLedger(c.bounds.ShareWindow), gangs: make(map[string]*step), held: make(map[string]*capHold),
+		uncertain: true, stale: true,
+	}
+}
+
+// allows returns how many of n tasks of a step may start now under its tenant's cap. Of a
+// gang it is all of them or none.
+func (t *tenants) allows(st *step, n int) int {
+	name := st.job().sub.Tenant
+	if n <= 0 || name == "" || !t.ledger.Active() {
+		return n
+	}
+	t.attributeCapacity()
+	if t.yieldsToGang(name, st) {
+		t.noteHeld(name, st)
+		return 0
+	}
+	allowed := t.ledger.Allows(name, st.spec.Reserved(), n)
+	if allowed == n {
+		if t.gangs[name] == st {
+			delete(t.gangs, name)
+		}
+		return n
+	}
+	t.noteHeld(name, st)
+	if !st.spec.Gang {
+		return allowed
+	}
+	if t.ledger.MostAtOnce(name, st.spec.Reserved(), n) == n {
+		t.gangs[name] = st
+	}
+	return 0
+}
+
+// yieldsToGang reports whether a step leaves the room under its tenant's cap to a gang of
+// the tenant that comes before it. Smaller tasks would keep the gang from ever starting.
+func (t *tenants) yieldsToGang(name string, st *step) bool {
+	gang := t.gangs[name]
+	if gang == nil || gang == st {
+		return false
+	}
+	waiting := gang.unplacedTasks()
+	if !gang.queued || waiting == 0 || gang.job().ending != "" || t.ledger.MostAtOnce(name, gang.spec.Reserved(), waiting) < waiting {
+		delete(t.gangs, name)
+		return false
+	}
+	return t.core.placementOrderOf(gang).compare(t.core.placementOrderOf(st)) < 0
+}
+
+// attributeCapacity counts the capacity on which runs may be that cannot be attributed:
+// that of servers of earlier owners which have not listed their runs, and of servers that
+// list runs of unknown submissions.
+func (t *tenants) attributeCapacity() {
+	if !t.stale || !t.uncertain {
+		return
+	}
+	t.stale, t.uncertain = false, !t.core.recovered
+	var largest, sum workload.Resources
+	for _, s := range t.core.servers {
+		largest = largest.Most(s.info.Capacity)
+	}
+	for _, s := range t.core.servers {
+		if s.unknownRuns > 0 {
+			t.uncertain = true
+		} else if t.core.recovered || !t.core.mayHoldInheritedRuns(s) {
+			continue
+		}
+		capacity := s.info.Capacity
+		if capacity == (workload.Resources{}) {
+			// Its entry is gone, and its record does not have its capacity.
+			capacity = largest
+		}
+		reserved := s.info.Capacity.Minus(s.free)
+		sum = sum.Plus(capacity.Minus(reserved).Most(workload.Resources{}))
+	}
+	t.ledger.SetUnattributed(sum)
+}
+
+// refuseGang refuses a submission with a gang that can never run whole under its tenant's
+// cap.
+func (t *tenants) refuseGang(sub *workload.Submission) (Reply, bool) {
+	for i := range sub.Steps {
+		st := &sub.Steps[i]
+		if most := t.ledger.MostAtOnce(sub.Tenant, st.Reserved(), st.Count); st.Gang && most < st.Count {
+			limit := t.ledger.Cap(sub.Tenant)
+			return Reply{
+				Outcome: OutcomeInvalid, Reason: "gang_over_cap",
+				Detail: fmt.Sprintf("steps[%d] has %d members that run at once, at most %d do under the tenant's cap of %d millicores, %d MB and %d GPUs (0: no bound)",
+					i, st.Count, most, limit.CPU, limit.MemoryMB, limit.GPU),
+			}, true
+		}
+	}
+	return Reply{}, false
+}
+
+// noteHeld notes that a tenant's cap holds back a start.
+func (t *tenants) noteHeld(name string, st *step) {
+	now := t.core.now
+	if h := t.held[name]; h != nil {
+		h.last = now
+		return
+	}
+	t.held[name] = &capHold{since: now, last: now}
+	used, attempts := t.ledger.Used(name)
+	t.core.log.Log(events.TenantAtCap, "tenant", name, "step", st.id().StepName(), "runs", attempts,
+		"cpu", used.CPU, "memoryMB", used.MemoryMB, "gpu", used.GPU, "unattributedCPU", t.ledger.Unattributed().CPU)
+}
+
+// tick ends the holds of tenants that had no start held back for capHeldInterval.
+func (t *tenants) tick() {
+	for name, h := range t.held {
+		if t.core.now.Sub(h.last) >= capHeldInterval {
+			delete(t.held, name)
+			t.core.log.Log(events.TenantBelowCap, "tenant", name, "took", h.last.Sub(h.since).Milliseconds())
+		}
+	}
+}
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -71,6 +71,9 @@
 	if len(missing) == 0 || !c.mayTry(st) {
 		return
 	}
+	if missing = missing[:c.tenants.allows(st, len(missing))]; len(missing) == 0 {
+		return
+	}
 	open, ticketed, _ := p.serversWithCapacity(st)
 	if len(ticketed) == 0 {
 		if st.job().queue.Policy != nil {
@@ -203,7 +206,7 @@
 			out = append(out, m)
 		}
 	}
-	return out
+	return out[:c.tenants.allows(tr.step, len(out))]
 }
 
 // canStart reports whether a member of a trial may still be started on its server.
