Shares by weight in the placement order, excess behind everything

In a play of 8 tenants on 320 cores, one of them at 7 times its rate for 10 s (131% of the capacity in all), 95% of the submissions of the others started within 8.99 s. Steps of tenants that use all of their share now come behind the others of their priority and lateness. Submissions beyond a tenant's rate (its weight a second, a burst of quota_window_s) are excess: placed behind everything, kept in the record, in order of their targets among themselves, and admitted only by the cores that other work leaves. Work that a cap holds back is no backlog for other tenants, and its own tenant's work is admitted by the cap. Tests of tenant and the tenant, backlog and admission tests of the scheduler pass.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -42,6 +42,17 @@
 		Fields:  []string{"tenant", "took"},
 		Meaning: "A tenant's cap holds back no more starts. The field took is for how long it did, in milliseconds.",
 	}
+	TenantInExcess = Event{
+		Number: 6092, Level: slog.LevelInfo, Name: "tenant_in_excess",
+		Fields:  []string{"tenant", "queue"},
+		Meaning: "A tenant begins to send more submissions than its rate, which is its weight a second, with a burst of quota_window_s. What it sends beyond that is placed behind all other work and refused first.",
+		Action:  "None, or raise the tenant's weight.",
+	}
+	TenantWithinRate = Event{
+		Number: 6093, Level: slog.LevelInfo, Name: "tenant_within_rate",
+		Fields:  []string{"tenant", "took", "submissions"},
+		Meaning: "A tenant keeps to its rate of submissions again. The field submissions counts those beyond it, repeats of refused ones included, and took is for how long they came, in milliseconds.",
+	}
 	SubmissionHandedOver = Event{
 		Number: 6060, Level: slog.LevelInfo, Name: "submission_handed_over",
 		Fields:  []string{"id", "queue", "to", "number", "why", "service", "waited"},
@@ -254,7 +265,7 @@
 
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
-	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap,
+	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap, TenantInExcess, TenantWithinRate,
 	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -65,6 +65,9 @@
 	if b.tasks == 0 || usable == 0 {
 		return admission.Decision{Admit: true}
 	}
+	if c.tenants.inExcess(j) {
+		draining = c.tenants.excessCores(usable - draining)
+	}
 	request := admission.Request{
 		Prediction: estimate.Prediction{P50: j.expectedCriticalPath(), Class: estimate.Long},
 		Deadline:   j.accepted.Add(uselessFactor * j.targetTime().Sub(j.accepted)),
@@ -82,7 +85,10 @@
 	open := 0.0
 	for priority, tasks := range c.openTasks {
 		weight := 1.0
-		if priority > j.queue.Priority {
+		if priority >= excessPriority && !c.tenants.inExcess(j) {
+			continue
+		}
+		if priority > c.openPriority(j) {
 			weight = lessPressingWeight
 		}
 		open += weight * float64(tasks)
@@ -110,7 +116,7 @@
 func (c *Core) countOpenTasks() {
 	clear(c.openTasks)
 	for _, j := range c.jobs {
-		if j.ending != "" || j.longRunning() {
+		if j.ending != "" || j.longRunning() || c.tenants.atCap(j) {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -118,7 +124,7 @@
 				continue
 			}
 			for _, st := range o.steps {
-				c.openTasks[j.queue.Priority] += st.unplacedTasks()
+				c.openTasks[c.openPriority(j)] += st.unplacedTasks()
 			}
 		}
 	}
@@ -157,7 +163,10 @@
 		d = c.decideByCores(j)
 	}
 	if d.Admit {
-		c.openTasks[j.queue.Priority] += j.taskCount()
+		d = c.decideByCap(j)
+	}
+	if d.Admit {
+		c.openTasks[c.openPriority(j)] += j.taskCount()
 		return Reply{}, false
 	}
 	after := spread(d.RetryAfter, j.sub.ID)
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -29,11 +29,15 @@
 type backlogIndex struct {
 	// stale is set if the queue was sorted since the index was renewed.
 	stale    bool
-	services map[string]*serviceBacklog
+	services map[backlogKey]*serviceBacklog
 	// recent are the steps that were queued since the index was renewed.
 	recent []*step
 }
 
+// backlogKey names a queue of steps: those of a service, or of a tenant in a service whose
+// cap holds back its starts.
+type backlogKey struct{ service, tenant string }
+
 // serviceBacklog holds the queued steps of a service in placement order.
 type serviceBacklog struct {
 	orders []placementOrder
@@ -74,24 +78,30 @@
 	x := &c.backlog
 	x.stale = false
 	if x.services == nil {
-		x.services = make(map[string]*serviceBacklog)
+		x.services = make(map[backlogKey]*serviceBacklog)
 	}
 	for _, s := range x.services {
 		s.orders, s.sums = s.orders[:0], s.sums[:0]
 	}
 	for _, st := range c.queued[:len(c.queued)-len(x.recent)] {
-		service := st.job().sub.Service
-		if x.services[service] == nil {
-			x.services[service] = &serviceBacklog{}
+		key := c.tenants.backlogKey(st.job())
+		if x.services[key] == nil {
+			x.services[key] = &serviceBacklog{}
 		}
 		if st.job().ending == "" {
-			x.services[service].append(c.placementOrderOf(st), workOf(st, st.unplacedTasks()))
+			x.services[key].append(c.placementOrderOf(st), workOf(st, st.unplacedTasks()))
 		}
 	}
 }
 
-// backlogBefore returns the work of the same service that is placed before a job.
+// backlogBefore returns the work of the same service that is placed before a job, but for
+// that of tenants whose caps hold it back.
 func (c *Core) backlogBefore(j *job) backlog {
+	return c.backlogIn(backlogKey{service: j.sub.Service}, j)
+}
+
+// backlogIn returns the work of a queue that is placed before a job.
+func (c *Core) backlogIn(key backlogKey, j *job) backlog {
 	x := &c.backlog
 	if indexed := len(c.queued) - len(x.recent); len(x.recent) > maxRecentSteps+indexed {
 		c.dropPlacedSteps()
@@ -103,11 +113,11 @@
 	}
 	order := c.orderOf(j)
 	var b backlog
-	if s := x.services[j.sub.Service]; s != nil {
+	if s := x.services[key]; s != nil {
 		b = s.before(order)
 	}
 	for _, st := range x.recent {
-		if st.job().ending == "" && st.job().sub.Service == j.sub.Service && c.placementOrderOf(st).compare(order) <= 0 {
+		if st.job().ending == "" && c.tenants.backlogKey(st.job()) == key && c.placementOrderOf(st).compare(order) <= 0 {
 			b.add(workOf(st, st.unplacedTasks()))
 		}
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -174,7 +174,7 @@
 	startsHeldAt time.Time
 	startRate    startRate
 	// openTasks is the last result of countOpenTasks, plus the tasks accepted
-	// since, by priority. It is kept while sendingHeldUp.
+	// since, by openPriority. It is kept while sendingHeldUp.
 	openTasks map[int]int
 	faults    tenureFaults
 	// tenants holds the starts of each tenant below its cap.
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -183,7 +183,8 @@
 	s.attempts[a.key()] = a
 	a.task.step.job().live++
 	s.free = s.free.Minus(a.need)
-	s.usage.Reserve(a.task.step.job().sub.Tenant, a.need)
+	sub := a.task.step.job().sub
+	s.usage.Reserve(sub.Tenant, a.need, sub.Excess)
 }
 
 // release removes an attempt from the server and frees its capacity.
@@ -194,7 +195,8 @@
 	delete(s.attempts, a.key())
 	a.task.step.job().live--
 	s.free = s.free.Plus(a.need)
-	s.usage.Release(a.task.step.job().sub.Tenant, a.need)
+	sub := a.task.step.job().sub
+	s.usage.Release(sub.Tenant, a.need, sub.Excess)
 }
 
 // resize applies a change of the server's capacity.
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -58,6 +58,7 @@
 	if sub.Transfer != nil {
 		sub.Transfer.Epoch = c.epoch
 	}
+	c.tenants.arrived(sub)
 	accepted := recordOf(keyAccepted, sub.ID, sub)
 	if n := recordBytes(accepted); c.bounds.MaxRecordBytes > 0 && n > c.bounds.MaxRecordBytes {
 		c.refuse(sub, tooLarge(fmt.Sprintf("a record of %d bytes, at most %d", n, c.bounds.MaxRecordBytes)), reply)
@@ -75,6 +76,7 @@
 		return
 	}
 	c.memory.accepted(j)
+	c.tenants.accepted(j)
 	j.waiters = []func(Reply){reply}
 	c.jobs[sub.ID] = j
 	records := []partition.Record{accepted}
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -9,11 +9,12 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// capHeldInterval is how long no start must have been held back by a tenant's cap before
-// the tenant counts as not held back any more. Placement examines waiting steps more often.
-const capHeldInterval = time.Second
+// spanInterval is how long no start must have been held back by a tenant's cap, or nothing
+// sent beyond its rate, before that counts as over. Placement examines waiting steps more
+// often.
+const spanInterval = time.Second
 
-// tenants applies the caps of the tenants to the starts of a Core.
+// tenants applies the caps, shares and rates of the tenants to the submissions of a Core.
 type tenants struct {
 	core   *Core
 	ledger *tenant.Ledger
@@ -21,19 +22,42 @@
 	// the tenant leave that room to it.
 	gangs map[string]*step
 	// held is the tenants whose starts their caps hold back.
-	held map[string]*capHold
+	held map[string]*span
 	// uncertain is set while runs of unknown submissions may be on a server, and stale
 	// once an event may have changed where.
 	uncertain, stale bool
+	// sharesAt is when total, the capacity in service, and waiting, the tenants with queued
+	// steps, were last renewed.
+	sharesAt time.Time
+	total    workload.Resources
+	waiting  map[string]bool
+	// excess is the tenants that send beyond their rate, and when they last did.
+	excess map[string]*span
 }
 
-// capHold is a time during which a tenant's cap holds back starts.
-type capHold struct{ since, last time.Time }
+// span is a time during which a tenant is held back by its cap, or exceeds its rate.
+type span struct {
+	since, last time.Time
+	// count is how many starts or submissions that concerned.
+	count int
+}
+
+// extend notes that the span of a tenant lasts until now. It reports whether it begins.
+func extend(spans map[string]*span, name string, now time.Time) bool {
+	s := spans[name]
+	if s == nil {
+		spans[name] = &span{since: now, last: now, count: 1}
+		return true
+	}
+	s.last = now
+	s.count++
+	return false
+}
 
 func newTenants(c *Core) *tenants {
 	return &tenants{
-		core: c, ledger: tenant.NewLedger(c.bounds.ShareWindow), gangs: make(map[string]*step), held: make(map[string]*capHold),
-		uncertain: true, stale: true,
+		core: c, ledger: tenant.NewLedger(c.bounds.ShareWindow), gangs: make(map[string]*step), held: make(map[string]*span),
+		uncertain: true, stale: true, waiting: make(map[string]bool), excess: make(map[string]*span),
 	}
 }
 
@@ -129,23 +153,28 @@
 
 // noteHeld notes that a tenant's cap holds back a start.
 func (t *tenants) noteHeld(name string, st *step) {
-	now := t.core.now
-	if h := t.held[name]; h != nil {
-		h.last = now
+	if !extend(t.held, name, t.core.now) {
 		return
 	}
-	t.held[name] = &capHold{since: now, last: now}
 	used, attempts := t.ledger.Used(name)
 	t.core.log.Log(events.TenantAtCap, "tenant", name, "step", st.id().StepName(), "runs", attempts,
 		"cpu", used.CPU, "memoryMB", used.MemoryMB, "gpu", used.GPU, "unattributedCPU", t.ledger.Unattributed().CPU)
 }
 
-// tick ends the holds of tenants that had no start held back for capHeldInterval.
+// tick ends the holds and the excess of tenants to which nothing was added for
+// spanInterval.
 func (t *tenants) tick() {
-	for name, h := range t.held {
-		if t.core.now.Sub(h.last) >= capHeldInterval {
+	now := t.core.now
+	for name, s := range t.held {
+		if now.Sub(s.last) >= spanInterval {
 			delete(t.held, name)
-			t.core.log.Log(events.TenantBelowCap, "tenant", name, "took", h.last.Sub(h.since).Milliseconds())
+			t.core.log.Log(events.TenantBelowCap, "tenant", name, "took", s.last.Sub(s.since).Milliseconds())
+		}
+	}
+	for name, s := range t.excess {
+		if now.Sub(s.last) >= spanInterval {
+			delete(t.excess, name)
+			t.core.log.Log(events.TenantWithinRate, "tenant", name, "took", s.last.Sub(s.since).Milliseconds(), "submissions", s.count)
 		}
 	}
 }
--- a/internal/scheduler/tenants_test.go
+++ b/internal/scheduler/tenants_test.go
@@ -103,7 +103,9 @@
 		t.Fatalf("%d starts, want 2", len(starts))
 	}
 	h.confirmStart(starts[0])
-	h.do(func(c *Core) { c.StartCompleted(starts[1].To, starts[1].Order, 0, verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer")) })
+	h.do(func(c *Core) {
+		c.StartCompleted(starts[1].To, starts[1].Order, 0, verdict.New(verdict.MayHaveRun, ReasonNoAnswer, "no answer"))
+	})
 	h.do(func(c *Core) { c.Cancel(id1, func(Reply) {}) })
 	h.starts = nil
 	h.submitAs("a", id2, stepOf(2, 4000))
--- /dev/null
+++ b/internal/scheduler/tenantshare.go
@@ -0,0 +1,125 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/currantwinch/currantwinch/admission"
+	"github.com/currantwinch/currantwinch/estimate"
+	"github.com/currantwinch/currantwinch/fairqueue"
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// sharesInterval is the least time between two looks at the servers and the queue to
+// renew the total capacity and which tenants have work waiting. Both change slowly, and a
+// look costs as much as their number.
+const sharesInterval = 100 * time.Millisecond
+
+// arrived marks a new submission that its tenant sends beyond its rate.
+func (t *tenants) arrived(sub *workload.Submission) {
+	sub.Excess = t.ledger.InExcess(sub.Tenant, t.core.now)
+	if sub.Excess && extend(t.excess, sub.Tenant, t.core.now) {
+		t.core.log.Log(events.TenantInExcess, "tenant", sub.Tenant, "queue", sub.Queue)
+	}
+}
+
+// accepted counts a submission that was accepted. One that its tenant sent within its rate
+// uses up a part of that.
+func (t *tenants) accepted(j *job) {
+	if !j.sub.Excess {
+		t.ledger.Accepted(j.sub.Tenant, t.core.now)
+	}
+}
+
+// orderOf returns the parts of a job's placement order that depend on its tenant. Tasks
+// that run until they are cancelled must run again soon after they were lost, and are not
+// put back.
+func (t *tenants) orderOf(j *job) (excess, overShare int) {
+	if !t.ledger.Active() || j.sub.Tenant == "" || !t.inExcess(j) && !t.ledger.OverShare(j.sub.Tenant) || j.longRunning() {
+		return 0, 0
+	}
+	if t.inExcess(j) {
+		excess = 1
+	}
+	if t.ledger.OverShare(j.sub.Tenant) {
+		overShare = 1
+	}
+	return excess, overShare
+}
+
+// inExcess reports whether a job's tenant sent it beyond its rate.
+func (t *tenants) inExcess(j *job) bool { return j.sub.Excess && t.ledger.Active() }
+
+// minExcessCores is the least number of cores that are assumed to work off excess.
+const minExcessCores = 1
+
+// excessCores returns how many cores work off excess: those that it uses now and those
+// that are free. The others go to the work that is placed before it, also to what arrives
+// later.
+func (t *tenants) excessCores(free float64) float64 {
+	return max(cores(t.ledger.ExcessUse().CPU)+free, minExcessCores)
+}
+
+// excessPriority is above the priority of all queues. It is that of excess in the count of
+// open tasks.
+const excessPriority = 1 << 20
+
+// openPriority returns the priority by which the tasks of a job count as open.
+func (c *Core) openPriority(j *job) int {
+	if c.tenants.inExcess(j) {
+		return excessPriority
+	}
+	return j.queue.Priority
+}
+
+// refreshShares renews which tenants use more than their share.
+func (t *tenants) refreshShares() {
+	if !t.ledger.Active() {
+		return
+	}
+	if t.core.now.Sub(t.sharesAt) >= sharesInterval {
+		t.sharesAt = t.core.now
+		t.total = workload.Resources{}
+		for _, s := range t.core.servers {
+			if s.listed {
+				t.total = t.total.Plus(s.info.Capacity)
+			}
+		}
+		clear(t.waiting)
+		for _, st := range t.core.queued {
+			t.waiting[st.job().sub.Tenant] = true
+		}
+	}
+	t.ledger.RefreshShares(t.total, func(name string) bool { return t.waiting[name] })
+}
+
+// atCap reports whether the cap of a job's tenant holds back starts.
+func (t *tenants) atCap(j *job) bool { return t.held[j.sub.Tenant] != nil }
+
+// backlogKey names the queue in which a job waits: that of its service, or that of its
+// tenant while the tenant's cap holds back starts. Such work delays nobody else.
+func (t *tenants) backlogKey(j *job) backlogKey {
+	if t.atCap(j) {
+		return backlogKey{j.sub.Service, j.sub.Tenant}
+	}
+	return backlogKey{service: j.sub.Service}
+}
+
+// decideByCap decides whether a submission can begin early enough to be of use behind the
+// work of its tenant, under the tenant's cap.
+func (c *Core) decideByCap(j *job) admission.Decision {
+	limit := c.tenants.ledger.Cap(j.sub.Tenant)
+	if !c.tenants.atCap(j) || limit.CPU == 0 {
+		return admission.Decision{Admit: true}
+	}
+	b := c.backlogIn(c.tenants.backlogKey(j), j)
+	if b.tasks == 0 {
+		return admission.Decision{Admit: true}
+	}
+	request := admission.Request{
+		Prediction: estimate.Prediction{P50: j.expectedCriticalPath(), Class: estimate.Long},
+		Deadline:   j.accepted.Add(uselessFactor * j.targetTime().Sub(j.accepted)),
+	}
+	state := admission.State{Load: fairqueue.Load{Queued: b.tasks, Backlog: b.cpuTime, Share: 1}, Slots: cores(limit.CPU)}
+	return admission.Decide(request, state, admissionOptions, c.now)
+}
--- a/tenant/ledger.go
+++ b/tenant/ledger.go
@@ -31,8 +31,10 @@
 	attempts int
 	// submissions grants the submissions that are not in excess.
 	submissions *rate.Limiter
-	// over is set while the tenant uses more than its share.
-	over bool
+	// share is the part of the capacity to which the tenant is entitled, usage the part
+	// that it uses, and over is set if that is as much or more.
+	share, usage float64
+	over         bool
 }
 
 // Ledger holds what each tenant has running on the servers of one owner. The empty name
@@ -41,6 +43,8 @@
 	window   time.Duration
 	active   bool
 	accounts map[string]*account
+	// excess is what attempts of submissions beyond their tenants' rates reserve.
+	excess quota.Amounts
 	// unattributed is capacity that any tenant may be using.
 	unattributed quota.Amounts
 }
@@ -89,27 +93,33 @@
 // Active reports whether the configuration has tenants.
 func (l *Ledger) Active() bool { return l.active }
 
-// Reserve adds one attempt to a tenant's use. It is counted whatever the cap is. A nil
-// Ledger counts nothing.
-func (l *Ledger) Reserve(name string, need workload.Resources) {
-	if l == nil || name == "" {
-		return
-	}
-	a := l.account(name)
-	a.used = a.used.Plus(amountsOf(need))
-	a.attempts++
+// Reserve adds one attempt to a tenant's use, whatever its cap is. Excess is set if it is
+// of a submission beyond the tenant's rate. A nil Ledger counts nothing.
+func (l *Ledger) Reserve(name string, need workload.Resources, excess bool) {
+	l.change(name, amountsOf(need), 1, excess)
 }
 
 // Release removes an attempt from a tenant's use.
-func (l *Ledger) Release(name string, need workload.Resources) {
+func (l *Ledger) Release(name string, need workload.Resources, excess bool) {
+	l.change(name, quota.Amounts{}.Minus(amountsOf(need)), -1, excess)
+}
+
+func (l *Ledger) change(name string, by quota.Amounts, attempts int, excess bool) {
 	if l == nil || name == "" {
 		return
 	}
 	a := l.account(name)
-	a.used = a.used.Minus(amountsOf(need))
-	a.attempts--
+	a.used = a.used.Plus(by)
+	a.attempts += attempts
+	if excess {
+		l.excess = l.excess.Plus(by)
+	}
 }
 
+// ExcessUse returns what the attempts of all submissions beyond their tenants' rates
+// reserve.
+func (l *Ledger) ExcessUse() workload.Resources { return resourcesOf(l.excess) }
+
 // SetUnattributed sets the capacity on which runs of any tenant may be: that of servers
 // whose runs are not known. It counts as used by every tenant.
 func (l *Ledger) SetUnattributed(r workload.Resources) { l.unattributed = amountsOf(r) }
--- a/tenant/ledger_test.go
+++ b/tenant/ledger_test.go
@@ -50,7 +50,7 @@
 		{"a resource that is not asked for does not count", workload.Resources{CPU: 100, GPU: 1}, workload.Resources{GPU: 2}, cpu(10), cpu(0), 5, 5},
 	} {
 		l := ledgerWith(c.limit, 1)
-		l.Reserve("a", c.used)
+		l.Reserve("a", c.used, false)
 		l.SetUnattributed(c.unattributed)
 		if got := l.Allows("a", c.need, c.requested); got != c.expected {
 			t.Errorf("%s: %d of %d may start, want %d", c.name, got, c.requested, c.expected)
@@ -92,7 +92,7 @@
 					t.Fatalf("%d of %d start beside %d of %d: the next would begin below the cap", allowed, n, used, limit)
 				}
 				for range allowed {
-					l.Reserve("a", need)
+					l.Reserve("a", need, false)
 					running, used = append(running, need), used+need.CPU
 				}
 				if allowed > 0 && used >= limit+need.CPU {
@@ -100,7 +100,7 @@
 				}
 			case 2:
 				if len(running) > 0 {
-					l.Release("a", running[0])
+					l.Release("a", running[0], false)
 					used -= running[0].CPU
 					running = running[1:]
 				}
@@ -116,7 +116,7 @@
 // member above the cap must not be.
 func TestLedger_MostAtOnceIsIndependentOfUse(t *testing.T) {
 	l := ledgerWith(cpu(31), 1)
-	l.Reserve("a", cpu(500))
+	l.Reserve("a", cpu(500), false)
 	if got := l.MostAtOnce("a", cpu(10), 100); got != 4 {
 		t.Errorf("%d tasks of 10 at once under a cap of 31, want 4", got)
 	}
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -144,6 +144,8 @@
 	// Tenant is the name of the tenant that sent the submission; empty if it came
 	// through a public queue, or if the deployment has no tenants.
 	Tenant string `cbor:"12,keyasint,omitempty"`
+	// Excess is set if the tenant sent the submission beyond its rate.
+	Excess bool `cbor:"13,keyasint,omitempty"`
 }
 
 // Reference names a submission in a call about it.
