Fractions of caps and their transfers (pure); tenants in the dump and the metrics

A cap of several owners is divided into fractions that belong to partitions: stored with the transfers in flight, which count for neither side; an owner gives what it neither uses nor needs soon, and both divide the cap by demand if it is short. An owner with no more than half starts nothing that ends above its part, so that all together exceed the cap by less than one task. The scheduler does not use fractions yet. The dump and eleven metrics say for each tenant what it uses, its cap, fraction and share, what waits, what is excess, refused, or held back by its cap. A tenant counts as held by its cap also while no server has room. Tests of tenant, docs, events and the tenant tests of the scheduler pass.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -34,7 +34,7 @@
 	TenantAtCap = Event{
 		Number: 6090, Level: slog.LevelInfo, Name: "tenant_at_cap",
 		Fields:  []string{"tenant", "step", "runs", "cpu", "memoryMB", "gpu", "unattributedCPU"},
-		Meaning: "A tenant's cap begins to hold back starts, that of step first. The tenant has so many runs, which reserve cpu, memoryMB and gpu; runs that are being stopped count until their end is certain. The field unattributedCPU is the capacity of servers whose runs are not known, which counts for every tenant.",
+		Meaning: "A tenant's cap begins to hold back starts, that of step first; step is empty if no server had room either. The tenant has so many runs, which reserve cpu, memoryMB and gpu; runs that are being stopped count until their end is certain. The field unattributedCPU is the capacity of servers whose runs are not known, which counts for every tenant.",
 		Action:  "None, or raise the tenant's cap. If unattributedCPU is large for long, find out which servers do not answer.",
 	}
 	TenantBelowCap = Event{
--- a/internal/scheduler/dump.go
+++ b/internal/scheduler/dump.go
@@ -24,6 +24,8 @@
 	Departures    int          `json:"departures"`
 	Forwards      int          `json:"forwards"`
 	Servers       []ServerDump `json:"servers"`
+	// Tenants is empty if the configuration has none.
+	Tenants []TenantDump `json:"tenants,omitempty"`
 }
 
 // ServerDump is the state of one backend server.
@@ -46,7 +48,7 @@
 	d := Dump{
 		Epoch: c.epoch, Recovered: c.recovered, Jobs: len(c.jobs), Ended: len(c.finalStates), Queued: len(c.queued),
 		Scheduled: len(c.scheduled), PendingWrites: len(c.onStored), OpenRequests: c.openRequests, Trials: c.trials,
-		Departures: len(c.departures), Forwards: len(c.forwards),
+		Departures: len(c.departures), Forwards: len(c.forwards), Tenants: c.tenants.dump(),
 	}
 	for _, s := range c.servers {
 		row := ServerDump{
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -152,6 +152,7 @@
 	if err != nil {
 		return err
 	}
+	defer e.o.Metrics.withdrawTenants(e.core)
 	close(e.claimed)
 	e.requestPromises(ctx, claim)
 	go func() {
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -25,6 +25,7 @@
 	firstStartTime    *metrics.Histogram
 	completionTime    *metrics.Histogram
 	authorizationTime *metrics.Histogram
+	tenants           tenantGauges
 }
 
 // NewMetrics registers the metrics with a set.
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -33,6 +33,10 @@
 	waiting  map[string]bool
 	// excess is the tenants that send beyond their rate, and when they last did.
 	excess map[string]*span
+	// refusals counts the refused submissions of each tenant, and reportedAt is when the
+	// metrics were last renewed.
+	refusals   map[string]int
+	reportedAt time.Time
 }
 
 // span is a time during which a tenant is held back by its cap, or exceeds its rate.
@@ -57,7 +61,7 @@
 func newTenants(c *Core) *tenants {
 	return &tenants{
 		core: c, ledger: tenant.NewLedger(c.bounds.ShareWindow), gangs: make(map[string]*step), held: make(map[string]*span),
-		uncertain: true, stale: true, waiting: make(map[string]bool), excess: make(map[string]*span),
+		uncertain: true, stale: true, waiting: make(map[string]bool), excess: make(map[string]*span), refusals: make(map[string]int),
 	}
 }
 
@@ -70,7 +74,7 @@
 	}
 	t.attributeCapacity()
 	if t.yieldsToGang(name, st) {
-		t.noteHeld(name, st)
+		t.noteHeld(name, st.id().StepName())
 		return 0
 	}
 	allowed := t.ledger.Allows(name, st.spec.Reserved(), n)
@@ -80,7 +84,7 @@
 		}
 		return n
 	}
-	t.noteHeld(name, st)
+	t.noteHeld(name, st.id().StepName())
 	if !st.spec.Gang {
 		return allowed
 	}
@@ -152,12 +156,12 @@
 }
 
 // noteHeld notes that a tenant's cap holds back a start.
-func (t *tenants) noteHeld(name string, st *step) {
+func (t *tenants) noteHeld(name, step string) {
 	if !extend(t.held, name, t.core.now) {
 		return
 	}
 	used, attempts := t.ledger.Used(name)
-	t.core.log.Log(events.TenantAtCap, "tenant", name, "step", st.id().StepName(), "runs", attempts,
+	t.core.log.Log(events.TenantAtCap, "tenant", name, "step", step, "runs", attempts,
 		"cpu", used.CPU, "memoryMB", used.MemoryMB, "gpu", used.GPU, "unattributedCPU", t.ledger.Unattributed().CPU)
 }
 
@@ -165,6 +169,12 @@
 // spanInterval.
 func (t *tenants) tick() {
 	now := t.core.now
+	for name := range t.waiting {
+		// Placement does not ask while no server has room.
+		if t.ledger.AtCap(name) {
+			t.noteHeld(name, "")
+		}
+	}
 	for name, s := range t.held {
 		if now.Sub(s.last) >= spanInterval {
 			delete(t.held, name)
@@ -177,4 +187,5 @@
 			t.core.log.Log(events.TenantWithinRate, "tenant", name, "took", s.last.Sub(s.since).Milliseconds(), "submissions", s.count)
 		}
 	}
+	t.report()
 }
--- a/internal/scheduler/tenants_test.go
+++ b/internal/scheduler/tenants_test.go
@@ -21,9 +21,11 @@
 
 // capped returns a tenant with a cap of its CPU.
 func capped(name string, cpu int64) routing.Tenant {
-	return routing.Tenant{Name: name, Weight: 100, Cap: workload.Resources{CPU: cpu}}
+	return routing.Tenant{Name: name, Weight: 100, Cap: cpuCap(cpu)}
 }
 
+func cpuCap(cpu int64) workload.Resources { return workload.Resources{CPU: cpu} }
+
 // setTenants puts another version of the configuration in force, with these tenants.
 func (h *harness) setTenants(tenants ...routing.Tenant) {
 	next := *h.config
--- a/internal/scheduler/tenantshare.go
+++ b/internal/scheduler/tenantshare.go
@@ -18,6 +18,9 @@
 // arrived marks a new submission that its tenant sends beyond its rate.
 func (t *tenants) arrived(sub *workload.Submission) {
 	sub.Excess = t.ledger.InExcess(sub.Tenant, t.core.now)
+	if sub.Excess {
+		t.core.metric.countExcess(sub.Tenant)
+	}
 	if sub.Excess && extend(t.excess, sub.Tenant, t.core.now) {
 		t.core.log.Log(events.TenantInExcess, "tenant", sub.Tenant, "queue", sub.Queue)
 	}
--- a/placement/quota/amounts.go
+++ b/placement/quota/amounts.go
@@ -50,3 +50,17 @@
 	}
 	return int(left)
 }
+
+// StartsWithin returns how many of n requests for each amounts may follow one another so
+// that the use ends within limit. A limit of zero is none, and a resource that the requests
+// do not use does not count.
+func StartsWithin(used, each, limit Amounts, n int) int {
+	left := int64(max(n, 0))
+	for i := range used {
+		if limit[i] == 0 || each[i] <= 0 {
+			continue
+		}
+		left = min(left, max(limit[i]-used[i], 0)/each[i])
+	}
+	return int(left)
+}
--- /dev/null
+++ b/tenant/exchange.go
@@ -0,0 +1,105 @@
+package tenant
+
+import (
+	"time"
+
+	"github.com/currantwinch/currantwinch/placement/quota"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+const (
+	// peakWindow is the time over which the largest demand of a tenant counts as what it
+	// needs soon. It lasts for one to two windows.
+	peakWindow = time.Second
+	// ceilingTime is how long an owner keeps below the part that another one may get, so
+	// that its runs end and leave room for a transfer. An owner that still wants it asks
+	// twice in that time.
+	ceilingTime = time.Second
+	// minTransfer is the least amount that is transferred unless less was asked for. Each
+	// transfer costs three writes.
+	minTransfer = Whole / 1000
+)
+
+// peak is the largest demand of a tenant in this window and the one before.
+type peak struct {
+	since             time.Time
+	current, previous quota.Amounts
+}
+
+// Question asks the owners of other partitions for a part of a tenant's cap. All amounts
+// are in millionths of the cap.
+type Question struct {
+	Tenant string `json:"tenant"`
+	// From is the partition that asks, which holds Held, could use Demand and asks for
+	// Amount more.
+	From   int   `json:"from"`
+	Held   int64 `json:"held"`
+	Demand int64 `json:"demand"`
+	Amount int64 `json:"amount"`
+}
+
+func most(a, b quota.Amounts) quota.Amounts {
+	return quota.Amounts{max(a[0], b[0]), max(a[1], b[1]), max(a[2], b[2])}
+}
+
+// Observe notes what the waiting work of a tenant would use, beside what it uses.
+func (l *Ledger) Observe(name string, queued workload.Resources, now time.Time) {
+	a, _, capped := l.limitOf(name)
+	if !capped {
+		return
+	}
+	if now.Sub(a.peak.since) >= peakWindow {
+		a.peak.previous, a.peak.current, a.peak.since = a.peak.current, quota.Amounts{}, now
+	}
+	a.peak.current = most(a.peak.current, a.used.Plus(amountsOf(queued)))
+	if !now.Before(a.ceilingUntil) {
+		a.ceiling = 0
+	}
+}
+
+// Ask returns the question to other owners of one whose work needs more of a tenant's cap
+// than it holds. It returns false if nothing is to be asked.
+func (l *Ledger) Ask(name string, queued workload.Resources) (Question, bool) {
+	a, limit, capped := l.limitOf(name)
+	if !capped {
+		return Question{}, false
+	}
+	held := l.Fractions.Usable(name)
+	demand := min(fractionFor(a.used.Plus(l.unattributed).Plus(amountsOf(queued)), limit), Whole)
+	if demand <= held {
+		return Question{}, false
+	}
+	return Question{Tenant: name, Held: held, Demand: demand, Amount: demand - held}, true
+}
+
+// Grant returns how much this owner gives to one that asks: what it does not use and does
+// not need soon. If both need more than they have, the cap is divided by their demands; the
+// one that has too much starts nothing above its part for a while, and gives what its runs
+// leave as they end.
+func (l *Ledger) Grant(q Question, queued workload.Resources, now time.Time) int64 {
+	a, limit, capped := l.limitOf(q.Tenant)
+	if !capped || q.Amount <= 0 {
+		return 0
+	}
+	l.Observe(q.Tenant, queued, now)
+	held := l.Fractions.Usable(q.Tenant)
+	used := fractionFor(a.used.Plus(l.unattributed), limit)
+	soon := fractionFor(most(a.peak.current, a.peak.previous).Plus(l.unattributed), limit)
+	if l.Fractions.faults.giveUsed {
+		used, soon = 0, 0
+	}
+	keep := max(soon, used)
+	if soon > held-q.Amount && q.Demand > 0 {
+		both := float64(held + max(q.Held, 0))
+		part := int64(both * float64(soon) / float64(soon+q.Demand))
+		if part < keep {
+			keep = max(part, used)
+			a.ceiling, a.ceilingUntil = max(part, 1), now.Add(ceilingTime)
+		}
+	}
+	give := min(held-keep, q.Amount)
+	if give < min(minTransfer, q.Amount) {
+		return 0
+	}
+	return give
+}
--- a/tenant/ledger.go
+++ b/tenant/ledger.go
@@ -35,6 +35,11 @@
 	// that it uses, and over is set if that is as much or more.
 	share, usage float64
 	over         bool
+	// peak is the largest recent demand. Above ceiling, unless it is 0, nothing starts until
+	// ceilingUntil: another owner needs that part of the cap.
+	peak         peak
+	ceiling      int64
+	ceilingUntil time.Time
 }
 
 // Ledger holds what each tenant has running on the servers of one owner. The empty name
@@ -47,11 +52,13 @@
 	excess quota.Amounts
 	// unattributed is capacity that any tenant may be using.
 	unattributed quota.Amounts
+	// Fractions is the part of each cap that this owner may use.
+	Fractions *Fractions
 }
 
 // NewLedger returns a Ledger that counts rates of submissions over the given window.
 func NewLedger(window time.Duration) *Ledger {
-	return &Ledger{window: cmp.Or(window, DefaultWindow), accounts: make(map[string]*account)}
+	return &Ledger{window: cmp.Or(window, DefaultWindow), accounts: make(map[string]*account), Fractions: NewFractions(true)}
 }
 
 func amountsOf(r workload.Resources) quota.Amounts { return quota.Amounts{r.CPU, r.MemoryMB, r.GPU} }
@@ -142,15 +149,42 @@
 // Allows returns how many of n tasks that need as much each may start now. Every start
 // begins while the tenant's use is below its cap, so that a task larger than what is left
 // of the cap is not passed over for as long as smaller ones come. The use exceeds the cap
-// by less than one task.
+// by less than one task. An owner that has no more than half of the cap starts nothing that
+// ends above its part: all owners together may exceed the cap by one task only.
 func (l *Ledger) Allows(name string, need workload.Resources, n int) int {
 	a, limit, capped := l.limitOf(name)
 	if !capped {
 		return n
 	}
-	return quota.StartsBelow(a.used.Plus(l.unattributed), amountsOf(need), limit, n)
+	used, fraction := a.used.Plus(l.unattributed), l.Fractions.Usable(name)
+	if a.ceiling > 0 {
+		fraction = min(fraction, a.ceiling)
+	}
+	limit = limitBy(limit, fraction)
+	if fraction > Whole/2 {
+		return quota.StartsBelow(used, amountsOf(need), limit, n)
+	}
+	return quota.StartsWithin(used, amountsOf(need), limit, n)
+}
+
+// AtCap reports whether a tenant uses all that it may of a resource.
+func (l *Ledger) AtCap(name string) bool {
+	a, limit, capped := l.limitOf(name)
+	if !capped {
+		return false
+	}
+	used := a.used.Plus(l.unattributed)
+	for i, most := range limitBy(limit, l.Fractions.Usable(name)) {
+		if most != 0 && used[i] >= most {
+			return true
+		}
+	}
+	return false
 }
 
+// Fraction returns the part of a tenant's cap that this owner may use, in millionths.
+func (l *Ledger) Fraction(name string) int64 { return l.Fractions.Usable(name) }
+
 // MostAtOnce returns how many of n tasks that need as much each can ever run at the same
 // time under a tenant's cap.
 func (l *Ledger) MostAtOnce(name string, need workload.Resources, n int) int {
