Caps are shared between the owners of several partitions

With several services or shards each owner counted its own starts only, so that a tenant could run its cap at each of them. The partition that first needs a cap is now stored in keyed.shards as the first holder of all of them, by a conditional append. An owner whose work its fraction holds back asks the others, at most twice a second; what they give is stored, sent until it is confirmed, and stored once by the receiver. The only partition asks and stores nothing but that record, and does not wait for it. Tests: two owners in virtual time (an idle owner gives, a scarce cap is divided, transfers repeated by the same and the next owner count once), the record of the holder, and a play of two daemons and two services against the stand-ins.

--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -79,6 +79,8 @@
 	// Layout returns a service's shard layout, or false if it is not known.
 	Layout func(service string) (shard.Layout, bool)
 	Homes  Homes
+	// CapHolders knows the first holder of the tenants' caps.
+	CapHolders CapHolders
 	// Daemons lists the other daemons.
 	Daemons func() []string
 	// Isolated reports whether neither the store nor another daemon answers
@@ -106,6 +108,7 @@
 func New(o Options) *Router {
 	e := &Router{o, newVersions(o.Peers, o.Now)}
 	e.handleShardCalls()
+	e.handleCapCalls()
 	for _, method := range []string{methodSubmit, methodStatus, methodCancel, methodPending} {
 		o.Peers.Handle(method, e.handle(method))
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -163,7 +163,7 @@
 }
 
 func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Manager, peers *peer.Peers, shards *shard.Manager, s platform.Settings) *entry.Router {
-	return entry.New(entry.Options{Member: member, Isolated: store.Isolated, Layout: shards.Layout, Homes: shards, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now, Daemons: h.otherDaemons})
+	return entry.New(entry.Options{Member: member, Isolated: store.Isolated, Layout: shards.Layout, Homes: shards, CapHolders: shards, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now, Daemons: h.otherDaemons})
 }
 
 func (h *Host) newPolicyClients(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.PolicyClients {
@@ -205,7 +205,7 @@
 		},
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
 		MemoryBudget: h.memoryBudget,
-		Shards:       h.entry.ShardsOf(id), Witnesses: h.tenures.Witnesses(id),
+		Shards:       h.entry.ShardsOf(id), Caps: h.entry.CapsOf(id), Witnesses: h.tenures.Witnesses(id),
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
 			return h.watchServers(ctx, id, onChange)
 		},
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -178,7 +178,8 @@
 	openTasks map[int]int
 	faults    tenureFaults
 	// tenants holds the starts of each tenant below its cap.
-	tenants *tenants
+	tenants   *tenants
+	capShares capShares
 }
 
 // storedCallback waits until a write and all before it are in the log.
@@ -205,6 +206,7 @@
 	}
 	c.memory.limit = bounds.MemoryBytes
 	c.tenants = newTenants(c)
+	c.capShares.copies = make(map[capTransferKey]int)
 	claim := nextClaim(records, "", bounds, nil)
 	claim.Epoch = epoch
 	c.SetClaim(claim, now, wall)
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -122,7 +122,7 @@
 			h.polls[a.To.ID] = a
 		case RequestAuthorization:
 			h.requests = append(h.requests, a)
-		case AskRoom, SendHandover, QueryHeld:
+		case AskRoom, SendHandover, QueryHeld, AskCap, SendCap:
 			h.shardCalls = append(h.shardCalls, a)
 		}
 	}
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -74,6 +74,9 @@
 	Policy    PolicyClients
 	// Shards reaches the owners of the other shards; nil if there are none.
 	Shards Shards
+	// Caps reaches the owners with which the tenants' caps are shared; nil if there are
+	// none.
+	Caps Caps
 	// Config returns the configuration in force, or nil.
 	Config func() *routing.Configuration
 	// LeaseValid reports whether this daemon's group lease is valid, so that no
@@ -115,6 +118,8 @@
 	confirmedAt time.Time
 	// evidenceWanted is set if the ownership is to be confirmed at once.
 	evidenceWanted atomic.Bool
+	// storingHolder is set while the first holder of the caps is being stored.
+	storingHolder atomic.Bool
 	// candidatesAt is when the candidates for witnesses were last looked at.
 	candidatesAt time.Time
 }
@@ -201,6 +206,7 @@
 	e.setTime()
 	e.updateEvidence()
 	e.core.SetLocate(e.o.Shards.Locate)
+	e.updateCaps()
 	if config != nil {
 		e.core.Configure(config)
 	}
@@ -236,6 +242,7 @@
 			e.core.SetMayHandOver(e.core.Misrouted() && e.o.Shards.MayHandOver())
 			e.orders.observe()
 			e.updateEvidence()
+			e.updateCaps()
 			e.core.Tick()
 			e.withdrawUnstored()
 		}
@@ -331,6 +338,10 @@
 			go e.askRoom(a)
 		case SendHandover:
 			go e.handOver(a)
+		case AskCap:
+			e.askCap(a)
+		case SendCap:
+			go e.sendCap(a)
 		case QueryHeld:
 			go e.queryHeld(a)
 		}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -213,10 +213,11 @@
 	return nil
 }
 
-// ResumeHandovers sends the handovers that earlier owners have stored. The Engine calls
+// ResumeHandovers sends the handovers, and the transfers of caps, that earlier owners have stored. The Engine calls
 // it once, after the claim.
 func (c *Core) ResumeHandovers() {
 	for _, d := range c.departures {
 		c.sendHandover(d)
 	}
+	c.resumeCaps()
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -322,6 +322,7 @@
 	c.recordUnheard()
 	c.storeUpdate()
 	c.tenants.tick()
+	c.shareCaps()
 	c.startDeferredTrials()
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -20,6 +20,7 @@
 	keyOwner    = 'o'
 	keyProgress = 'p'
 	keyServer   = 's'
+	keyFraction = 'q'
 	keyUnheard  = 'u'
 	keyUpdate   = 'w'
 )
@@ -82,6 +83,8 @@
 			err = c.loadFinal(r.Key[1:], r.Value)
 		case keyServer:
 			err = c.loadServer(r.Key[1:], r.Value)
+		case keyFraction:
+			err = c.loadFraction(r.Key[1:], r.Value)
 		case keyHandover:
 			err = c.loadHandover(r.Value)
 		case keyForward:
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -56,6 +56,8 @@
 	o     Options
 	table atomic.Pointer[Table]
 	homes atomic.Pointer[homes]
+	// capHolder is the first holder of the tenants' caps; nil if none is known.
+	capHolder atomic.Pointer[int]
 	// storingHome is set while a home is being stored.
 	storingHome atomic.Bool
 
@@ -123,6 +125,12 @@
 			nextHomes[queue] = service
 			continue
 		}
+		if isHolder, err := k.applyCapHolder(r); isHolder {
+			if err != nil {
+				k.o.Rejected(r.Key, err)
+			}
+			continue
+		}
 		var l Layout
 		if err := workload.Decode(r.Value, &l); err != nil {
 			k.o.Rejected(r.Key, err)
--- a/tenant/fraction.go
+++ b/tenant/fraction.go
@@ -1,6 +1,7 @@
 package tenant
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/currantwinch/currantwinch/placement/quota"
@@ -64,6 +65,12 @@
 	return &Fractions{first: first, holdings: make(map[string]*holding)}
 }
 
+// First reports whether the partition is the first holder.
+func (f *Fractions) First() bool { return f.first }
+
+// Names returns the names of the tenants of which something was loaded or changed.
+func (f *Fractions) Names() []string { return slices.Sorted(maps.Keys(f.holdings)) }
+
 // SetFirst sets whether the partition is the first holder.
 func (f *Fractions) SetFirst(first bool) { f.first = first }
 
@@ -134,14 +141,20 @@
 
 // Unconfirmed returns the transfers that are stored and not known to have been taken.
 func (f *Fractions) Unconfirmed(name string) []Transfer {
-	h := f.of(name)
+	h := f.holdings[name]
+	if h == nil {
+		return nil
+	}
 	return slices.DeleteFunc(slices.Clone(h.stored.Out), func(t Transfer) bool { return !h.sendable[t.Number] })
 }
 
 // Confirm notes that a transfer was taken. It returns the Fraction to store, or false if
 // the transfer was confirmed before.
 func (f *Fractions) Confirm(name string, number uint64) (Fraction, bool) {
-	h := f.of(name)
+	h := f.holdings[name]
+	if h == nil {
+		return Fraction{}, false
+	}
 	i := slices.IndexFunc(h.stored.Out, func(t Transfer) bool { return t.Number == number })
 	if i < 0 {
 		return Fraction{}, false
