--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -112,6 +112,17 @@
 	a.grantedUntil = latest(a.grantedUntil, c.now.Add(lasts))
 }
 
+// mayBeGrantedByPoll notes that a poll with a lease deadline got no answer. If the next
+// instance of the server has carried it out, every run that it began under a start meant for
+// the instance before got the longest lease by now.
+func (c *Core) mayBeGrantedByPoll(s *server) {
+	for _, a := range s.attempts {
+		if !a.grantedUntil.IsZero() {
+			c.mayBeGranted(a, c.maxLeaseGranted)
+		}
+	}
+}
+
 // mayRunElsewhere reports whether a run whose instance is over, or whose leases there have
 // expired, can last on no later instance either.
 func (c *Core) mayRunElsewhere(a *attempt) bool { return !c.now.Before(a.grantedUntil) }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -63,7 +63,7 @@
 	}
 	s.ackInFlight = max(request.AckedEnd, s.ackedEnd)
 	if s.synced {
-		request.LeaseDeadlineMS = c.extendLease(s)
+		request.LeaseDeadlineMS = c.pollLease(s)
 		if s.endsComplete && s.storedEnd == s.processedEnd && (len(s.attempts) > 0 || s.unknownRuns > 0) {
 			request.Wait = min(pollWait, c.trialTimeLeft(s))
 		}
@@ -151,6 +151,9 @@
 		c.removeServer(s)
 		return
 	}
+	if s.pollDeadlineMS > 0 {
+		c.mayBeGrantedByPoll(s)
+	}
 	s.failedPolls++
 	c.pollAfter(s, c.pollRetryDelay(s))
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -38,6 +38,8 @@
 	// leaseDeadlineMS is the latest lease deadline that this or an earlier owner may have
 	// sent, on the instance's clock; sentDeadlineMS is the latest that this one has sent.
 	leaseDeadlineMS, sentDeadlineMS int64
+	// pollDeadlineMS is the lease deadline of the current poll; 0 if it carries none.
+	pollDeadlineMS int64
 	// unknownRuns counts listed runs whose submission has ended. Their size is
 	// unknown, so nothing is placed on the server meanwhile.
 	unknownRuns int
