A start confirmed after a poll left is not lost by that poll's list

A server that restarted lists its runs to a poll and then carries out a start that was meant for the instance before. serverRestarted took every confirmed run for one of the former instance, and the task started again beside it (TestCore_StartConfirmedByTheNextInstanceAfterItsListIsNotLost, found by random sequences). Now the time at which the poll left decides, as where no server restarts; the list of the next poll settles the rest.

--- a/internal/scheduler/capacity_test.go
+++ b/internal/scheduler/capacity_test.go
@@ -162,8 +162,14 @@
 	start := h.runOne(id1, 6000)
 	h.servers[0].StartedAtMS = 2000
 	h.setCapacity(0, 7000)
+	// A list to a poll that left at the time of the confirmation does not say which of the two
+	// instances confirmed the start; that of the next poll does.
 	h.answerPoll("s0", PollResponse{StartedAtMS: 2000})
 	h.submit(id2, oneTask(4000))
+	if starts := h.takeStarts(); len(starts) > 0 {
+		t.Fatalf("starts %+v while the new instance may run the first task, want none", starts)
+	}
+	h.answerPoll("s0", PollResponse{StartedAtMS: 2000})
 	starts := h.takeStarts()
 	if len(starts) != 1 || starts[0].Order.Task != start.Order.Task {
 		t.Fatalf("starts %+v, want only the lost task again", starts)
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -109,7 +109,7 @@
 		return
 	}
 	c.endReplacedInstances(s)
-	c.detectRestart(s, list)
+	c.detectRestart(s, sent, list)
 	s.over, s.answeredAddress = false, to.Address
 	c.applyAnswer(s, sent, list)
 	if s.storedEnd == s.processedEnd {
@@ -167,22 +167,24 @@
 	return min(resendDelay(s.failedPolls), maxPollRetryDelay)
 }
 
-// detectRestart begins another session if the instance that answered is not the one
-// that this owner knew under the ID.
-func (c *Core) detectRestart(s *server, list PollResponse) {
+// detectRestart begins another session if the instance that answered a poll, sent at the
+// given time, is not the one that this owner knew under the ID.
+func (c *Core) detectRestart(s *server, sent time.Time, list PollResponse) {
 	if list.StartedAtMS == 0 || list.StartedAtMS == s.startedAtMS {
 		return
 	}
 	if s.startedAtMS != 0 {
-		c.serverRestarted(s, list)
+		c.serverRestarted(s, sent, list)
 	}
 	s.startedAtMS = list.StartedAtMS
 }
 
-// serverRestarted handles a server that restarted under the same ID. Attempts on
-// the previous instance that were confirmed and are not listed are lost. Starts in
-// flight may still reach the new instance.
-func (c *Core) serverRestarted(s *server, list PollResponse) {
+// serverRestarted handles a server that restarted under the same ID and has answered a poll
+// that was sent at the given time. Attempts on the previous instance that were confirmed
+// before that and are not listed are lost. Starts in flight may still reach the new instance,
+// which may also be the one that confirmed a start after the poll was sent, and after it
+// listed its runs: the list of the next poll decides about such a run.
+func (c *Core) serverRestarted(s *server, sent time.Time, list PollResponse) {
 	c.log.Log(events.ServerRestarted, "server", s.info.ID, "born", list.StartedAtMS, "before", s.startedAtMS, "attempts", len(s.attempts),
 		"processedEnd", s.processedEnd, "storedEnd", s.storedEnd)
 	givenUp := c.attributeCrash(s, lossRestarted)
@@ -194,10 +196,11 @@
 	for key, a := range s.attempts {
 		switch {
 		case a.state == startSent || listed[key]:
-		case c.mayRunElsewhere(a):
-			c.markLost(a, lossRestarted)
-		default:
+		case !c.mayRunElsewhere(a):
 			stops = append(stops, a)
+		case a.state == running && !a.answeredAt.Before(sent):
+		default:
+			c.markLost(a, lossRestarted)
 		}
 	}
 	s.session = c.newSession()
