Speeds of servers, learned from their runs, order the placement

Cause: where servers have speeds 0.7, 0.7 and 1.7, short work ran on any of them, and work went on to a server that had turned slow.

Change: placement/speed (pure) estimates the speed of each instance from the logarithms of expected against actual run times: a median over 48 observations for the steady speed and over 5 for a sudden change, a prior of 1, the runs of one step on one server as one observation, stragglers told apart by runs that began later and ended as usual. Servers are compared by classes, so that chance decides nothing; where fewer than one in ten differ, all count as alike. Work of queues with a short objective prefers the fastest free servers, other work the slowest that suffices; a server below 0.42 of the usual speed comes last and is left alone for at most 1 s after a step became ready. Gangs choose the range of classes in which they fit. Nothing is stored. RemoteFactor reaches scheduler.Bounds.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -234,6 +234,11 @@
 		Meaning: "A layout record of a service could not be decoded or contradicts the one in force; it was skipped.",
 		Action:  "Report it; new racks may stay unused.",
 	}
+	ServerSpeedChanged = Event{
+		Number: 6120, Level: slog.LevelInfo, Name: "server_speed_changed",
+		Fields:  []string{"server", "slow", "class", "attempts"},
+		Meaning: "A backend server runs tasks over 2.4 times as long as the usual server of its service, so that work goes round it. Or, if slow is false, it does not any more, or nothing ran there for a while and it is tried again. The field class is its speed against the usual server: 0 is alike, each class up is a factor of 1.4.",
+	}
 	SettingsReloaded = Event{
 		Number: 6041, Level: slog.LevelInfo, Name: "settings_reloaded",
 		Fields:  []string{"file", "error"},
@@ -250,5 +255,5 @@
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
-	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank,
+	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged,
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -201,7 +201,7 @@
 		Log: h.store, Partition: id, Daemon: h.base.Self.Name,
 		Bounds: scheduler.Bounds{
 			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusRetention: b.StatusRetention, ReuseAfter: b.ReuseAfter,
-			MaxRecordBytes: h.o.Settings.MaxRecordBytes,
+			MaxRecordBytes: h.o.Settings.MaxRecordBytes, RemoteFactor: b.RemoteFactor,
 		},
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
 		MemoryBudget: h.memoryBudget,
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -31,6 +31,7 @@
 	t.step.attemptsPerServer[s]++
 	s.reserve(a)
 	t.step.job().stuckSince = time.Time{}
+	c.observeObjective(t.step.job())
 	c.sendStart(a)
 	c.startRoom--
 	c.metric.startsSent.Inc()
@@ -389,6 +390,7 @@
 	case workload.EndDone:
 		if a != nil && !t.done {
 			j.runs.observe(c.now.Sub(a.sentAt))
+			c.observeSpeed(a)
 		}
 		c.taskDone(s, t)
 	case workload.EndFailed:
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -34,6 +34,9 @@
 	ReuseAfter time.Duration
 	// MemoryBytes is the budget for what is held of submissions; 0 means none.
 	MemoryBytes int64
+	// RemoteFactor is how many times as long a task takes away from its data; at most 1 if
+	// that makes no difference.
+	RemoteFactor float64
 	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
 	// if that is not known.
 	MaxRecordBytes int
@@ -157,6 +160,12 @@
 	// heldForGangs is the capacity that the last placement pass held for gangs.
 	heldForGangs map[*server]workload.Resources
 	allowRates   map[string]*allowRate
+	// speeds is what is known of the servers' speeds, by service, and speedsReviewedAt is
+	// when that was last brought up to date.
+	speeds           map[string]*serviceSpeeds
+	speedsReviewedAt time.Time
+	// lastStepNumber is the number of the last step that got one.
+	lastStepNumber uint64
 	// runTimes holds the mean run time of each queue.
 	runTimes        map[string]*runTimes
 	fenced          bool
@@ -195,7 +204,7 @@
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now, leasesRenewed: true,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
-		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), policyClients: 1,
+		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	c.memory.limit = bounds.MemoryBytes
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -97,8 +97,9 @@
 func (p *placementPass) gangForecasts(st *step) []forecast {
 	ranked := p.serverForecasts(st.job().sub.Service)
 	out := make([]forecast, 0, len(ranked))
+	avoidsSlow := p.avoidsSlow(st)
 	for _, pr := range ranked {
-		if !pr.server.hasLabel(st.spec.Label) || st.authorization.denied[pr.server.instanceKey()] {
+		if !pr.server.hasLabel(st.spec.Label) || avoidsSlow && pr.server.slow() || st.authorization.denied[pr.server.instanceKey()] {
 			continue
 		}
 		out = append(out, forecast{pr.server, pr.free.Minus(p.held[pr.server])})
--- a/internal/scheduler/gangplace.go
+++ b/internal/scheduler/gangplace.go
@@ -80,7 +80,7 @@
 	return nil
 }
 
-// packGang assigns need members to servers, the fullest server first. A
+// packGang assigns need members to servers of similar speed, the fullest server first. A
 // rack-sensitive gang goes to a single rack if one has capacity.
 func (p *placementPass) packGang(st *step, servers []*server, need int) []*server {
 	if st.spec.RackSensitive || st.spec.Rack != "" {
@@ -88,7 +88,7 @@
 			servers = one
 		}
 	}
-	inOrder := slices.Clone(servers)
+	inOrder := slices.Clone(p.similarServers(st, servers, need))
 	slices.SortFunc(inOrder, func(x, y *server) int {
 		return cmp.Or(cmp.Compare(x.free.CPU, y.free.CPU), cmp.Compare(x.info.ID, y.info.ID))
 	})
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/crashloop"
+	"github.com/currantwinch/currantwinch/placement/speed"
 	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -86,6 +87,10 @@
 	formationDeadline time.Time
 	// trial is the trial under way, or nil.
 	trial *trial
+	// number is unique among the steps of which tasks have run under this owner, and
+	// siblings is what their run times tell about the others.
+	number   uint64
+	siblings speed.Siblings
 	// attemptsPerServer counts the step's attempts on each server.
 	attemptsPerServer map[*server]int
 }
@@ -225,8 +230,11 @@
 	return s.spec.Estimate
 }
 
-// runTimes is the measured mean run time of a queue's tasks.
-type runTimes struct{ mean time.Duration }
+// runTimes is the measured mean run time of a queue's tasks, and their usual work.
+type runTimes struct {
+	mean  time.Duration
+	usual speed.Usual
+}
 
 // runTimeWeight is the weight of the newest run in the moving average.
 const runTimeWeight = 0.05
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -19,6 +19,7 @@
 	serversCrashed    *metrics.Counter
 	serversGivenUp    *metrics.Counter
 	writesRejected    *metrics.Counter
+	serversSlow       *metrics.Counter
 	tasksGivenUp      *metrics.Counter
 	takenOver         *metrics.Counter
 	storeTime         *metrics.Histogram
@@ -40,6 +41,7 @@
 		serversGivenUp:    set.NewCounter("currantwinch_servers_given_up_total"),
 		serversCrashed:    set.NewCounter("currantwinch_servers_crashed_total"),
 		writesRejected:    set.NewCounter("currantwinch_writes_rejected_total"),
+		serversSlow:       set.NewCounter("currantwinch_server_speed_changes_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
 		completionTime:    set.NewHistogram("currantwinch_submission_seconds"),
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -74,6 +75,10 @@
 	maxFree map[string]workload.Resources
 	// forecasts caches serverForecasts by service.
 	forecasts map[string][]forecast
+	// choice is the speedChoice of the step choiceFor at the time choiceAt.
+	choice    speedChoice
+	choiceFor *step
+	choiceAt  time.Time
 	// usable caches the servers that accept tasks, by service.
 	usable map[string][]*server
 }
@@ -124,11 +129,12 @@
 }
 
 // candidates returns the servers that match the step's label, whatever their
-// free capacity.
+// free capacity, without slow ones that the step does not use yet.
 func (p *placementPass) candidates(st *step) []*server {
 	var out []*server
+	avoidsSlow := p.avoidsSlow(st)
 	for _, s := range p.servers(st.job().sub.Service) {
-		if s.hasLabel(st.spec.Label) {
+		if s.hasLabel(st.spec.Label) && !(avoidsSlow && s.slow()) {
 			out = append(out, s)
 		}
 	}
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -290,7 +290,7 @@
 		c.log.Log(events.RunOrphaned, "task", r.Task.String(), "run", r.Run, "server", s.info.ID, "born", s.startedAtMS)
 		return
 	}
-	a := &attempt{task: t, run: r.Run, server: s, state: running, sentAt: c.now, answeredAt: c.now, need: t.step.spec.Reserved()}
+	a := &attempt{task: t, run: r.Run, server: s, state: running, sentAt: c.now, answeredAt: c.now, need: t.step.spec.Reserved(), adopted: true}
 	s.reserve(a)
 	t.step.attemptsPerServer[s]++
 	t.run = max(t.run, r.Run)
@@ -311,6 +311,7 @@
 	c.checkReachability()
 	c.noteLeaseRenewal()
 	c.startRate.measure(c.now)
+	c.reviewSpeeds()
 	if c.sendingHeldUp() {
 		c.countOpenTasks()
 	}
--- a/internal/scheduler/prefer.go
+++ b/internal/scheduler/prefer.go
@@ -2,7 +2,7 @@
 
 // best returns the server to place a task on: one where the task has not
 // failed, then one in the rack of the step's data, then one without capacity
-// held for a gang, then the fullest.
+// held for a gang, then one of a suitable speed, then the fullest.
 func (p *placementPass) best(t *task, servers []*server) *server {
 	var best *server
 	for _, s := range servers {
@@ -30,6 +30,9 @@
 	if an, bn := p.heldInLastPass(a), p.heldInLastPass(b); an != bn {
 		return bn
 	}
+	if order := p.compareSpeed(st, a, b); order != 0 {
+		return order < 0
+	}
 	return a.free.CPU < b.free.CPU
 }
 
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -169,6 +169,8 @@
 	// startResults counts the start orders whose outcome was reported,
 	// including those without an answer.
 	startResults int
+	// adopted is set if an earlier owner started the run, so that its age is not known.
+	adopted bool
 	// stopResults counts the stop orders that were not confirmed.
 	stopResults int
 }
--- a/internal/scheduler/session.go
+++ b/internal/scheduler/session.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/currantwinch/currantwinch/placement/speed"
+)
 
 // session is what the Core knows of one instance of a backend server, from the
 // time that the Core learns of it. It is replaced as a whole when another
@@ -47,6 +51,10 @@
 	// ackInFlight is the end that the current poll acknowledges; ackedEnd is
 	// the last one that the instance is known to have received.
 	ackInFlight, ackedEnd uint64
+	// speed is what is known of the instance's speed, and speedClass its class against
+	// the other servers of the service.
+	speed      speed.Estimator
+	speedClass int
 }
 
 func (c *Core) newSession() *session {
--- /dev/null
+++ b/internal/scheduler/speeds.go
@@ -0,0 +1,225 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/placement/speed"
+)
+
+// speedInterval is the time between two reviews of the servers' speeds. A server that turns
+// slow is known by then from the ages of its runs.
+const speedInterval = 250 * time.Millisecond
+
+// minDifferentShare: the servers of a service are not alike if one in so many is faster or
+// slower than the usual one. Fewer may be so by chance.
+const minDifferentShare = 10
+
+// serviceSpeeds is what is known of the speeds of a service's servers. It is learned again
+// by each owner, and nothing of it is stored.
+type serviceSpeeds struct {
+	// servers counts the servers, slow those of them that have turned slow, and different
+	// the others that are not of class 0.
+	servers, slow, different int
+	// unequal is set if the servers are not alike.
+	unequal bool
+	// objectives finds the most urgent work.
+	objectives speed.Objectives
+}
+
+// speedsOf returns what is known of the speeds of a service's servers.
+func (c *Core) speedsOf(service string) *serviceSpeeds {
+	s := c.speeds[service]
+	if s == nil {
+		s = &serviceSpeeds{}
+		c.speeds[service] = s
+	}
+	return s
+}
+
+// observeObjective notes how urgent a job is of which a task starts.
+func (c *Core) observeObjective(j *job) {
+	c.speedsOf(j.sub.Service).objectives.Observe(j.sub.Queue, j.targetTime().Sub(j.accepted), c.now)
+}
+
+// observeSpeed learns from a run that ended done, by the time from its start order to its
+// listed end.
+func (c *Core) observeSpeed(a *attempt) {
+	work, took := a.work(), c.now.Sub(a.sentAt)
+	if work <= 0 || a.startResults > 1 {
+		return
+	}
+	st := a.task.step
+	c.numberStep(st)
+	if c.far(st, a.server) {
+		took = time.Duration(float64(took) / c.bounds.RemoteFactor)
+	}
+	s := a.server
+	s.speed.Observe(st.number, work, took, c.now)
+	v := s.speed.Speed(c.now)
+	st.job().runs.usual.Observe(st.spec.Estimate, took, v)
+	st.siblings.Observe(s.number, took, v)
+}
+
+// numberStep gives a step whose tasks have run its number.
+func (c *Core) numberStep(st *step) {
+	if st.number == 0 {
+		c.lastStepNumber++
+		st.number = c.lastStepNumber
+	}
+}
+
+// work returns the expected time of the run on the usual server; 0 if its time says nothing
+// about its server: that of a gang's member depends on the others, that of an adopted run
+// is not known, and a run from a checkpoint is shorter.
+func (a *attempt) work() time.Duration {
+	st := a.task.step
+	if a.adopted || st.spec.Gang || st.spec.LongRunning || st.spec.RackSensitive || st.spec.BestEffortCPU || a.task.checkpoint != "" {
+		return 0
+	}
+	if work, ok := st.siblings.Work(a.server.number); ok {
+		return work
+	}
+	return st.work()
+}
+
+// work returns the expected run time of a task of the step on the usual server.
+func (s *step) work() time.Duration {
+	if work, ok := s.siblings.Work(0); ok {
+		return work
+	}
+	if runs := s.job().runs; runs != nil {
+		return runs.usual.Work(s.spec.Estimate)
+	}
+	return s.spec.Estimate
+}
+
+// far reports whether tasks of the step run slower on the server, for being away from
+// their data.
+func (c *Core) far(st *step, s *server) bool {
+	return c.bounds.RemoteFactor > 1 && st.spec.Rack != "" && !s.hasLabel(st.spec.Rack)
+}
+
+// reviewSpeeds takes the ages of the runs into account and determines the classes of all
+// servers.
+func (c *Core) reviewSpeeds() {
+	if c.now.Sub(c.speedsReviewedAt) < speedInterval {
+		return
+	}
+	c.speedsReviewedAt = c.now
+	byService := make(map[string][]*speed.Estimator)
+	var inProgress []speed.Running
+	for _, s := range c.servers {
+		inProgress = inProgress[:0]
+		for _, a := range s.attempts {
+			if a.state != running {
+				continue
+			}
+			c.numberStep(a.task.step)
+			inProgress = append(inProgress, speed.Running{Group: a.task.step.number, Expected: a.work(), Age: c.now.Sub(a.sentAt)})
+		}
+		s.speed.SetOverdue(inProgress, c.now)
+		byService[s.info.Service] = append(byService[s.info.Service], &s.speed)
+	}
+	bases := make(map[string]float64, len(byService))
+	for service, estimators := range byService {
+		bases[service] = speed.Base(estimators, c.now)
+		known := c.speedsOf(service)
+		known.servers, known.slow, known.different, known.unequal = len(estimators), 0, 0, false
+	}
+	for _, s := range c.servers {
+		class := s.speed.Class(c.now, bases[s.info.Service])
+		c.classify(s, class)
+		if known := c.speedsOf(s.info.Service); class != 0 && !s.slow() {
+			known.different++
+			known.unequal = known.different >= max(known.servers/minDifferentShare, 1)
+		}
+	}
+}
+
+// classify sets the class of a server.
+func (c *Core) classify(s *server, class int) {
+	if speed.Slow(class) != s.slow() {
+		c.metric.serversSlow.Inc()
+		c.log.Log(events.ServerSpeedChanged, "server", s.info.ID, "slow", speed.Slow(class), "class", class, "attempts", len(s.attempts))
+	}
+	s.speedClass = class
+	if s.slow() {
+		c.speedsOf(s.info.Service).slow++
+	}
+}
+
+// slow reports whether work goes round the server.
+func (s *server) slow() bool { return speed.Slow(s.speedClass) }
+
+// speedChoice is the order in which a step prefers servers by their speeds.
+type speedChoice struct {
+	speed.Choice
+	// active is set if there is anything to choose.
+	active bool
+}
+
+// speedChoiceOf returns the choice of a step. It is computed once in a row for each step.
+func (p *placementPass) speedChoiceOf(st *step) speedChoice {
+	if p.choiceFor == st && p.choiceAt.Equal(p.core.now) {
+		return p.choice
+	}
+	c, j := p.core, st.job()
+	known := c.speedsOf(j.sub.Service)
+	p.choiceFor, p.choiceAt, p.choice = st, c.now, speedChoice{active: known.unequal}
+	if !known.unequal {
+		return p.choice
+	}
+	work, left := st.work(), j.targetTime().Sub(c.now)
+	if path := j.expectedCriticalPath(); path > work {
+		left = time.Duration(float64(left) * float64(work) / float64(path))
+	}
+	p.choice.Choice = speed.NewChoice(known.objectives.Yields(j.sub.Queue), work, left)
+	return p.choice
+}
+
+// compareSpeed returns a negative number if the step prefers server a for its speed.
+func (p *placementPass) compareSpeed(st *step, a, b *server) int {
+	if a.speedClass == b.speedClass {
+		return 0
+	}
+	if choice := p.speedChoiceOf(st); choice.active {
+		return choice.Compare(a.speedClass, b.speedClass)
+	}
+	return compareBool(a.slow(), b.slow())
+}
+
+// avoidsSlow reports whether a step waits rather than use a slow server: for a moment after
+// it became ready, if most servers are not slow.
+func (p *placementPass) avoidsSlow(st *step) bool {
+	known := p.core.speedsOf(st.job().sub.Service)
+	return known.slow > 0 && 2*known.slow < known.servers && p.core.now.Sub(st.readyAt) < speed.SlowWait(st.work())
+}
+
+// similarServers returns those of the servers on which a gang's members should run: of
+// similar speed, with room for need members.
+func (p *placementPass) similarServers(st *step, servers []*server, need int) []*server {
+	choice := p.speedChoiceOf(st)
+	if !choice.active {
+		return servers
+	}
+	slots := make(map[int]int)
+	for _, s := range servers {
+		slots[s.speedClass] += p.availableSlots(st, s)
+	}
+	rooms := make([]speed.Room, 0, len(slots))
+	for class, n := range slots {
+		rooms = append(rooms, speed.Room{Class: class, Slots: n})
+	}
+	low, high, ok := choice.Range(rooms, need)
+	if !ok {
+		return servers
+	}
+	var out []*server
+	for _, s := range servers {
+		if s.speedClass >= low && s.speedClass <= high {
+			out = append(out, s)
+		}
+	}
+	return out
+}
