--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -53,6 +53,16 @@
 		Fields:  []string{"tenant", "took", "submissions"},
 		Meaning: "A tenant keeps to its rate of submissions again. The field submissions counts those beyond it, repeats of refused ones included, and took is for how long they came, in milliseconds.",
 	}
+	CapGiven = Event{
+		Number: 6094, Level: slog.LevelInfo, Name: "cap_given",
+		Fields:  []string{"tenant", "to", "number", "amount", "left"},
+		Meaning: "This partition gives a part of a tenant's cap to the partition to, whose owner asked for it, and has left of it; both in millionths of the cap. The transfer is stored and is sent until it is confirmed.",
+	}
+	CapTaken = Event{
+		Number: 6095, Level: slog.LevelInfo, Name: "cap_taken",
+		Fields:  []string{"tenant", "from", "number", "amount", "held"},
+		Meaning: "A part of a tenant's cap from the partition from is stored here, which holds held of it now; both in millionths of the cap.",
+	}
 	SubmissionHandedOver = Event{
 		Number: 6060, Level: slog.LevelInfo, Name: "submission_handed_over",
 		Fields:  []string{"id", "queue", "to", "number", "why", "service", "waited"},
@@ -270,7 +280,7 @@
 
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
-	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap, TenantInExcess, TenantWithinRate,
+	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap, TenantInExcess, TenantWithinRate, CapGiven, CapTaken,
 	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
--- a/internal/scheduler/fractions.go
+++ b/internal/scheduler/fractions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/tenant"
 	"github.com/currantwinch/currantwinch/workload"
@@ -95,6 +96,7 @@
 	}
 	c.writeFraction(q.Tenant, f, func() {
 		t.ledger.Fractions.Stored(q.Tenant, transfer.Number)
+		c.log.Log(events.CapGiven, "tenant", q.Tenant, "to", q.From, "number", transfer.Number, "amount", transfer.Amount, "left", t.ledger.Fraction(q.Tenant))
 		c.sendCap(q.Tenant, transfer)
 	})
 }
@@ -153,6 +155,7 @@
 	}
 	c.writeFraction(t.Tenant, f, func() {
 		fractions.Arrived(t.Tenant, t.Amount)
+		c.log.Log(events.CapTaken, "tenant", t.Tenant, "from", t.From, "number", t.Number, "amount", t.Amount, "held", fractions.Usable(t.Tenant))
 		c.placementNeeded = true
 		c.reply(reply, Reply{})
 	})
