Targets count the waves of steps that are wider than their tenant's cap

Such a step was late while it ran as fast as its cap allows, and was then placed behind everything else of its priority. Without tenants targets stay as they were. A test of admission under a cap changes with it: short work is placed before wide work now, so it sends wide submissions until they are refused. The tenant, backlog and admission tests of the scheduler pass.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -384,6 +384,7 @@
 		if q, ok := config.Queue(j.sub.Queue); ok {
 			j.queue = *q
 		}
+		c.tenants.setCriticalPath(j)
 		c.noteRoute(j)
 	}
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -122,13 +122,16 @@
 	j := &job{
 		sub: sub, accepted: now, started: sub.Transfer != nil && sub.Transfer.Started, occurrences: make(map[int]*occurrence), dueIndex: notScheduled,
 	}
-	j.criticalPath, j.criticalPathSteps = criticalPathOf(sub.Steps)
+	j.criticalPath, j.criticalPathSteps = criticalPathOf(sub.Steps, oneWave)
 	return j
 }
 
+// oneWave is for steps whose tasks may all run at the same time.
+func oneWave(*workload.Step) int { return 1 }
+
 // criticalPathOf returns the declared time and the number of steps of the
-// longest chain of dependent steps.
-func criticalPathOf(steps []workload.Step) (longest time.Duration, depth int) {
+// longest chain of dependent steps. A step counts once for each of its waves.
+func criticalPathOf(steps []workload.Step, waves func(*workload.Step) int) (longest time.Duration, depth int) {
 	ends := make([]time.Duration, len(steps))
 	depths := make([]int, len(steps))
 	for i := range steps {
@@ -139,7 +142,8 @@
 				begin, before = ends[d], max(before, depths[d])
 			}
 		}
-		ends[i], depths[i] = begin+steps[i].Estimate, before+1
+		n := waves(&steps[i])
+		ends[i], depths[i] = begin+time.Duration(n)*steps[i].Estimate, before+n
 		if ends[i] >= longest {
 			longest, depth = ends[i], depths[i]
 		}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -184,6 +184,7 @@
 		if q, ok := c.config.Queue(j.sub.Queue); ok {
 			j.queue = *q
 		}
+		c.tenants.setCriticalPath(j)
 		c.noteRoute(j)
 	}
 }
--- a/internal/scheduler/tenantshare.go
+++ b/internal/scheduler/tenantshare.go
@@ -126,3 +126,16 @@
 	state := admission.State{Load: fairqueue.Load{Queued: b.tasks, Backlog: b.cpuTime, Share: 1}, Slots: cores(limit.CPU)}
 	return admission.Decide(request, state, admissionOptions, c.now)
 }
+
+// setCriticalPath sets the expected time of a job, whose steps run in waves if they are
+// wider than their tenant's cap. It counts as late by that, not by what the cluster could do
+// without the cap.
+func (t *tenants) setCriticalPath(j *job) {
+	if j.sub.Tenant == "" {
+		return
+	}
+	j.criticalPath, j.criticalPathSteps = criticalPathOf(j.sub.Steps, func(s *workload.Step) int {
+		most := max(t.ledger.MostAtOnce(j.sub.Tenant, s.Reserved(), s.Count), 1)
+		return (s.Count + most - 1) / most
+	})
+}
