Long-running tasks are not starved by fresh work

It is never late now, and a long-running task that has run and has waited for 2 s comes before everything: it must run again within 6 s however full the service is.

Measured: TestCore_LongRunningTaskRunsAgainBesideFreshWork fails before (not within 24 s) and passes after, for fresh work of the same and of a more pressing queue.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -183,6 +183,9 @@
 		a.state = running
 		a.answeredAt = c.now
 		c.startRate.count++
+		if a.task.step.unplacedTasks() == 0 {
+			a.task.step.waitingSince = time.Time{}
+		}
 	}
 	if j := a.task.step.job(); !j.started {
 		j.started = true
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -79,6 +79,8 @@
 	reserved *reservation
 	// readyAt is when the last dependency was done.
 	readyAt time.Time
+	// waitingSince is when the step was queued first since all its tasks ran last.
+	waitingSince time.Time
 	// lastEndedRun is the last run of the gang in which a member ended or was
 	// lost.
 	lastEndedRun int
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -6,30 +6,60 @@
 	"time"
 )
 
-// placementOrder is the sort key of a step: first what its tenant sent within its
-// rate, then the queue's priority, then steps that can still meet their target
+// longRunningPatience is how long the tasks of a long-running step that have run wait in
+// the order of their queue. Then the step comes before all others: a long-running task must
+// run again within 6 s, however full the service is, and capacity for it may become free
+// only when a run ends.
+const longRunningPatience = 2 * time.Second
+
+// placementOrder is the sort key of a step: first long-running tasks that have waited too
+// long since their last run, then what its tenant sent within its rate, then the queue's priority, then steps that can still meet their target
 // before late ones, then tenants that use less than their share, then the earliest
 // target.
 type placementOrder struct {
-	excess    int
-	priority  int
-	late      int
-	overShare int
-	target    time.Time
-	id        string
+	// notOverdue is 0 for a step whose long-running tasks have waited too long, else 1.
+	notOverdue int
+	excess     int
+	priority   int
+	late       int
+	overShare  int
+	target     time.Time
+	id         string
 }
 
 // compare returns a negative number if a comes before b.
 func (a placementOrder) compare(b placementOrder) int {
-	return cmp.Or(cmp.Compare(a.excess, b.excess), cmp.Compare(a.priority, b.priority), cmp.Compare(a.late, b.late),
+	return cmp.Or(cmp.Compare(a.notOverdue, b.notOverdue), cmp.Compare(a.excess, b.excess), cmp.Compare(a.priority, b.priority), cmp.Compare(a.late, b.late),
 		cmp.Compare(a.overShare, b.overShare), a.target.Compare(b.target), cmp.Compare(a.id, b.id))
 }
 
-func (c *Core) placementOrderOf(st *step) placementOrder { return c.orderOf(st.job()) }
+func (c *Core) placementOrderOf(st *step) placementOrder {
+	u := c.orderOf(st.job())
+	if st.overdue(c.now) {
+		u.notOverdue = 0
+	}
+	return u
+}
+
+// overdue reports whether long-running tasks of the step that have run before, here or under
+// an earlier owner, have waited for longer than longRunningPatience.
+func (s *step) overdue(now time.Time) bool {
+	if !s.spec.LongRunning || now.Sub(s.waitingSince) <= longRunningPatience {
+		return false
+	}
+	for i := range s.tasks {
+		if t := &s.tasks[i]; t.run > 0 && t.needsPlacement() {
+			return true
+		}
+	}
+	return false
+}
 
 func (c *Core) orderOf(j *job) placementOrder {
-	u := placementOrder{priority: j.queue.Priority, target: j.targetTime(), id: j.sub.ID}
-	if c.now.After(u.target) && !j.sub.Timed() {
+	u := placementOrder{notOverdue: 1, priority: j.queue.Priority, target: j.targetTime(), id: j.sub.ID}
+	// A submission with long-running tasks has no end that could be late. Behind all that is
+	// in time it would never start again while fresh work comes.
+	if c.now.After(u.target) && !j.sub.Timed() && !j.longRunning() {
 		u.late = 1
 	}
 	u.excess, u.overShare = c.tenants.orderOf(j)
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -209,6 +209,9 @@
 	if s.readyAt.IsZero() {
 		s.readyAt = c.now
 	}
+	if s.waitingSince.IsZero() {
+		s.waitingSince = c.now
+	}
 	s.queued = true
 	c.queued = append(c.queued, s)
 	c.backlog.recent = append(c.backlog.recent, s)
