Copies of stragglers for speculative steps

Cause: three of 100 tasks take seven times as long, so that a step of 25 tasks ends late in every second case; a step that asks for copies ran without them.

A task may have a second attempt beside the first, under the next run number, on another server: only in speculative steps that are no gang, for a run that took twice its expected time (up to four times where that is less well known) or is on a server that turned slow, within 5% of the CPU in use, on capacity that no queued step waits for, and never for a task with evidence of crashes. The first end that is done counts, the other run is stopped and keeps its capacity until its end is listed. A new owner adopts both runs; in other steps a second run is stopped as before. A failed run that is listed after its task ended counts nothing.

The hook for caps of tenants is mayHoldCopy in copies.go: reserve counts copies like any attempt, and the check whether one more task is allowed belongs there.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -261,6 +261,16 @@
 		Fields:  []string{"server", "slow", "class", "attempts"},
 		Meaning: "A backend server runs tasks over 2.4 times as long as the usual server of its service, so that work goes round it. Or, if slow is false, it does not any more, or nothing ran there for a while and it is tried again. The field class is its speed against the usual server: 0 is alike, each class up is a factor of 1.4.",
 	}
+	CopyStarted = Event{
+		Number: 6121, Level: slog.LevelInfo, Name: "copy_started",
+		Fields:  []string{"task", "run", "server", "slowRun", "slowServer", "age", "expected"},
+		Meaning: "A second run of a task of a speculative step was ordered, because the first takes much longer than expected. The first that ends done counts. The fields age and expected, of the first run, are in milliseconds.",
+	}
+	CopyDecided = Event{
+		Number: 6122, Level: slog.LevelInfo, Name: "copy_decided",
+		Fields:  []string{"task", "run", "server", "copy"},
+		Meaning: "One of two runs of a task ended done, the second one if copy is true; the other is being stopped.",
+	}
 	SettingsReloaded = Event{
 		Number: 6041, Level: slog.LevelInfo, Name: "settings_reloaded",
 		Fields:  []string{"file", "error"},
@@ -277,5 +287,5 @@
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
-	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged,
+	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged, CopyStarted, CopyDecided,
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -27,7 +27,12 @@
 // start places a task on a server and sends the start order.
 func (c *Core) start(t *task, s *server, run int, ticket string) {
 	a := &attempt{task: t, run: run, server: s, sentAt: c.now, need: t.step.spec.Reserved(), ticket: ticket}
-	t.run, t.attempt = max(t.run, run), a
+	t.run = max(t.run, run)
+	if t.attempt == nil {
+		t.attempt = a
+	} else {
+		t.copy = a
+	}
 	t.step.attemptsPerServer[s]++
 	s.reserve(a)
 	t.step.job().stuckSince = time.Time{}
@@ -318,10 +323,11 @@
 		}
 		c.trialRunReleased(a)
 	}
-	if t.attempt == a {
+	if t.attempt == a && t.copy == nil {
 		t.attempt = nil
 		c.enqueue(t.step)
 	}
+	t.leave(a)
 	c.placementNeeded = true
 }
 
@@ -378,6 +384,9 @@
 func (c *Core) handleEnd(s *server, e RunEnd) {
 	a := s.attempts[runKey{e.Task, e.Run}]
 	if a != nil {
+		if e.Kind == workload.EndDone {
+			c.noteCopyDecided(a)
+		}
 		c.release(a)
 	}
 	j := c.jobs[e.Task.Submission]
@@ -443,9 +452,7 @@
 		}
 	} else {
 		step.markDone(t)
-		if t.attempt != nil {
-			c.stop(t.attempt)
-		}
+		c.stopRuns(t)
 	}
 	j := step.job()
 	c.markDirty(j)
@@ -462,6 +469,10 @@
 	}
 	t.failedOn[s.info.ID] = true
 	step := t.step
+	if t.done && !step.spec.Gang {
+		// The other run of the task ended it.
+		return
+	}
 	counted := t
 	if step.spec.Gang {
 		// A failed run of a gang counts once, whichever members report it.
--- /dev/null
+++ b/internal/scheduler/copies.go
@@ -0,0 +1,257 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/placement/speculation"
+	"github.com/currantwinch/currantwinch/workload"
+)
+
+// A task of a speculative step may have a second run, its copy. Both are attempts like any
+// other: they reserve capacity, count towards the bounds of the step, have run numbers and
+// leases of their own and are over only when that is certain. The first that ends done ends
+// the task, and the other is stopped.
+
+const (
+	// copyInterval is the time between two searches for stragglers.
+	copyInterval = 100 * time.Millisecond
+	// copyStartTime is how long the start of a copy takes until it runs.
+	copyStartTime = 20 * time.Millisecond
+	// maxWaitingSteps is the number of steps with tasks to place beyond which no copy
+	// starts, since the service is full.
+	maxWaitingSteps = 64
+	// maxCopyServers bounds the servers that a question about a copy names.
+	maxCopyServers = 4
+)
+
+// straggler is an attempt of which a copy may be started.
+type straggler struct {
+	attempt *attempt
+	run     speculation.Run
+	// work is the expected time of a run on the usual server.
+	work time.Duration
+}
+
+// startCopies starts copies of the runs that take much longer than expected, once placement
+// has used what it could.
+func (c *Core) startCopies() {
+	if c.config == nil || c.now.Sub(c.copiesCheckedAt) < copyInterval || !c.mayStartTasks() || len(c.queued) > maxWaitingSteps {
+		return
+	}
+	c.copiesCheckedAt = c.now
+	candidates, budget := c.stragglers()
+	speculation.Order(candidates, func(s straggler) speculation.Run { return s.run })
+	for _, s := range candidates {
+		if c.startRoom <= 0 {
+			return
+		}
+		c.startCopy(s, budget[s.attempt.server.info.Service])
+	}
+}
+
+// stragglers lists the runs that may have a copy and are overdue, and the budget for copies
+// of each service.
+func (c *Core) stragglers() ([]straggler, map[string]*speculation.Budget) {
+	var out []straggler
+	budgets := make(map[string]*speculation.Budget)
+	for _, s := range c.servers {
+		b := budgets[s.info.Service]
+		if b == nil {
+			b = &speculation.Budget{}
+			budgets[s.info.Service] = b
+		}
+		for _, a := range s.attempts {
+			b.InUse += a.need.CPU
+			if a.task.copy == a {
+				b.Copies += a.need.CPU
+			}
+			if !c.mayCopy(a) {
+				continue
+			}
+			if s := c.stragglerOf(a); s.run.Pays(copyStartTime) {
+				out = append(out, s)
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y straggler) int {
+		return cmp.Compare(x.attempt.task.id().String(), y.attempt.task.id().String())
+	})
+	return out, budgets
+}
+
+// mayCopy reports whether the task of a run may have a copy. One that may crash its servers
+// has none: two runs of it would crash two.
+func (c *Core) mayCopy(a *attempt) bool {
+	t, st := a.task, a.task.step
+	return st.spec.Speculative && !st.spec.Gang && !st.spec.LongRunning && a.state == running && t.attempt == a && t.copy == nil &&
+		!t.done && st.job().ending == "" && t.crashes.Empty() && t.exposure == nil && !c.now.Before(t.retryAt) && c.mayStart(st)
+}
+
+// stragglerOf describes a run by what is known of its step, its queue and its server.
+func (c *Core) stragglerOf(a *attempt) straggler {
+	st := a.task.step
+	work, uncertainty, known := st.expectedWork(a.server.number)
+	if !known {
+		return straggler{}
+	}
+	expected := float64(work)
+	if a.server.slow() {
+		expected /= a.server.speed.Speed(c.now)
+	}
+	if c.far(st, a.server) {
+		expected *= c.bounds.RemoteFactor
+	}
+	return straggler{attempt: a, work: work, run: speculation.Run{
+		Age: c.now.Sub(a.sentAt), Expected: time.Duration(expected), Uncertainty: uncertainty, Slow: a.server.slow(), Priority: st.job().queue.Priority, CPU: a.need.CPU,
+	}}
+}
+
+// startCopy starts a copy of a straggler on the server where it ends first, if that pays. It
+// asks the policy service about servers if none is known to be allowed.
+func (c *Core) startCopy(s straggler, budget *speculation.Budget) {
+	st := s.attempt.task.step
+	var best *server
+	var bestTime time.Duration
+	var undecided []string
+	for _, to := range c.servers {
+		if !c.mayHoldCopy(s.attempt, to) {
+			continue
+		}
+		took := c.copyTime(s, to)
+		if !s.run.Pays(took) {
+			continue
+		}
+		if _, ticketed := c.ticketFor(st, to); !ticketed {
+			if len(undecided) < maxCopyServers && !st.authorization.denied[to.instanceKey()] {
+				undecided = append(undecided, to.info.ID)
+			}
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(took, bestTime), cmp.Compare(to.free.CPU, best.free.CPU), cmp.Compare(to.info.ID, best.info.ID)) < 0 {
+			best, bestTime = to, took
+		}
+	}
+	if best == nil {
+		c.requestCopyTickets(s, undecided)
+		return
+	}
+	if !budget.Take(s.run.CPU) {
+		return
+	}
+	t := s.attempt.task
+	ticket, _ := c.ticketFor(st, best)
+	c.start(t, best, t.run+1, ticket)
+	c.metric.copiesStarted.Inc()
+	c.log.Log(events.CopyStarted, "task", t.id().String(), "run", t.copy.run, "server", best.info.ID, "slowRun", s.attempt.run, "slowServer", s.attempt.server.info.ID,
+		"age", s.run.Age.Milliseconds(), "expected", s.run.Expected.Milliseconds())
+}
+
+// requestCopyTickets asks whether a copy may run on the named servers, if it still pays
+// after the answer.
+func (c *Core) requestCopyTickets(s straggler, servers []string) {
+	st := s.attempt.task.step
+	terms := st.job().queue.Policy
+	if len(servers) == 0 || terms == nil || !c.mayRequest(st) || c.openRequests >= c.policyClients {
+		return
+	}
+	cost := terms.DecisionTime + time.Duration(len(servers))*terms.TimePerServer
+	if s.run.Pays(cost + s.work) {
+		c.sendRequest(st, servers)
+	}
+}
+
+// copyTime returns how long a copy is expected to take on a server.
+func (c *Core) copyTime(s straggler, to *server) time.Duration {
+	took := float64(s.work) / to.speed.Speed(c.now)
+	if c.far(s.attempt.task.step, to) {
+		took *= c.bounds.RemoteFactor
+	}
+	return copyStartTime + time.Duration(took)
+}
+
+// mayHoldCopy reports whether a copy of a run may start on a server: another one than that
+// of the run, with free capacity that no step waits for.
+func (c *Core) mayHoldCopy(a *attempt, s *server) bool {
+	st := a.task.step
+	if s == a.server || s.info.Service != st.job().sub.Service || !s.stored || !s.usable(c.now) || s.slow() || !s.hasLabel(st.spec.Label) || a.task.failedOn[s.info.ID] {
+		return false
+	}
+	free := c.freeFor(nil, s)
+	return fitCount(st, s, free) > 0 && !c.waitedFor(s, free, a.need)
+}
+
+// waitedFor reports whether steps with tasks to place, on all of which placement has been
+// tried, may use the capacity that a copy would take of a server's free capacity.
+func (c *Core) waitedFor(s *server, free, need workload.Resources) bool {
+	for _, st := range c.queued {
+		if st.job().sub.Service != s.info.Service || !s.hasLabel(st.spec.Label) || st.authorization.denied[s.instanceKey()] {
+			continue
+		}
+		waiting := st.unplacedTasks()
+		if before := min(fitCount(st, s, free), waiting); before > 0 && min(fitCount(st, s, free.Minus(need)), waiting) < before {
+			return true
+		}
+	}
+	return false
+}
+
+// otherRun returns the other run of an attempt's task, or nil.
+func (a *attempt) otherRun() *attempt {
+	switch a.task.copy {
+	case nil:
+		return nil
+	case a:
+		return a.task.attempt
+	}
+	return a.task.copy
+}
+
+// leave takes an attempt that is over from its task. The other run of the task, if there is
+// one, becomes its only one.
+func (t *task) leave(a *attempt) {
+	switch a {
+	case t.copy:
+		t.copy = nil
+	case t.attempt:
+		t.attempt, t.copy = t.copy, nil
+	}
+}
+
+// stopRuns stops all runs of the task.
+func (c *Core) stopRuns(t *task) {
+	if t.attempt != nil {
+		c.stop(t.attempt)
+	}
+	if t.copy != nil {
+		c.stop(t.copy)
+	}
+}
+
+// adoptCopy records a second run of a task that an earlier owner started as a copy, and
+// reports false if it is none: in a task that has one run it is to be stopped.
+func (c *Core) adoptCopy(a *attempt) bool {
+	t := a.task
+	if t.attempt == nil || t.copy != nil || t.done || !t.step.spec.Speculative || t.step.spec.Gang || t.step.spec.LongRunning || t.crashes.Suspect() ||
+		!t.step.job().inherited || t.step.job().ending != "" || t.attempt.server == a.server || t.attempt.state == stopping {
+		return false
+	}
+	t.copy = a
+	return true
+}
+
+// noteCopyDecided notes which of two runs has ended the task.
+func (c *Core) noteCopyDecided(ended *attempt) {
+	t := ended.task
+	if ended.otherRun() == nil || t.done {
+		return
+	}
+	result := "wasted"
+	if t.copy == ended {
+		result = "won"
+	}
+	c.metric.copyDecided(result)
+	c.log.Log(events.CopyDecided, "task", t.id().String(), "run", ended.run, "server", ended.server.info.ID, "copy", t.copy == ended)
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -167,6 +167,8 @@
 	// when that was last brought up to date.
 	speeds           map[string]*serviceSpeeds
 	speedsReviewedAt time.Time
+	// copiesCheckedAt is when stragglers were last searched for.
+	copiesCheckedAt time.Time
 	// lastStepNumber is the number of the last step that got one.
 	lastStepNumber uint64
 	// runTimes holds the mean run time of each queue.
@@ -260,6 +262,9 @@
 		c.placementNeeded = false
 		c.runPlacement()
 	}
+	if mayPlace {
+		c.startCopies()
+	}
 	c.flush()
 	out := c.actions
 	c.actions = nil
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -222,6 +222,9 @@
 	}
 	delete(c.exposed, s.info.ID)
 	for _, a := range s.attempts {
+		if a.otherRun() != nil && a.task.exposure != nil && a.task.exposure.Server != s.info.ID {
+			continue
+		}
 		if a.task.exposure != nil && !a.task.exposure.Trial {
 			a.task.exposure = nil
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -88,9 +88,9 @@
 	// trial is the trial under way, or nil.
 	trial *trial
 	// number is unique among the steps of which tasks have run under this owner, and
-	// siblings is what their run times tell about the others.
+	// siblings is what their run times tell about the others; nil before the first has ended.
 	number   uint64
-	siblings speed.Siblings
+	siblings *speed.Siblings
 	// attemptsPerServer counts the step's attempts on each server.
 	attemptsPerServer map[*server]int
 }
@@ -108,6 +108,8 @@
 	failedOn   map[string]bool
 	checkpoint string
 	attempt    *attempt
+	// copy is a second run of the task beside attempt, which is not nil then; nil if there is none.
+	copy *attempt
 	// crashes is the evidence that the task crashes its servers. That of a gang is
 	// kept at its first member.
 	crashes crashloop.History
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -20,6 +20,7 @@
 	serversGivenUp    *metrics.Counter
 	writesRejected    *metrics.Counter
 	serversSlow       *metrics.Counter
+	copiesStarted     *metrics.Counter
 	tasksGivenUp      *metrics.Counter
 	takenOver         *metrics.Counter
 	storeTime         *metrics.Histogram
@@ -43,6 +44,7 @@
 		serversCrashed:    set.NewCounter("currantwinch_servers_crashed_total"),
 		writesRejected:    set.NewCounter("currantwinch_writes_rejected_total"),
 		serversSlow:       set.NewCounter("currantwinch_server_speed_changes_total"),
+		copiesStarted:     set.NewCounter("currantwinch_copies_started_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
 		completionTime:    set.NewHistogram("currantwinch_submission_seconds"),
@@ -71,6 +73,10 @@
 	m.count("currantwinch_runs_ended_total", "end", kind.String())
 }
 
+func (m *Metrics) copyDecided(result string) {
+	m.count("currantwinch_copies_decided_total", "result", result)
+}
+
 func (m *Metrics) orderFailed(err error) {
 	m.count("currantwinch_orders_failed_total", "reason", string(verdict.ReasonOf(err)))
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -302,6 +302,10 @@
 	t.step.attemptsPerServer[s]++
 	t.run = max(t.run, r.Run)
 	c.log.Log(events.RunAdopted, "task", r.Task.String(), "run", r.Run, "server", s.info.ID, "born", s.startedAtMS)
+	if c.adoptCopy(a) {
+		c.confirmRun(a, r)
+		return
+	}
 	if t.done || t.attempt != nil || t.step.job().ending != "" {
 		c.stop(a)
 		return
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
@@ -58,6 +60,9 @@
 	s.speed.Observe(st.number, work, took, c.now)
 	v := s.speed.Speed(c.now)
 	st.job().runs.usual.Observe(st.spec.Estimate, took, v)
+	if st.siblings == nil {
+		st.siblings = &speed.Siblings{}
+	}
 	st.siblings.Observe(s.number, took, v)
 }
 
@@ -94,6 +99,20 @@
 	return s.spec.Estimate
 }
 
+// expectedWork returns the expected time of a run of the step's tasks on the given server if
+// it were the usual one, and by which factor that may be wrong. It reports false if only the
+// declared time is known.
+func (s *step) expectedWork(server uint64) (work time.Duration, uncertainty float64, known bool) {
+	if work, ok := s.siblings.Work(server); ok {
+		return work, 1, true
+	}
+	runs := s.job().runs
+	if runs == nil || !runs.usual.Known() {
+		return 0, 0, false
+	}
+	return runs.usual.CautiousWork(s.spec.Estimate), runs.usual.Uncertainty(), true
+}
+
 // far reports whether tasks of the step run slower on the server, for being away from
 // their data.
 func (c *Core) far(st *step, s *server) bool {
@@ -118,6 +137,7 @@
 			c.numberStep(a.task.step)
 			inProgress = append(inProgress, speed.Running{Group: a.task.step.number, Expected: a.work(), Age: c.now.Sub(a.sentAt)})
 		}
+		slices.SortFunc(inProgress, func(x, y speed.Running) int { return cmp.Or(cmp.Compare(y.Age, x.Age), cmp.Compare(x.Group, y.Group)) })
 		s.speed.SetOverdue(inProgress, c.now)
 		byService[s.info.Service] = append(byService[s.info.Service], &s.speed)
 	}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -340,8 +340,8 @@
 // done.
 func (c *Core) stopStep(s *step) {
 	for i := range s.tasks {
-		if a := s.tasks[i].attempt; a != nil && !(s.tasks[i].done && s.spec.Gang) {
-			c.stop(a)
+		if t := &s.tasks[i]; !(t.done && s.spec.Gang) {
+			c.stopRuns(t)
 		}
 	}
 }
--- a/placement/speed/usual.go
+++ b/placement/speed/usual.go
@@ -55,7 +55,7 @@
 // Work returns the expected run time of a task with a declared time on a server of speed
 // 1: the mean of what the usual time and the declared time say, each by its reliability.
 func (u *Usual) Work(declared time.Duration) time.Duration {
-	if u.count < minUsualRuns {
+	if !u.Known() {
 		return declared
 	}
 	if declared <= 0 {
@@ -70,8 +70,24 @@
 	return seconds(u.workMedian + difference*byDeclared/(byUsual+byDeclared))
 }
 
+// CautiousWork returns the longer of Work and the usual time: a declared time that is far
+// too short must not make an ordinary run look overdue.
+func (u *Usual) CautiousWork(declared time.Duration) time.Duration {
+	return max(u.Work(declared), seconds(u.workMedian))
+}
+
+// Known reports whether the usual time is known.
+func (u *Usual) Known() bool { return u.count >= minUsualRuns }
+
+// Uncertainty returns the factor by which what Work returns may be wrong in one of eighty
+// cases.
+func (u *Usual) Uncertainty() float64 {
+	byUsual, byDeclared := 1/(u.workSpread*u.workSpread), 1/(u.biasSpread*u.biasSpread)
+	return math.Exp(2.5 / math.Sqrt(byUsual+byDeclared))
+}
+
 // Siblings holds the work of a step's tasks that ended, which tells more about the others
-// than a declared time. The zero value knows none.
+// than a declared time. The zero value knows none, and neither does nil.
 type Siblings struct {
 	ended [maxSiblings]sibling
 	count int
@@ -104,6 +120,9 @@
 // It reports false if they are too few. Those on the same server say nothing about it: if it
 // is slow, all of them took long.
 func (s *Siblings) Work(server uint64) (time.Duration, bool) {
+	if s == nil {
+		return 0, false
+	}
 	var buffer [maxSiblings]float32
 	elsewhere := buffer[:0]
 	for _, e := range s.ended[:min(s.count, maxSiblings)] {
