Delay scheduling: tasks wait for slots near their data while that pays

Cause: a task that could start away from its data's rack did so at once, took remote_factor times as long and held its capacity for as long.

The hook in placeTasks (near.go) is active only for steps that name a place, or are rack_sensitive, and with a remote_factor above 1. A waiting task holds nothing; gangs, long-running tasks and inherited submissions of which nothing runs do not wait. Questions to the policy service name near servers first.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -271,6 +271,11 @@
 		Fields:  []string{"task", "run", "server", "copy"},
 		Meaning: "One of two runs of a task ended done, the second one if copy is true; the other is being stopped.",
 	}
+	NearWaitEnded = Event{
+		Number: 6123, Level: slog.LevelInfo, Name: "near_wait_ended",
+		Fields:  []string{"step", "waited", "server", "near"},
+		Meaning: "Tasks of a step could have started away from their data or their group, and waited for a slot near it. The first of them starts now, away from it if near is false. The field waited is in milliseconds.",
+	}
 	SettingsReloaded = Event{
 		Number: 6041, Level: slog.LevelInfo, Name: "settings_reloaded",
 		Fields:  []string{"file", "error"},
@@ -287,5 +292,5 @@
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
-	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged, CopyStarted, CopyDecided,
+	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged, CopyStarted, CopyDecided, NearWaitEnded,
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -37,6 +37,11 @@
 	s.reserve(a)
 	t.step.job().stuckSince = time.Time{}
 	c.observeObjective(t.step.job())
+	c.noteNearWait(t.step, s)
+	c.noteGroupRack(t.step, s)
+	if c.far(t.step, s) {
+		c.metric.farStarts.Inc()
+	}
 	c.sendStart(a)
 	c.startRoom--
 	c.metric.startsSent.Inc()
--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -173,14 +173,14 @@
 }
 
 // chooseServers picks servers until their expected capacity covers the need,
-// those without capacity held for gangs first, then those of a suitable speed. It
-// reports whether the need is covered.
+// those near its place first, then those without capacity held for gangs, then those of
+// a suitable speed. It reports whether the need is covered.
 func (p *placementPass) chooseServers(st *step, need int, rate float64, allowed, undecided []*server) (ids []string, enough bool) {
 	want := capacityFactor * float64(need)
 	pick := func(servers []*server, chance float64) {
 		byFreeCPU := slices.Clone(servers)
 		slices.SortFunc(byFreeCPU, func(x, y *server) int {
-			return cmp.Or(compareBool(p.heldInLastPass(x), p.heldInLastPass(y)), p.compareSpeed(st, x, y), cmp.Compare(y.free.CPU, x.free.CPU))
+			return cmp.Or(compareBool(p.core.far(st, x), p.core.far(st, y)), compareBool(p.heldInLastPass(x), p.heldInLastPass(y)), p.compareSpeed(st, x, y), cmp.Compare(y.free.CPU, x.free.CPU))
 		})
 		for _, s := range byFreeCPU {
 			if len(ids) >= maxRequestServers || want <= 0 && len(ids) >= minRequestServers {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -34,7 +34,7 @@
 	ReuseAfter time.Duration
 	// MemoryBytes is the budget for what is held of submissions; 0 means none.
 	MemoryBytes int64
-	// RemoteFactor is how many times as long a task takes away from its data; at most 1 if
+	// RemoteFactor is how many times as long a task takes away from its data or its group; at most 1 if
 	// that makes no difference.
 	RemoteFactor float64
 	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -91,6 +91,10 @@
 	// siblings is what their run times tell about the others; nil before the first has ended.
 	number   uint64
 	siblings *speed.Siblings
+	// groupRack is the rack of the step's first run, if its tasks should run in one rack.
+	groupRack string
+	// nearWaitSince is since when tasks wait for slots near their place; zero if none do.
+	nearWaitSince time.Time
 	// attemptsPerServer counts the step's attempts on each server.
 	attemptsPerServer map[*server]int
 }
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -21,6 +21,7 @@
 	writesRejected    *metrics.Counter
 	serversSlow       *metrics.Counter
 	copiesStarted     *metrics.Counter
+	farStarts         *metrics.Counter
 	tasksGivenUp      *metrics.Counter
 	takenOver         *metrics.Counter
 	storeTime         *metrics.Histogram
@@ -45,6 +46,7 @@
 		writesRejected:    set.NewCounter("currantwinch_writes_rejected_total"),
 		serversSlow:       set.NewCounter("currantwinch_server_speed_changes_total"),
 		copiesStarted:     set.NewCounter("currantwinch_copies_started_total"),
+		farStarts:         set.NewCounter("currantwinch_far_starts_total"),
 		storeTime:         set.NewHistogram("currantwinch_submission_store_seconds"),
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
 		completionTime:    set.NewHistogram("currantwinch_submission_seconds"),
@@ -77,6 +79,10 @@
 	m.count("currantwinch_copies_decided_total", "result", result)
 }
 
+func (m *Metrics) nearWaitEnded(result string) {
+	m.count("currantwinch_near_waits_total", "result", result)
+}
+
 func (m *Metrics) orderFailed(err error) {
 	m.count("currantwinch_orders_failed_total", "reason", string(verdict.ReasonOf(err)))
 }
--- /dev/null
+++ b/internal/scheduler/near.go
@@ -0,0 +1,175 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/placement/delay"
+)
+
+// Tasks run faster in the rack of their data, or of their step's other tasks. A task that
+// could start away from there waits for a slot in that rack while that pays. It reserves
+// nothing meanwhile: the far slot goes to others, and so does a near one if they come first.
+
+// maxNearServers bounds the full near servers that a question to the policy service names in
+// addition.
+const maxNearServers = 8
+
+// placeOf returns the rack near which the step's tasks run faster; empty if there is none.
+func (st *step) placeOf() string {
+	if st.spec.Rack != "" {
+		return st.spec.Rack
+	}
+	return st.groupRack
+}
+
+// noteGroupRack notes the rack of the first run of a step whose tasks should run in one rack.
+func (c *Core) noteGroupRack(st *step, s *server) {
+	if c.bounds.RemoteFactor > 1 && st.spec.RackSensitive && !st.spec.Gang && st.spec.Rack == "" && st.groupRack == "" {
+		st.groupRack = s.info.Rack()
+	}
+}
+
+// far reports whether tasks of the step run slower on the server than near their place.
+func (c *Core) far(st *step, s *server) bool {
+	if c.bounds.RemoteFactor <= 1 {
+		return false
+	}
+	place := st.placeOf()
+	return place != "" && !s.hasLabel(place)
+}
+
+// groupServers returns the servers of one rack with room for all tasks of a step that should
+// run in one rack and has no run yet, or all given servers.
+func (p *placementPass) groupServers(st *step, servers []*server, need int) []*server {
+	if p.core.bounds.RemoteFactor <= 1 || !st.spec.RackSensitive || st.placeOf() != "" {
+		return servers
+	}
+	if one := p.singleRack(st, servers, need); one != nil {
+		return one
+	}
+	return servers
+}
+
+// waitsForNear reports whether a task waits rather than start on a server away from its
+// place, since a slot there is expected soon enough.
+func (p *placementPass) waitsForNear(t *task, s *server) bool {
+	c, st := p.core, t.step
+	if !c.far(st, s) || st.job().inherited && st.job().live == 0 || st.spec.LongRunning {
+		return false
+	}
+	if st.nearWaitSince.IsZero() {
+		st.nearWaitSince = c.now
+	}
+	slots := p.nearSlotsOf(st)
+	n := p.nearWaiters[st.placeOf()]
+	if n >= len(slots) {
+		return false
+	}
+	task := delay.Task{
+		Near: st.work(), Factor: c.bounds.RemoteFactor, Waited: c.now.Sub(st.nearWaitSince), Left: p.timeLeft(st),
+	}
+	if !task.Waits(slots[n]) {
+		return false
+	}
+	p.nearWaiters[st.placeOf()] = n + 1
+	return true
+}
+
+// timeLeft returns the part of the time to the job's target that the step may take.
+func (p *placementPass) timeLeft(st *step) time.Duration {
+	j, work := st.job(), st.work()
+	left := j.targetTime().Sub(p.core.now)
+	if path := j.expectedCriticalPath(); path > work {
+		left = time.Duration(float64(left) * float64(work) / float64(path))
+	}
+	return left
+}
+
+// nearSlotsOf returns when slots for the step's tasks are expected near its place, the first
+// one at the front. It is computed once in a row for each step.
+func (p *placementPass) nearSlotsOf(st *step) []time.Duration {
+	if p.nearFor == st && p.nearAt.Equal(p.core.now) {
+		return p.nearSlots
+	}
+	p.nearFor, p.nearAt, p.nearSlots = st, p.core.now, p.nearSlots[:0]
+	if p.nearWaiters == nil {
+		p.nearWaiters = make(map[string]int)
+	}
+	need := st.spec.Reserved()
+	for _, s := range p.servers(st.job().sub.Service) {
+		if !s.hasLabel(st.placeOf()) || !s.hasLabel(st.spec.Label) || s.slow() || s.trial != nil || !need.Fits(s.info.Capacity) ||
+			st.spec.MaxPerServer > 0 && st.attemptsPerServer[s] >= st.spec.MaxPerServer {
+			continue
+		}
+		if _, ticketed := p.core.ticketFor(st, s); !ticketed {
+			continue
+		}
+		if at, ok := p.untilFree(st, s); ok {
+			p.nearSlots = append(p.nearSlots, at)
+		}
+	}
+	slices.Sort(p.nearSlots)
+	return p.nearSlots
+}
+
+// untilFree returns when a server is expected to have room for one more task of the step,
+// beside what is held for gangs.
+func (p *placementPass) untilFree(st *step, s *server) (time.Duration, bool) {
+	c, need := p.core, st.spec.Reserved()
+	free := s.free.Minus(p.held[s])
+	runs := make([]delay.Run, 0, len(s.attempts))
+	memory := make([]delay.Run, 0, len(s.attempts))
+	for _, a := range s.attempts {
+		if a.task.step.spec.LongRunning {
+			continue
+		}
+		expected := a.task.step.work()
+		if c.far(a.task.step, s) {
+			expected = time.Duration(float64(expected) * c.bounds.RemoteFactor)
+		}
+		r := delay.Run{Age: c.now.Sub(a.sentAt), Expected: time.Duration(float64(expected) / s.speed.Speed(c.now)), Frees: a.need.CPU}
+		runs = append(runs, r)
+		r.Frees = a.need.MemoryMB
+		memory = append(memory, r)
+	}
+	byCPU, ok := delay.UntilFree(need.CPU, free.CPU, runs)
+	byMemory, alsoOK := delay.UntilFree(need.MemoryMB, free.MemoryMB, memory)
+	return max(byCPU, byMemory), ok && alsoOK && need.GPU <= free.GPU
+}
+
+// noteNearWait notes the end of a step's wait: a task of it starts on the server.
+func (c *Core) noteNearWait(st *step, s *server) {
+	if st.nearWaitSince.IsZero() {
+		return
+	}
+	waited := c.now.Sub(st.nearWaitSince)
+	st.nearWaitSince = time.Time{}
+	if waited <= 0 {
+		return
+	}
+	result := "near"
+	if c.far(st, s) {
+		result = "far"
+	}
+	c.metric.nearWaitEnded(result)
+	c.log.Log(events.NearWaitEnded, "step", st.id().StepName(), "waited", waited.Milliseconds(), "server", s.info.ID, "near", result == "near")
+}
+
+// withNear adds servers near the step's place without free capacity to those that a question
+// names: the step waits only for servers that it may use.
+func (p *placementPass) withNear(st *step, open []*server) []*server {
+	place := st.placeOf()
+	if p.core.bounds.RemoteFactor <= 1 || place == "" {
+		return open
+	}
+	out, added := slices.Clone(open), 0
+	for _, s := range p.servers(st.job().sub.Service) {
+		if added < maxNearServers && s.hasLabel(place) && s.hasLabel(st.spec.Label) && !st.authorization.decided(s) && !slices.Contains(open, s) {
+			out = append(out, s)
+			added++
+		}
+	}
+	return out
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -79,6 +79,12 @@
 	choice    speedChoice
 	choiceFor *step
 	choiceAt  time.Time
+	// nearSlots are the slots expected near the place of the step nearFor at the time nearAt,
+	// and nearWaiters counts the tasks that wait for such slots, by place.
+	nearSlots   []time.Duration
+	nearFor     *step
+	nearAt      time.Time
+	nearWaiters map[string]int
 	// usable caches the servers that accept tasks, by service.
 	usable map[string][]*server
 }
@@ -217,6 +223,7 @@
 		return
 	}
 	open, ticketed, _ := p.serversWithCapacity(st)
+	ticketed = p.groupServers(st, ticketed, need)
 	for i := range st.tasks {
 		t := &st.tasks[i]
 		if !t.needsPlacement() || t.crashes.Suspect() || c.now.Before(t.retryAt) {
@@ -232,11 +239,15 @@
 		if s == nil {
 			break
 		}
+		if p.waitsForNear(t, s) {
+			need--
+			continue
+		}
 		ticket, _ := c.ticketFor(st, s)
 		c.start(t, s, t.run+1, ticket)
 		need--
 	}
 	if need > 0 && st.job().queue.Policy != nil {
-		p.requestTickets(st, need, open)
+		p.requestTickets(st, need, p.withNear(st, open))
 	}
 }
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -300,6 +300,7 @@
 	a := &attempt{task: t, run: r.Run, server: s, state: running, sentAt: c.now, answeredAt: c.now, need: t.step.spec.Reserved(), adopted: true}
 	s.reserve(a)
 	t.step.attemptsPerServer[s]++
+	c.noteGroupRack(t.step, s)
 	t.run = max(t.run, r.Run)
 	c.log.Log(events.RunAdopted, "task", r.Task.String(), "run", r.Run, "server", s.info.ID, "born", s.startedAtMS)
 	if c.adoptCopy(a) {
--- a/internal/scheduler/prefer.go
+++ b/internal/scheduler/prefer.go
@@ -21,8 +21,8 @@
 		return bn
 	}
 	st := t.step
-	if st.spec.Rack != "" {
-		an, bn := a.hasLabel(st.spec.Rack), b.hasLabel(st.spec.Rack)
+	if place := st.placeOf(); place != "" {
+		an, bn := a.hasLabel(place), b.hasLabel(place)
 		if an != bn {
 			return an
 		}
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -113,12 +113,6 @@
 	return runs.usual.CautiousWork(s.spec.Estimate), runs.usual.Uncertainty(), true
 }
 
-// far reports whether tasks of the step run slower on the server, for being away from
-// their data.
-func (c *Core) far(st *step, s *server) bool {
-	return c.bounds.RemoteFactor > 1 && st.spec.Rack != "" && !s.hasLabel(st.spec.Rack)
-}
-
 // reviewSpeeds takes the ages of the runs into account and determines the classes of all
 // servers.
 func (c *Core) reviewSpeeds() {
@@ -190,11 +184,7 @@
 	if !known.unequal {
 		return p.choice
 	}
-	work, left := st.work(), j.targetTime().Sub(c.now)
-	if path := j.expectedCriticalPath(); path > work {
-		left = time.Duration(float64(left) * float64(work) / float64(path))
-	}
-	p.choice.Choice = speed.NewChoice(known.objectives.Yields(j.sub.Queue), work, left)
+	p.choice.Choice = speed.NewChoice(known.objectives.Yields(j.sub.Queue), st.work(), p.timeLeft(st))
 	return p.choice
 }
 
