--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -138,7 +138,7 @@
 		c.requestCopyTickets(s, undecided)
 		return
 	}
-	if !budget.Take(s.run.CPU) {
+	if !c.tenants.allowsCopy(st) || !budget.Take(s.run.CPU) {
 		return
 	}
 	t := s.attempt.task
--- a/internal/scheduler/copies_test.go
+++ b/internal/scheduler/copies_test.go
@@ -383,6 +383,46 @@
 	}
 }
 
+// A copy takes room under its tenant's cap like any run. It must not start above the cap, nor
+// take the room that tasks of the tenant wait for.
+func TestCopies_CountTowardsTheCap(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit  int64
+		others int
+		copies int
+	}{
+		"room under the cap":                     {3000, 0, 1},
+		"no room under the cap":                  {1000, 0, 0},
+		"the tenant's tasks wait for that room":  {1000, 2, 0},
+		"the tenant's other tasks take the room": {2000, 1, 0},
+	} {
+		h := newHarness(t, 3)
+		h.setTenants(capped("a", c.limit))
+		h.answerAllPolls()
+		h.submitAs("a", id1, speculative(1))
+		running := make(map[string][]StartTask)
+		for i := range c.others {
+			lasting := oneTask(1000)
+			lasting.LongRunning = true
+			h.submitAs("a", tenantID(100+i), lasting)
+		}
+		started := h.takeStarts()
+		for _, a := range started {
+			h.confirmStart(a)
+			running[a.To.ID] = append(running[a.To.ID], a)
+		}
+		h.knowUsual()
+		h.wait(3*time.Second, running)
+		if starts := h.takeStarts(); len(starts) != c.copies {
+			t.Errorf("%s: %d copies, want %d", name, len(starts), c.copies)
+		}
+		used, _ := h.core.tenants.ledger.Used("a")
+		if want := int64(len(started)+c.copies) * 1000; used.CPU != want {
+			t.Errorf("%s: %d used of the cap, want %d", name, used.CPU, want)
+		}
+	}
+}
+
 // Where three of 100 tasks take seven times as long, a step of 25 tasks has one in every
 // second case. Copies must bring the submissions of such steps forward, at little cost.
 func TestCopies_StragglersDelayLess(t *testing.T) {
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -94,6 +94,17 @@
 	return 0
 }
 
+// allowsCopy reports whether a second run of a task of the step may start under its tenant's
+// cap. It may not while the cap holds back first starts.
+func (t *tenants) allowsCopy(st *step) bool {
+	name := st.job().sub.Tenant
+	if name == "" || !t.ledger.Active() {
+		return true
+	}
+	t.attributeCapacity()
+	return t.held[name] == nil && t.gangs[name] == nil && t.ledger.Allows(name, st.spec.Reserved(), 1) == 1
+}
+
 // yieldsToGang reports whether a step leaves the room under its tenant's cap to a gang of
 // the tenant that comes before it. Smaller tasks would keep the gang from ever starting.
 func (t *tenants) yieldsToGang(name string, st *step) bool {
