Copies: bounded search, no copy of a task at its last failed run

Cause: a search looked at all servers for every straggler, and at all queued steps for each of them; a failed copy could end a submission whose first run would have ended done.

Change: at most 8 stragglers are searched for each time, none once the budget is used, and queued steps are compared only for a server that would be chosen. A task of which one more failed run ends the submission gets no copy. The review of speeds leaves out runs that are at most half as old as expected.

--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -23,6 +23,8 @@
 	// maxWaitingSteps is the number of steps with tasks to place beyond which no copy
 	// starts, since the service is full.
 	maxWaitingSteps = 64
+	// maxSearches bounds the stragglers for which all servers are looked at in one search.
+	maxSearches = 8
 	// maxCopyServers bounds the servers that a question about a copy names.
 	maxCopyServers = 4
 )
@@ -44,11 +46,16 @@
 	c.copiesCheckedAt = c.now
 	candidates, budget := c.stragglers()
 	speculation.Order(candidates, func(s straggler) speculation.Run { return s.run })
+	searches := 0
 	for _, s := range candidates {
-		if c.startRoom <= 0 {
+		b := budget[s.attempt.server.info.Service]
+		if c.startRoom <= 0 || searches == maxSearches {
 			return
 		}
-		c.startCopy(s, budget[s.attempt.server.info.Service])
+		if b.Allows(s.run.CPU) && c.tenants.allowsCopy(s.attempt.task.step) {
+			searches++
+			c.startCopy(s, b)
+		}
 	}
 }
 
@@ -82,10 +89,14 @@
 	return out, budgets
 }
 
-// mayCopy reports whether the task of a run may have a copy. One that may crash its servers
+// mayCopy reports whether the task of a run may have a copy. One of which no more run may
+// fail has none: a failed copy would end its submission. One that may crash its servers
 // has none: two runs of it would crash two.
 func (c *Core) mayCopy(a *attempt) bool {
 	t, st := a.task, a.task.step
+	if most := st.job().queue.MaxFailedRuns; most > 0 && len(t.failedRuns)+1 >= most {
+		return false
+	}
 	return st.spec.Speculative && !st.spec.Gang && !st.spec.LongRunning && a.state == running && t.attempt == a && t.copy == nil &&
 		!t.done && st.job().ending == "" && t.crashes.Empty() && t.exposure == nil && !c.now.Before(t.retryAt) && c.mayStart(st)
 }
@@ -130,7 +141,8 @@
 			}
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(took, bestTime), cmp.Compare(to.free.CPU, best.free.CPU), cmp.Compare(to.info.ID, best.info.ID)) < 0 {
+		first := best == nil || cmp.Or(cmp.Compare(took, bestTime), cmp.Compare(to.free.CPU, best.free.CPU), cmp.Compare(to.info.ID, best.info.ID)) < 0
+		if first && !c.waitedFor(to, s.attempt.need) {
 			best, bestTime = to, took
 		}
 	}
@@ -138,9 +150,7 @@
 		c.requestCopyTickets(s, undecided)
 		return
 	}
-	if !c.tenants.allowsCopy(st) || !budget.Take(s.run.CPU) {
-		return
-	}
+	budget.Take(s.run.CPU)
 	t := s.attempt.task
 	ticket, _ := c.ticketFor(st, best)
 	c.start(t, best, t.run+1, ticket)
@@ -173,19 +183,19 @@
 }
 
 // mayHoldCopy reports whether a copy of a run may start on a server: another one than that
-// of the run, with free capacity that no step waits for.
+// of the run, with free capacity.
 func (c *Core) mayHoldCopy(a *attempt, s *server) bool {
 	st := a.task.step
 	if s == a.server || s.info.Service != st.job().sub.Service || !s.stored || !s.usable(c.now) || s.slow() || !s.hasLabel(st.spec.Label) || a.task.failedOn[s.info.ID] {
 		return false
 	}
-	free := c.freeFor(nil, s)
-	return fitCount(st, s, free) > 0 && !c.waitedFor(s, free, a.need)
+	return fitCount(st, s, c.freeFor(nil, s)) > 0
 }
 
 // waitedFor reports whether steps with tasks to place, on all of which placement has been
 // tried, may use the capacity that a copy would take of a server's free capacity.
-func (c *Core) waitedFor(s *server, free, need workload.Resources) bool {
+func (c *Core) waitedFor(s *server, need workload.Resources) bool {
+	free := c.freeFor(nil, s)
 	for _, st := range c.queued {
 		if st.job().sub.Service != s.info.Service || !s.hasLabel(st.spec.Label) || st.authorization.denied[s.instanceKey()] {
 			continue
--- a/internal/scheduler/copies_test.go
+++ b/internal/scheduler/copies_test.go
@@ -125,7 +125,8 @@
 		"step is not speculative": {plain, 3, nil},
 		"gang":                    {gang, 3, nil},
 		"long-running task":       {lasting, 3, nil},
-		"no other server":         {speculative(1), 1, nil},
+		"one more failed run ends the submission":     {speculative(1), 3, func(h *harness) { h.firstTask(id1).failedRuns = []int{1} }},
+		"no other server":                             {speculative(1), 1, nil},
 		"anti-affinity, and each server has one task": {spread, 2, nil},
 		"no usual time is known":                      {speculative(1), 3, func(h *harness) { h.core.runTimes[testQueue] = &runTimes{} }},
 		"other servers are full":                      {speculative(1), 2, func(h *harness) { h.occupy("s1", 32000, 0); h.occupy("s0", 30000, 0) }},
@@ -318,8 +319,6 @@
 	two := speculative(1)
 	later := oneTask(1000)
 	later.After = []int{0}
-	h.config.Queues[0].MaxFailedRuns = 1
-	h.do(func(c *Core) { c.Configure(h.config) })
 	h.answerAllPolls()
 	h.submit(id1, two, later)
 	first = h.takeStarts()[0]
@@ -328,6 +327,8 @@
 	h.wait(3*time.Second, map[string][]StartTask{first.To.ID: {first}})
 	second = h.takeStarts()[0]
 	h.confirmStart(second)
+	h.config.Queues[0].MaxFailedRuns = 1
+	h.do(func(c *Core) { c.Configure(h.config) })
 	h.answerPoll(second.To.ID, PollResponse{Ended: []RunEnd{endOf(second, 1, workload.EndDone)}})
 	h.answerPoll(first.To.ID, PollResponse{Ended: []RunEnd{endOf(first, 1, workload.EndFailed)}})
 	if got := h.status(id1); got == workload.StatusFailed {
@@ -383,6 +384,38 @@
 	}
 }
 
+// A copy needs a ticket like any start: the servers refuse it without, and it must not go to
+// a server that the policy denies.
+func TestCopies_NeedTickets(t *testing.T) {
+	for _, allowed := range [][]string{{"s0", "s1"}, {"s0"}} {
+		h := newHarness(t, 3)
+		h.requireTickets()
+		h.answerAllPolls()
+		h.submit(id1, speculative(1))
+		h.answerRequests(allowed...)
+		first := h.takeStarts()[0]
+		h.confirmStart(first)
+		h.knowUsual()
+		h.wait(3*time.Second, map[string][]StartTask{first.To.ID: {first}})
+		for _, ask := range h.requests {
+			if len(ask.Servers) != 1 || ask.Servers[0] != "s1" && ask.Servers[0] != "s0" {
+				t.Errorf("allowed %v: asked about %v, want the other allowed server", allowed, ask.Servers)
+			}
+		}
+		h.answerRequests(allowed...)
+		h.wait(300*time.Millisecond, map[string][]StartTask{first.To.ID: {first}})
+		starts := h.takeStarts()
+		if len(starts) != len(allowed)-1 {
+			t.Fatalf("allowed %v: %d copies", allowed, len(starts))
+		}
+		for _, a := range starts {
+			if a.Order.Ticket == "" || a.To.ID == first.To.ID || a.To.ID == "s2" {
+				t.Errorf("allowed %v: copy %+v on %s, want one with a ticket for the other allowed server", allowed, a.Order, a.To.ID)
+			}
+		}
+	}
+}
+
 // A copy takes room under its tenant's cap like any run. It must not start above the cap, nor
 // take the room that tasks of the tenant wait for.
 func TestCopies_CountTowardsTheCap(t *testing.T) {
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -125,11 +125,13 @@
 	for _, s := range c.servers {
 		inProgress = inProgress[:0]
 		for _, a := range s.attempts {
-			if a.state != running {
+			age := c.now.Sub(a.sentAt)
+			if a.state != running || 2*age < a.task.step.expectedRunTime() {
+				// It is not overdue by any measure.
 				continue
 			}
 			c.numberStep(a.task.step)
-			inProgress = append(inProgress, speed.Running{Group: a.task.step.number, Expected: a.work(), Age: c.now.Sub(a.sentAt)})
+			inProgress = append(inProgress, speed.Running{Group: a.task.step.number, Expected: a.work(), Age: age})
 		}
 		slices.SortFunc(inProgress, func(x, y speed.Running) int { return cmp.Or(cmp.Compare(y.Age, x.Age), cmp.Compare(x.Group, y.Group)) })
 		s.speed.SetOverdue(inProgress, c.now)
--- a/placement/speculation/speculation.go
+++ b/placement/speculation/speculation.go
@@ -59,16 +59,15 @@
 	InUse, Copies int64
 }
 
-// Take reports whether one more copy may start, and counts it. Of small services one copy
-// may run, whatever its size.
-func (b *Budget) Take(cpu int64) bool {
-	if b.Copies > 0 && float64(b.Copies+cpu) > budgetShare*float64(b.InUse) {
-		return false
-	}
-	b.Copies += cpu
-	return true
+// Allows reports whether one more copy may start. Of small services one copy may run,
+// whatever its size.
+func (b *Budget) Allows(cpu int64) bool {
+	return b.Copies == 0 || float64(b.Copies+cpu) <= budgetShare*float64(b.InUse)
 }
 
+// Take counts a copy.
+func (b *Budget) Take(cpu int64) { b.Copies += cpu }
+
 // Order sorts candidates: those of the most urgent work first, then those that are the
 // longest overdue.
 func Order[T any](candidates []T, run func(T) Run) {
--- a/placement/speculation/speculation_test.go
+++ b/placement/speculation/speculation_test.go
@@ -34,17 +34,20 @@
 
 // Copies without a bound take the capacity of a service in which many runs are late, as
 // after a load peak.
-func TestBudget_Take(t *testing.T) {
+func TestBudget_Allows(t *testing.T) {
 	b := speculation.Budget{InUse: 100_000}
 	n := 0
-	for b.Take(1000) {
+	for b.Allows(1000) {
+		b.Take(1000)
 		n++
 	}
 	if n != 5 {
 		t.Errorf("%d copies of one core beside 100 cores in use, want 5", n)
 	}
 	small := speculation.Budget{InUse: 2000}
-	if !small.Take(1000) || small.Take(1000) {
+	first := small.Allows(1000)
+	small.Take(1000)
+	if !first || small.Allows(1000) {
 		t.Error("a small service must have one copy, and no more")
 	}
 }
--- a/placement/speed/speed.go
+++ b/placement/speed/speed.go
@@ -133,6 +133,7 @@
 // stragglers: those after which another run began that ended in about the usual time. Of
 // each group one run counts.
 func (e *Estimator) SetOverdue(running []Running, now time.Time) {
+	before := len(e.overdue)
 	e.overdue = e.overdue[:0]
 	var seen [recentWindow]uint64
 	for _, r := range running {
@@ -151,7 +152,9 @@
 			break
 		}
 	}
-	e.compute()
+	if before > 0 || len(e.overdue) > 0 {
+		e.compute()
+	}
 }
 
 // Running is a run in progress.
