--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -34,7 +34,7 @@
 	ReuseAfter time.Duration
 	// MemoryBytes is the budget for what is held of submissions; 0 means none.
 	MemoryBytes int64
-	// RemoteFactor is how many times as long a task takes away from its data; at most 1 if
+	// RemoteFactor is how many times as long a task takes away from its data or its group; at most 1 if
 	// that makes no difference.
 	RemoteFactor float64
 	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
@@ -167,6 +167,8 @@
 	// when that was last brought up to date.
 	speeds           map[string]*serviceSpeeds
 	speedsReviewedAt time.Time
+	// copiesCheckedAt is when stragglers were last searched for.
+	copiesCheckedAt time.Time
 	// lastStepNumber is the number of the last step that got one.
 	lastStepNumber uint64
 	// runTimes holds the mean run time of each queue.
@@ -260,6 +262,9 @@
 		c.placementNeeded = false
 		c.runPlacement()
 	}
+	if mayPlace {
+		c.startCopies()
+	}
 	c.flush()
 	out := c.actions
 	c.actions = nil
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -90,9 +90,13 @@
 	// trial is the trial under way, or nil.
 	trial *trial
 	// number is unique among the steps of which tasks have run under this owner, and
-	// siblings is what their run times tell about the others.
+	// siblings is what their run times tell about the others; nil before the first has ended.
 	number   uint64
-	siblings speed.Siblings
+	siblings *speed.Siblings
+	// groupRack is the rack of the step's first run, if its tasks should run in one rack.
+	groupRack string
+	// nearWaitSince is since when tasks wait for slots near their place; zero if none do.
+	nearWaitSince time.Time
 	// attemptsPerServer counts the step's attempts on each server.
 	attemptsPerServer map[*server]int
 }
@@ -110,6 +114,8 @@
 	failedOn   map[string]bool
 	checkpoint string
 	attempt    *attempt
+	// copy is a second run of the task beside attempt, which is not nil then; nil if there is none.
+	copy *attempt
 	// crashes is the evidence that the task crashes its servers. That of a gang is
 	// kept at its first member.
 	crashes crashloop.History
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -300,8 +300,13 @@
 	a := &attempt{task: t, run: r.Run, server: s, state: running, sentAt: c.now, answeredAt: c.now, need: t.step.spec.Reserved(), adopted: true}
 	s.reserve(a)
 	t.step.attemptsPerServer[s]++
+	c.noteGroupRack(t.step, s)
 	t.run = max(t.run, r.Run)
 	c.log.Log(events.RunAdopted, "task", r.Task.String(), "run", r.Run, "server", s.info.ID, "born", s.startedAtMS)
+	if c.adoptCopy(a) {
+		c.confirmRun(a, r)
+		return
+	}
 	if t.done || t.attempt != nil || t.step.job().ending != "" {
 		c.stop(a)
 		return
