--- /dev/null
+++ b/internal/untrusted/clients_test.go
@@ -0,0 +1,228 @@
+package untrusted
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// redialPause is the pause before a client whose connection was closed opens another.
+	redialPause = 200 * time.Millisecond
+	// dripInterval is the time between two pieces of a client that sends slowly.
+	dripInterval = 100 * time.Millisecond
+	// sentBytes of a body of declaredBytes are sent, as in the trial that ended a process.
+	sentBytes     = 250_000
+	declaredBytes = 250_020
+)
+
+// client sends one load over one connection until the connection ends or ctx does.
+type client func(ctx context.Context, c net.Conn, number int)
+
+// attack runs clients against an address until the returned function is called. A client
+// whose connection was closed opens another one.
+func attack(address string, clients int, each client) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				connectOnce(ctx, address, i, each)
+				pause(ctx, redialPause)
+			}
+		})
+	}
+	return func() { cancel(); all.Wait() }
+}
+
+func connectOnce(ctx context.Context, address string, number int, each client) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	each(ctx, c, number)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// hold reads and drops what comes until the connection ends.
+func hold(c net.Conn) { _, _ = io.Copy(io.Discard, c) }
+
+func head(method, path string, fields ...string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s\r\n", method, path, hostName, strings.Join(append(fields, ""), "\r\n"))
+}
+
+func submissionPath(number int) string { return fmt.Sprintf("/q/%016x", 0xc0000+number) }
+
+func declared(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
+
+const chunked = "Transfer-Encoding: chunked"
+
+// wholeBodies sends whole bodies of the largest legal size, one after the other.
+func wholeBodies(body []byte) client {
+	return func(ctx context.Context, c net.Conn, number int) {
+		answers := make(chan struct{}, 1)
+		go func() {
+			defer close(answers)
+			buffer := make([]byte, 4096)
+			for {
+				if _, err := c.Read(buffer); err != nil {
+					return
+				}
+				select {
+				case answers <- struct{}{}:
+				default:
+				}
+			}
+		}()
+		for ctx.Err() == nil {
+			if _, err := io.WriteString(c, head("POST", submissionPath(number), declared(len(body)))); err != nil {
+				return
+			}
+			if _, err := c.Write(body); err != nil {
+				return
+			}
+			if _, ok := <-answers; !ok {
+				return
+			}
+		}
+	}
+}
+
+// paddedBody is a sound submission of the largest legal size.
+func paddedBody() []byte {
+	text := `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":30}]`
+	return []byte(text + strings.Repeat(" ", maxBodyBytes-len(text)-1) + "}")
+}
+
+// manySteps is a body of legal size that takes many times as much memory once decoded.
+func manySteps() []byte {
+	const first, last = `{"steps":[{}`, `]}`
+	return []byte(first + strings.Repeat(",{}", (maxBodyBytes-len(first)-len(last))/3) + last)
+}
+
+// stopShort declares a length and stops just before its end.
+func stopShort(_ context.Context, c net.Conn, number int) {
+	_, _ = io.WriteString(c, head("POST", submissionPath(number), declared(declaredBytes)))
+	_, _ = c.Write(bytes.Repeat([]byte(" "), sentBytes))
+	hold(c)
+}
+
+// chunks sends a body in chunks of the given size, and never the last chunk.
+func chunks(size int) client {
+	one := fmt.Appendf(nil, "%x\r\n%s\r\n", size, strings.Repeat(" ", size))
+	all := bytes.Repeat(one, sentBytes/size)
+	return func(_ context.Context, c net.Conn, number int) {
+		_, _ = io.WriteString(c, head("POST", submissionPath(number), chunked))
+		_, _ = c.Write(all)
+		hold(c)
+	}
+}
+
+// slowPieces sends most of a body, and then a byte at a time, without an end.
+func slowPieces(ctx context.Context, c net.Conn, number int) {
+	_, _ = io.WriteString(c, head("POST", submissionPath(number), declared(declaredBytes)))
+	_, _ = c.Write(bytes.Repeat([]byte(" "), sentBytes-10_000))
+	drip(ctx, c, " ")
+}
+
+// drip writes piece again and again until the connection ends.
+func drip(ctx context.Context, c net.Conn, piece string) {
+	go hold(c)
+	for ctx.Err() == nil {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+		pause(ctx, dripInterval)
+	}
+}
+
+// endlessHeaders sends many headers, and then one at a time, without an end.
+func endlessHeaders(ctx context.Context, c net.Conn, number int) {
+	_, _ = io.WriteString(c, strings.TrimSuffix(head("POST", submissionPath(number)), "\r\n"))
+	_, _ = io.WriteString(c, strings.Repeat("X-A: "+strings.Repeat("a", 93)+"\r\n", 600))
+	drip(ctx, c, "X-A: a\r\n")
+}
+
+// unread sends many requests and reads no answer.
+func unread(path string, requests int) client {
+	all := []byte(strings.Repeat(head("GET", path), requests))
+	return func(ctx context.Context, c net.Conn, _ int) {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(4096)
+		}
+		_, _ = c.Write(all)
+		<-ctx.Done()
+	}
+}
+
+// idle sends nothing.
+func idle(_ context.Context, c net.Conn, _ int) { hold(c) }
+
+// frame returns a message between daemons that announces a length.
+func frame(length int, content []byte) []byte {
+	return append(binary.AppendUvarint(nil, uint64(length)), content...)
+}
+
+func call(id int, method string, params any) []byte {
+	text, err := json.Marshal(map[string]any{"jsonrpc": "2.0", "id": id, "method": method, "params": params})
+	if err != nil {
+		panic(err)
+	}
+	return frame(len(text), text)
+}
+
+func hello(number int) []byte {
+	return call(0, "peer.hello", map[string]string{"name": fmt.Sprintf("127.0.0.1:%d", 1+number), "incarnation": fmt.Sprint("i", number), "region": "r"})
+}
+
+// messageStopsShort sends a message between daemons up to just before its end, after a
+// hello if greet is set.
+func messageStopsShort(greet bool) client {
+	return func(_ context.Context, c net.Conn, number int) {
+		if greet {
+			_, _ = c.Write(hello(number))
+		}
+		const length = 1_000_000
+		_, _ = c.Write(frame(length+20, bytes.Repeat([]byte(" "), length)))
+		hold(c)
+	}
+}
+
+// messageInSlowPieces sends most of a message between daemons, and then a byte at a time.
+func messageInSlowPieces(ctx context.Context, c net.Conn, number int) {
+	_, _ = c.Write(hello(number))
+	const length = 1_000_000
+	_, _ = c.Write(frame(length+100_000, bytes.Repeat([]byte(" "), length)))
+	drip(ctx, c, " ")
+}
+
+// unreadCalls sends calls between daemons with long answers and reads none.
+func unreadCalls(ctx context.Context, c net.Conn, number int) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(4096)
+	}
+	_, _ = c.Write(hello(number))
+	// The answer to a call of an unknown method holds the method's name.
+	method := strings.Repeat("m", 100_000)
+	for i := range 60 {
+		if _, err := c.Write(call(i+1, method, nil)); err != nil {
+			return
+		}
+	}
+	<-ctx.Done()
+}
