Bounds on untrusted clients: bodies, messages, connections, time without progress

Cause: nothing bounded what clients take of a daemon together. 400 unfinished bodies of legal size took 152 MB of heap; a body of 87,000 empty steps took a hundred times its length once decoded; unread answers and unread bytes lay in socket buffers of up to 4 and 32 MB; a failed accept on the port for daemons ended the process; a memory limit of 0 made the collector run all the time.

Change: package internal/intake. A budget for callers' bodies, one for messages of other daemons and one for answers to them (a sixteenth of the VM's memory each). When one is full the request whose rest takes the longest at its present rate gives way (503, Retry-After, not run, connection closed); an eighth is kept for requests of up to 16 KB. A declared length over the limit is refused before the body is read. Connections are bounded by memory and descriptors, and per address at three quarters of that; the longest idle one gives way. Bodies, headers, messages and answers have a bound on the time without progress. Socket buffers are 32 KB (64 KB for daemons). Steps beyond 256 are counted and not kept. Names in hellos and HTTP methods no longer make metrics without bound. Settings under intake, events 6110 to 6114, metrics currantwinch_intake_*.

go test ./platform ./internal/host ./internal/peer ./internal/intake (the last three with -race), ./internal/events, ./internal/command, ./docs pass.

--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -54,7 +54,10 @@
 	log := events.NewLogger(slog.New(slog.NewJSONHandler(lines, nil))).WithRateLimit(time.Now).With("daemon", s.Name)
 	defer redirectLibraryLog(log)()
 	debug.SetGCPercent(heapGrowthPercent)
-	debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryMB) * megabyte))
+	// A limit of 0 would make the collector run all the time.
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryMB) * megabyte))
+	}
 	h, err := host.New(host.Options{Settings: s, Events: log})
 	if err != nil {
 		return err
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -79,7 +79,7 @@
 // All returns the whole catalogue, area by area. The events of each area share a
 // range of numbers.
 func All() []Event {
-	areas := [][]Event{daemonEvents, logEvents, ownershipEvents, requestEvents, placementEvents, submissionEvents}
+	areas := [][]Event{daemonEvents, logEvents, ownershipEvents, requestEvents, placementEvents, submissionEvents, intakeEvents}
 	var all []Event
 	for _, area := range areas {
 		all = append(all, area...)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/entry"
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/peer"
 	"github.com/currantwinch/currantwinch/internal/relay"
 	"github.com/currantwinch/currantwinch/internal/roles"
@@ -44,13 +46,9 @@
 	leaveTimeout = time.Second
 	// dumpTimeout limits the collection of a state dump.
 	dumpTimeout = time.Second
-	// headerTimeout limits the time to read the headers of a request. idleTimeout
-	// limits the time between two requests on one connection, and is longer than
-	// the idle timeout of the platform's load balancer.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = time.Minute
-	// maxHeaderBytes limits the headers of one request.
-	maxHeaderBytes = 64 << 10
+	// peerSocketBytes is the size of the buffers of an accepted connection of a daemon. A
+	// round trip of 50 ms leaves it 10 Mbit/s.
+	peerSocketBytes = 64 << 10
 )
 
 // Options configures a Host.
@@ -72,6 +70,8 @@
 	shards    *shard.Manager
 	health    *storeHealth
 	metrics   *scheduler.Metrics
+	limits    intake.Limits
+	reporter  *intake.Reporter
 
 	capacities    *entry.Capacities
 	member        *partition.Member
@@ -95,6 +95,9 @@
 		Now:  time.Now, Duties: h.duties, Events: o.Events, Metrics: metrics.NewSet(),
 	}
 	h.metrics = scheduler.NewMetrics(h.base.Metrics)
+	h.limits = intake.LimitsFor(o.Settings.MemoryMB, o.Settings.MaxFDs, o.Settings.Intake)
+	h.reporter = intake.NewReporter(o.Events, h.base.Metrics)
+	h.reporter.Limits(h.limits)
 	h.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(o.Settings),
@@ -120,12 +123,18 @@
 }
 
 func (h *Host) newPeers() (*peer.Peers, error) {
-	listener, err := net.Listen("tcp", h.base.Self.Name)
+	l := h.limits
+	listener, err := intake.Listen(h.base.Self.Name, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, SocketBytes: peerSocketBytes, Report: h.reporter})
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
+	received, queued := intake.NewBudget(l.MessageBytes, time.Now), intake.NewBudget(l.MessageBytes, time.Now)
+	h.reporter.Watch("messages", received)
+	h.reporter.Watch("answers", queued)
+	h.reporter.WatchConnections(listener)
 	return peer.New(peer.Options{
 		Base: h.base, Listener: listener, Dial: platform.Dial,
+		Intake: &peer.Intake{Received: received, Queued: queued, StallTimeout: l.StallTimeout, Report: h.reporter},
 		// The name of a daemon is its peer address.
 		Resolve: func(daemon string) (string, bool) { return daemon, daemon != "" },
 	}), nil
@@ -235,21 +244,29 @@
 // serve opens the listeners for callers and for readiness probes, metrics and state
 // dumps, and starts serving.
 func (h *Host) serve(context.Context) error {
-	callerAPI := &platform.CallerAPI{Service: h.entry, Config: h.config.Load, Now: time.Now, Wall: wallClockMS, OnFailure: h.recordFailedCall}
+	callerAPI := &platform.CallerAPI{Service: h.entry, Config: h.config.Load, Now: time.Now, Wall: wallClockMS, OnFailure: h.recordFailedCall, Bodies: h.newBodies()}
 	router := mux.NewRouter()
 	router.HandleFunc("/ready", h.handleReady)
 	router.HandleFunc("/metrics", h.handleMetrics)
 	router.HandleFunc("/debug/state", h.handleState)
-	h.callers = &http.Server{Handler: h.countInFlight(callerAPI), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	h.ready = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	l := h.limits
+	bodies := callerAPI.Bodies
+	h.callers, h.ready = h.newServer(bodies.Protect(h.countInFlight(callerAPI))), h.newServer(bodies.Protect(router))
 	for _, s := range []struct {
-		server  *http.Server
-		address string
-	}{{h.callers, h.o.Settings.CallerAddress}, {h.ready, h.o.Settings.ReadinessAddress}} {
-		listener, err := net.Listen("tcp", s.address)
+		server              *http.Server
+		name, address       string
+		connections, shared int
+	}{
+		{h.callers, "callers", h.o.Settings.CallerAddress, l.Connections, l.AddressConnections},
+		{h.ready, "operators", h.o.Settings.ReadinessAddress, l.OperatorConnections, l.OperatorConnections},
+	} {
+		listener, err := intake.Listen(s.address, intake.ListenerOptions{
+			Name: s.name, Connections: s.connections, AddressConnections: s.shared, SocketBytes: l.SocketBytes, WriteTimeout: l.StallTimeout, Report: h.reporter,
+		})
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
+		h.reporter.WatchConnections(listener)
 		server := s.server
 		h.duties.Go("serve "+s.address, 0, func(context.Context, duty.Heartbeat) error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -261,6 +278,19 @@
 	return nil
 }
 
+// newBodies returns the reader of callers' bodies within the limits.
+func (h *Host) newBodies() *intake.Bodies {
+	budget := intake.NewBudget(h.limits.BodyBytes, time.Now)
+	h.reporter.Watch("bodies", budget)
+	return &intake.Bodies{Budget: budget, StallTimeout: h.limits.StallTimeout, BodyTimeout: h.limits.BodyTimeout, Report: h.reporter}
+}
+
+func (h *Host) newServer(handler http.Handler) *http.Server {
+	s := &http.Server{Handler: handler, MaxHeaderBytes: h.limits.HeaderBytes, ReadHeaderTimeout: h.limits.HeaderTimeout, IdleTimeout: h.limits.IdleTimeout}
+	intake.Bind(s)
+	return s
+}
+
 // countInFlight counts the calls that a handler is working on.
 func (h *Host) countInFlight(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -335,10 +365,16 @@
 }
 
 func (h *Host) recordFailedCall(f platform.Failure) {
+	// Clients choose the method; each value would be a time series of its own.
+	if !slices.Contains(knownMethods, f.Call) {
+		f.Call = "other"
+	}
 	h.base.Metrics.GetOrCreateCounter(fmt.Sprintf(`currantwinch_calls_failed_total{call=%q,status="%d"}`, f.Call, f.Status)).Inc()
 	h.o.Events.Log(events.CallFailed, "call", f.Call, "id", f.ID, "queue", f.Queue, "status", f.Status, "reason", f.Reason, "took", f.Took.Milliseconds())
 }
 
+var knownMethods = []string{http.MethodGet, http.MethodPost, http.MethodDelete, http.MethodPut, http.MethodHead, http.MethodPatch, http.MethodOptions}
+
 // Start starts all parts of the daemon.
 func (h *Host) Start(ctx context.Context) error { return h.app.Start(ctx) }
 
--- /dev/null
+++ b/internal/intake/connections.go
@@ -0,0 +1,49 @@
+package intake
+
+import "time"
+
+// ConnectionState is what decides which connection gives way to a new one.
+type ConnectionState struct {
+	Address string
+	// Idle is the time since the last byte in either direction.
+	Idle time.Duration
+	// Busy is set while a request that has come is being handled.
+	Busy bool
+	// Known is set once the other end of a connection between daemons has said who it is.
+	Known bool
+}
+
+// Yielding returns the index of the connection that gives way to one more from an address:
+// of the address's own connections if they have reached perAddress, of all if these have
+// reached limit. It is the one that has been idle for the longest, if not just now; those
+// that are known come last. It returns -1 if none has to, and ok false if one has to and
+// none can.
+func Yielding(all []ConnectionState, address string, limit, perAddress int) (index int, ok bool) {
+	own := 0
+	for _, c := range all {
+		if c.Address == address {
+			own++
+		}
+	}
+	ofAddress := own >= perAddress
+	if len(all) < limit && !ofAddress {
+		return -1, true
+	}
+	index = -1
+	for i, c := range all {
+		if c.Busy || c.Idle < grace || ofAddress && c.Address != address {
+			continue
+		}
+		if index < 0 || before(c, all[index]) {
+			index = i
+		}
+	}
+	return index, index >= 0
+}
+
+func before(a, b ConnectionState) bool {
+	if a.Known != b.Known {
+		return !a.Known
+	}
+	return a.Idle > b.Idle
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -63,7 +63,12 @@
 		verifyName:   nameVerifier(c),
 	}
 	l.helloDone.Store(dialed)
-	l.stream = newStream(c)
+	var bounds *Intake
+	if !dialed {
+		bounds = p.o.Intake
+	}
+	l.stream = newStream(c, bounds)
+	l.stream.greeted = l.helloDone.Load
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.stopped {
@@ -76,6 +81,10 @@
 	go func() { defer p.wg.Done(); l.stream.writeLoop() }()
 	l.rpc = jsonrpc2.NewConn(ctx, l.stream, l, jsonrpc2.SetLogger(discardLogger{}))
 	go func() { defer p.wg.Done(); l.awaitDisconnect() }()
+	if bounds != nil {
+		p.wg.Add(1)
+		go func() { defer p.wg.Done(); l.awaitHello() }()
+	}
 	return l, nil
 }
 
@@ -182,7 +191,8 @@
 // same name, and closes the older one if it belongs to another incarnation.
 func (l *link) bind(remote identity) {
 	l.remote.Store(&remote)
-	l.stream.setMetrics(l.peers.o.Metrics, remote, remote.Region != l.peers.o.Self.Location.Region)
+	setKnown(l.stream.conn)
+	l.stream.setMetrics(l.peers.o.Metrics, l.peers.metricName(remote.Name), remote.Region != l.peers.o.Self.Location.Region)
 	if old := l.peers.register(remote.Name, l); old != nil && old.remote.Load().Incarnation != remote.Incarnation {
 		old.close()
 	}
@@ -256,7 +266,15 @@
 		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonBusy, "%d calls are being handled", maxConcurrentHandlers))
 		return
 	}
+	params := rawParams(r)
+	release, ok := l.stream.holdCall(len(params))
+	if !ok {
+		<-l.handlerSlots
+		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonBusy, "messages take all of their memory"))
+		return
+	}
 	if !l.peers.beginHandling() {
+		release()
 		<-l.handlerSlots
 		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonUnreachable, "this daemon stops"))
 		return
@@ -264,7 +282,8 @@
 	go func() {
 		defer l.peers.wg.Done()
 		defer func() { <-l.handlerSlots }()
-		response, err := l.peers.handle(l.ctx, remote.Name, r.Method, rawParams(r))
+		defer release()
+		response, err := l.peers.handle(l.ctx, remote.Name, r.Method, params)
 		l.reply(c, r, response, err)
 	}()
 }
@@ -278,7 +297,7 @@
 
 func (l *link) handleHello(c *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	var remote identity
-	if err := json.Unmarshal(rawParams(r), &remote); err != nil || remote.Name == "" {
+	if err := json.Unmarshal(rawParams(r), &remote); err != nil || remote.Name == "" || len(remote.Name) > maxNameBytes {
 		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonMalformedMessage, "unreadable hello"))
 		return
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -54,6 +54,8 @@
 	Resolve func(daemon string) (address string, ok bool)
 	// Security, if not nil, authenticates both ends of every connection by TLS.
 	Security Security
+	// Intake, if not nil, bounds what accepted connections take.
+	Intake *Intake
 }
 
 // Security provides the TLS configurations of connections between daemons. Each
@@ -78,7 +80,9 @@
 	links       map[string]*link
 	dialing     map[string]chan struct{}
 	connections map[*link]struct{}
-	stopped     bool
+	// named holds the daemons that have metrics of their own.
+	named   map[string]struct{}
+	stopped bool
 
 	refusals *refusals
 	// handshakes is a semaphore of the TLS handshakes of accepted connections.
@@ -100,6 +104,7 @@
 		links:       make(map[string]*link),
 		dialing:     make(map[string]chan struct{}),
 		connections: make(map[*link]struct{}),
+		named:       make(map[string]struct{}),
 	}
 }
 
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -5,13 +5,13 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/pkg/errors"
 )
 
@@ -26,6 +26,7 @@
 	errQueueFull = errors.New("too many messages wait to be written")
 	errTooLarge  = errors.Errorf("message is over %d bytes", maxMessageBytes)
 	errClosed    = errors.New("connection is closed")
+	errUnread    = errors.New("messages to it are not read")
 )
 
 // stream is a JSON-RPC object stream with length-prefixed messages. WriteObject
@@ -36,25 +37,37 @@
 	queue  chan []byte
 	once   sync.Once
 	done   chan struct{}
+	// intake bounds the messages of an accepted connection; nil means no bounds. queued is
+	// what waits to be written.
+	intake *Intake
+	queued *intake.Entry
+	// greeted reports whether the other end has said who it is.
+	greeted func() bool
 
 	sentBytes, readBytes     atomic.Uint64
 	lastReadNano             atomic.Int64
 	sentCounter, readCounter atomic.Pointer[metrics.Counter]
 }
 
-func newStream(c net.Conn) *stream {
-	s := &stream{conn: c, queue: make(chan []byte, sendQueueLength), done: make(chan struct{})}
+func newStream(c net.Conn, bounds *Intake) *stream {
+	s := &stream{conn: c, queue: make(chan []byte, sendQueueLength), done: make(chan struct{}), intake: bounds, greeted: func() bool { return true }}
+	if bounds != nil {
+		s.queued = bounds.Queued.Begin(0, func() {
+			bounds.Report.MessageRefused(c.RemoteAddr().String(), errUnread)
+			_ = s.Close()
+		})
+	}
 	s.reader = bufio.NewReader(s)
 	s.lastReadNano.Store(time.Now().UnixNano())
 	return s
 }
 
 // setMetrics makes the stream count its bytes in the metrics of the named peer.
-func (s *stream) setMetrics(set *metrics.Set, remote identity, crossRegion bool) {
+func (s *stream) setMetrics(set *metrics.Set, peer string, crossRegion bool) {
 	if set == nil {
 		return
 	}
-	labels := fmt.Sprintf(`{peer=%q,cross_region="%t"}`, remote.Name, crossRegion)
+	labels := fmt.Sprintf(`{peer=%q,cross_region="%t"}`, peer, crossRegion)
 	s.sentCounter.Store(set.GetOrCreateCounter("currantwinch_peer_sent_bytes_total" + labels))
 	s.readCounter.Store(set.GetOrCreateCounter("currantwinch_peer_read_bytes_total" + labels))
 }
@@ -79,11 +92,11 @@
 	if err != nil {
 		return err
 	}
-	if n > maxMessageBytes {
+	if n > maxMessageBytes || n > maxHelloBytes && !s.greeted() {
 		return errTooLarge
 	}
-	data := make([]byte, n)
-	if _, err := io.ReadFull(s.reader, data); err != nil {
+	data, err := s.readMessage(int(n))
+	if err != nil {
 		return err
 	}
 	return json.Unmarshal(data, v)
@@ -106,10 +119,14 @@
 		return errClosed
 	default:
 	}
+	if s.queued != nil && !s.queued.TryQueue(int64(len(frame))) {
+		return errQueueFull
+	}
 	select {
 	case s.queue <- frame:
 		return nil
 	default:
+		s.releaseQueued(len(frame))
 		return errQueueFull
 	}
 }
@@ -122,6 +139,9 @@
 
 // writeLoop writes queued messages until the stream is closed or a write fails.
 func (s *stream) writeLoop() {
+	if s.queued != nil {
+		defer s.queued.End()
+	}
 	for {
 		select {
 		case <-s.done:
@@ -135,11 +155,21 @@
 	}
 }
 
+func (s *stream) releaseQueued(n int) {
+	if s.queued != nil {
+		s.queued.Release(int64(n))
+	}
+}
+
 func (s *stream) write(frame []byte) error {
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	n, err := s.conn.Write(frame)
+	if s.queued != nil {
+		_ = s.queued.Add(n)
+		s.releaseQueued(len(frame))
+	}
 	s.sentBytes.Add(uint64(n))
 	if c := s.sentCounter.Load(); c != nil {
 		c.Add(n)
