Exploration of a cap across owners, with the real owners in virtual time

It plays owners that are replaced while they run, cut off or paused, servers that do not answer or restart, and submissions, failures and cancellations of one tenant; a run that begins above the cap and one task is a breach.

--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -37,6 +37,14 @@
 	// metrics were last renewed.
 	refusals   map[string]int
 	reportedAt time.Time
+	faults     tenantFaults
+}
+
+// tenantFaults disables single steps of the count. Only tests set them, to show that the
+// exploration detects the resulting breach of a cap.
+type tenantFaults struct {
+	onlySeen    bool // count no capacity of servers that have not listed their runs
+	forgetStops bool // count no runs that are being stopped
 }
 
 // span is a time during which a tenant is held back by its cap, or exceeds its rate.
@@ -124,7 +132,7 @@
 // that of servers of earlier owners which have not listed their runs, and of servers that
 // list runs of unknown submissions.
 func (t *tenants) attributeCapacity() {
-	if !t.stale || !t.uncertain {
+	if !t.stale || !t.uncertain || t.faults.onlySeen {
 		return
 	}
 	t.stale, t.uncertain = false, !t.core.recovered
--- a/internal/scheduler/tenureserver_test.go
+++ b/internal/scheduler/tenureserver_test.go
@@ -142,5 +142,8 @@
 	w.renew(v, order.LeaseDeadlineMS, o.epoch)
 	v.runs[runKey{order.Task, order.Run}] = o.epoch
 	w.note("run %d of %v begins on %s for owner %d", order.Run, order.Task, v.info.ID, o.epoch)
+	if w.begun != nil {
+		w.begun(o, v, order)
+	}
 	return nil
 }
--- a/internal/scheduler/tenureworld_test.go
+++ b/internal/scheduler/tenureworld_test.go
@@ -55,6 +55,8 @@
 	restarts bool
 	// submissions counts those after the first.
 	submissions int
+	// begun, if set, is called once a run has begun on a server.
+	begun func(o *tenureOwner, v *tenureServer, order Order)
 	// laterStarts counts the starts that owners after the first sent.
 	laterStarts int
 	trace       []string
