--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -44,6 +44,31 @@
 	}
 }
 
+// The speeds 0.8, 1 and 1.25 of the second deployment differ by less than single run times do.
+// They must be told apart all the same, and none taken for the opposite.
+func TestSpeeds_TellsSmallDifferences(t *testing.T) {
+	speeds := []float64{0.8, 1, 1.25}
+	for seed := range uint64(2) {
+		w := newUnevenWorld(t, seed, 70, 20, postprocServer, postprocKinds(), 0)
+		w.speedOf = func(server int, _ time.Duration) float64 { return speeds[server%3] }
+		w.run(80*time.Second, 0)
+		known, wrong := 0, 0
+		for id, s := range w.servers {
+			class := w.core.servers[id].speedClass
+			switch kind := s.index%3 - 1; {
+			case kind*class < 0, kind == 0 && class != 0:
+				wrong++
+			case kind*class > 0:
+				known++
+			}
+		}
+		t.Logf("seed %d: %d of 47 servers known to be slower or faster than the usual one, %d wrong", seed, known, wrong)
+		if known < 30 || wrong > 1 {
+			t.Errorf("seed %d: %d of 47 servers known to be slower or faster, want 30; %d wrong, want at most 1", seed, known, wrong)
+		}
+	}
+}
+
 // Chance must change nothing where all servers are alike: short work on servers that are
 // fast by chance leaves no room for gangs.
 func TestSpeeds_AlikeServersAreUsedAsBefore(t *testing.T) {
