A submission that no owner has read is answered 503, not run

Router.Submit said "may have run" of every call without an owner's answer; an owner that waited for its claim, or whose loop did not come to the call, answered after its sender had stopped waiting; an owner that ended left the calls in its queue, and those whose records it had not sent, without an answer.

Now the verdict is that of the calls made for the request. A call is taken once, by the owner's loop or by the sender that abandons it; it carries the time that its sender waits, and the owner's "not read" arrives within it. An owner that ends withdraws what it has not sent. The wait for an owner is 1 s (0.7 s was as long as the refusal of a hanging store takes).

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/scheduler"
@@ -13,26 +14,21 @@
 
 // Submit submits to the owner of the submission's home partition and returns its reply. A
 // refusal, which is any reply but OutcomeDone, says that no call to an owner was accepted or
-// will be. An error has the verdict NotRun if the home is not known, so that no owner was
-// called, and else MayHaveRun: only the owner knows whether an attempt through another daemon
-// was accepted.
+// will be. So does an error with the verdict NotRun, of this request: no owner has read a call
+// made for it. What became of another request with the same ID, which got no such answer, only
+// the owner knows.
 func (e *Router) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
-	home, err := e.home(ctx, sub.Queue, sub.Service)
+	began := e.o.Now()
+	home, err := e.home(ctx, began, sub.Queue, sub.Service)
 	if err != nil {
 		return scheduler.Reply{}, err
 	}
-	r, err := e.callShardOwner(ctx, methodSubmit, call{Service: home, ID: sub.ID, Submission: sub})
-	if err == nil {
-		return r, nil
-	}
-	unknown := verdict.New(verdict.MayHaveRun, verdict.ReasonOf(err), "%v", err)
-	return r, unknown.WithRetryAfter(verdict.RetryAfterOf(err))
+	return e.callShardOwner(ctx, began, methodSubmit, call{Service: home, ID: sub.ID, Submission: sub})
 }
 
 // home returns the home of a queue that leads to a service now. It stores the home of a
-// queue to which nothing was submitted before.
-func (e *Router) home(ctx context.Context, queue, service string) (string, error) {
-	began := e.o.Now()
+// queue to which nothing was submitted before. The search began at the given time.
+func (e *Router) home(ctx context.Context, began time.Time, queue, service string) (string, error) {
 	for {
 		if home, ok := e.o.Homes.Home(queue); ok {
 			return home, nil
@@ -67,9 +63,9 @@
 	if home, ok := e.o.Homes.Home(ref.Queue); ok {
 		first = home
 	}
-	asked := make(map[int]bool)
+	asked, began := make(map[int]bool), e.o.Now()
 	for _, s := range slices.Concat([]string{first, ref.Service}, e.o.Homes.Services()) {
-		layout, ok := e.awaitLayout(ctx, s)
+		layout, ok := e.layoutSince(ctx, began, s)
 		if !ok {
 			return scheduler.Reply{}, noLayout(s)
 		}
@@ -78,7 +74,7 @@
 			continue
 		}
 		asked[part] = true
-		r, err := e.callOwner(ctx, method, call{Service: s, ID: ref.ID, Tenant: ref.Tenant, Part: part})
+		r, err := e.callOwner(ctx, began, method, call{Service: s, ID: ref.ID, Tenant: ref.Tenant, Part: part})
 		if err != nil || r.Outcome != scheduler.OutcomeNotFound {
 			return r, err
 		}
@@ -93,9 +89,9 @@
 	if home, ok := e.o.Homes.Home(queue); ok && home != service {
 		services = append(services, e.o.Homes.Services()...)
 	}
-	asked := make(map[int]bool)
+	asked, began := make(map[int]bool), e.o.Now()
 	for _, s := range services {
-		layout, ok := e.awaitLayout(ctx, s)
+		layout, ok := e.layoutSince(ctx, began, s)
 		if !ok {
 			return scheduler.Reply{}, noLayout(s)
 		}
@@ -110,7 +106,7 @@
 	parts := make(chan part, len(asked))
 	for number := range asked {
 		go func() {
-			r, err := e.callOwner(ctx, methodPending, call{Service: service, Queue: queue, Part: number})
+			r, err := e.callOwner(ctx, began, methodPending, call{Service: service, Queue: queue, Part: number})
 			parts <- part{r, err}
 		}()
 	}
@@ -129,20 +125,25 @@
 	return verdict.New(verdict.NotRun, ReasonNoLayout, "no layout of service %q yet", service).WithRetryAfter(ownerRetryAfter)
 }
 
-// callShardOwner routes a call about one submission to the owner of its shard.
-func (e *Router) callShardOwner(ctx context.Context, method string, c call) (scheduler.Reply, error) {
-	layout, ok := e.awaitLayout(ctx, c.Service)
+// callShardOwner routes a call about one submission to the owner of its shard. The search for
+// it began at the given time.
+func (e *Router) callShardOwner(ctx context.Context, began time.Time, method string, c call) (scheduler.Reply, error) {
+	layout, ok := e.layoutSince(ctx, began, c.Service)
 	if !ok {
 		return scheduler.Reply{}, noLayout(c.Service)
 	}
 	c.Part = shard.PartitionOf(c.Service, layout.ShardOfSubmission(c.ID), e.o.PartitionCount)
-	return e.callOwner(ctx, method, c)
+	return e.callOwner(ctx, began, method, c)
 }
 
 // awaitLayout returns a service's layout. It waits up to ownerSearchTimeout,
 // since a daemon that has just started has not read the layouts yet.
 func (e *Router) awaitLayout(ctx context.Context, service string) (shard.Layout, bool) {
-	began := e.o.Now()
+	return e.layoutSince(ctx, e.o.Now(), service)
+}
+
+// layoutSince does the same for a search that began at the given time.
+func (e *Router) layoutSince(ctx context.Context, began time.Time, service string) (shard.Layout, bool) {
 	for {
 		layout, ok := e.o.Layout(service)
 		if ok || e.o.Now().Sub(began) > ownerSearchTimeout || !duty.Sleep(ctx, ownerSearchInterval) {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -14,6 +14,7 @@
 	"github.com/currantwinch/currantwinch/shard"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -24,8 +25,17 @@
 	ownerSearchInterval = 60 * time.Millisecond
 	// ownerTimeout limits the wait for an owner's answer before the owner is
 	// looked up again. Calls are idempotent, so that one that a slow owner
-	// still works on may be repeated.
-	ownerTimeout = 700 * time.Millisecond
+	// still works on may be repeated. It must exceed the time after which an owner
+	// refuses what waits for a store that hangs (0.7 s, on a tick of 0.1 s) and
+	// ownerReplyMargin, or callers would not learn that the submission did not run.
+	ownerTimeout = time.Second
+	// ownerReplyMargin is the part of a caller's wait for an owner that is left for
+	// the owner's answer to arrive. An owner that cannot read a call until then says
+	// that it did not, which the caller could not tell from a lost answer.
+	ownerReplyMargin = 100 * time.Millisecond
+	// minCallTime is the least time that must be left for a call to an owner. A call
+	// that is sent later gets no answer in time, and the submission may run.
+	minCallTime = 50 * time.Millisecond
 	// handleTimeout limits a call by another daemon.
 	handleTimeout = 2 * time.Second
 	// ownerRetryAfter is the retry delay that callers get when there is no
@@ -65,6 +75,9 @@
 	// the call on, which is From, gave the submission away; 0 if none did.
 	Handover int `json:"handover,omitempty"`
 	From     int `json:"from,omitempty"`
+	// TimeoutMS is how long the sender waits for the answer, in milliseconds; 0 if it
+	// does not say.
+	TimeoutMS int64 `json:"timeoutMS,omitempty"`
 }
 
 func (c call) partition() partition.ID { return partitionID(c.Part) }
@@ -100,11 +113,13 @@
 type Router struct {
 	o        Options
 	versions *versions
+	// lookups shares one lookup of the owners among all calls that need one.
+	lookups singleflight.Group
 }
 
 // New returns a Router and registers its methods with the peers.
 func New(o Options) *Router {
-	e := &Router{o, newVersions(o.Peers, o.Now)}
+	e := &Router{o: o, versions: newVersions(o.Peers, o.Now)}
 	e.handleShardCalls()
 	for _, method := range []string{methodSubmit, methodStatus, methodCancel, methodPending} {
 		o.Peers.Handle(method, e.handle(method))
@@ -116,14 +131,21 @@
 // idempotent, so that one without an answer is repeated with the next owner. A
 // submission that is refused after a call without an answer may have run: that call may
 // still wait at its daemon, and be accepted after the refusal.
-func (e *Router) callOwner(ctx context.Context, method string, c call) (scheduler.Reply, error) {
+//
+// The search began at the given time and lasts ownerSearchTimeout at most. The verdict of an
+// error is NotRun if no owner has read the call, and none will.
+func (e *Router) callOwner(ctx context.Context, began time.Time, method string, c call) (scheduler.Reply, error) {
 	if _, here := e.o.Tenures.Engine(c.partition()); !here && e.o.Isolated() {
 		return scheduler.Reply{}, verdict.New(verdict.NotRun, ReasonNoOwner, "no other daemon answers").WithRetryAfter(ownerRetryAfter)
 	}
-	began := e.o.Now()
 	mayHaveRun := false
+	err := error(verdict.New(verdict.NotRun, ReasonNoOwner, "no time is left to call an owner").WithRetryAfter(ownerRetryAfter))
 	for {
-		r, err := e.attempt(ctx, method, c)
+		if !mayHaveRun && e.timeLeft(ctx) < minCallTime {
+			return scheduler.Reply{}, err
+		}
+		var r scheduler.Reply
+		r, err = e.attempt(ctx, method, c)
 		switch {
 		case err == nil && mayHaveRun && method == methodSubmit && r.Outcome != scheduler.OutcomeDone:
 			return scheduler.Reply{}, refusedAfterNoAnswer(r)
@@ -136,13 +158,41 @@
 		if ctx.Err() != nil || e.o.Now().Sub(began) > ownerSearchTimeout {
 			return scheduler.Reply{}, combinedVerdict(err, mayHaveRun)
 		}
-		e.o.Member.Refresh(ctx)
+		e.lookUpOwners(ctx)
 		if !duty.Sleep(ctx, ownerSearchInterval) {
 			return scheduler.Reply{}, combinedVerdict(err, mayHaveRun)
 		}
 	}
 }
 
+// timeLeft returns how long the caller still waits.
+func (e *Router) timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return ownerSearchTimeout
+	}
+	return deadline.Sub(e.o.Now())
+}
+
+// lookUpOwners starts a lookup of the owners, unless one is under way, and waits for it for
+// ownerSearchInterval. The store may take seconds for it, or hang. The owner may be back
+// meanwhile, or this daemon may be the owner, so that a caller does not wait for the answer.
+func (e *Router) lookUpOwners(ctx context.Context) {
+	done := e.lookups.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownerSearchTimeout)
+		defer cancel()
+		e.o.Member.Refresh(ctx)
+		return nil, nil
+	})
+	timer := time.NewTimer(ownerSearchInterval)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // refusedAfterNoAnswer returns the error of a submission that was refused by r after a
 // call of it got no answer. Only a refusal of every call says that it never runs.
 func refusedAfterNoAnswer(r scheduler.Reply) error {
@@ -153,7 +203,7 @@
 // combinedVerdict gives a call's error the verdict of all its attempts.
 func combinedVerdict(err error, maybe bool) error {
 	if maybe && verdict.Of(err) == verdict.NotRun {
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.ReasonOf(err))
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonOf(err), RetryAfter: verdict.RetryAfterOf(err), Err: err}
 	}
 	return err
 }
@@ -169,6 +219,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
+	c.TimeoutMS = max(e.timeLeft(ctx), minCallTime).Milliseconds()
 	var r scheduler.Reply
 	err := e.o.Peers.Call(ctx, holder, method, c, &r)
 	return r, err
@@ -221,8 +272,18 @@
 		if method == methodSubmit && c.Submission == nil {
 			return nil, verdict.New(verdict.NotRun, reasonBadCall, "no submission")
 		}
-		ctx, cancel := context.WithTimeout(ctx, handleTimeout)
+		ctx, cancel := context.WithTimeout(ctx, c.handleTime())
 		defer cancel()
 		return e.callLocal(ctx, c.partition(), method, c)
 	})
 }
+
+// handleTime returns how long the handler of another daemon's call may take, so that its
+// answer arrives while that daemon waits.
+func (c call) handleTime() time.Duration {
+	if c.TimeoutMS <= 0 {
+		return handleTimeout
+	}
+	wait := time.Duration(c.TimeoutMS) * time.Millisecond
+	return min(handleTimeout, max(wait-ownerReplyMargin, wait/2))
+}
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -195,6 +195,10 @@
 func (e *Router) follow(ctx context.Context, method string, c call, at scheduler.Reply) (scheduler.Reply, error) {
 	c.From, c.Part, c.Handover = c.Part, at.Partition, at.Number
 	r, err := e.attempt(ctx, method, c)
+	if err != nil && method == methodSubmit {
+		// It may have been accepted before it was handed over.
+		return r, combinedVerdict(err, true)
+	}
 	if err != nil || r.Outcome != scheduler.OutcomeNotFound || at.Delivered {
 		return r, err
 	}
@@ -202,7 +206,7 @@
 		return scheduler.Reply{Status: at.Status}, nil
 	}
 	// The other partition may store it at any moment, and start it.
-	return scheduler.Reply{}, verdict.New(verdict.NotRun, reasonHandingOver, "on its way to partition %d", at.Partition).WithRetryAfter(ownerRetryAfter)
+	return scheduler.Reply{}, verdict.New(verdict.MayHaveRun, reasonHandingOver, "on its way to partition %d", at.Partition).WithRetryAfter(ownerRetryAfter)
 }
 
 // versions tracks which daemons know the records of a handover. One that does not, and
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantwinch/currantwinch/partition"
@@ -93,28 +94,76 @@
 	}
 }
 
-// callEvent is a call by a caller.
+// callEvent is a call by a caller. Either the Core reads it or its caller abandons it, so
+// that the caller knows of a call without a reply whether it may have had an effect.
 type callEvent struct {
 	do    func(c *Core, reply func(Reply))
 	reply chan Reply
+	taken *atomic.Bool
 }
 
 func (ev callEvent) apply(c *Core) {
-	ev.do(c, func(r Reply) { ev.reply <- r })
+	if ev.take() {
+		ev.do(c, func(r Reply) { ev.reply <- r })
+	}
 }
 
-// call passes a call to the Core and waits for its reply.
+// take reports whether the Core, or the caller that abandons the call, is the first to take it.
+func (ev callEvent) take() bool { return ev.taken.CompareAndSwap(false, true) }
+
+// call passes a call to the Core and waits for its reply. The verdict of an error is NotRun if
+// the Core has not read the call and will not, or has refused it as it ended.
 func (e *Engine) call(ctx context.Context, do func(c *Core, reply func(Reply))) (Reply, error) {
-	ev := callEvent{do, make(chan Reply, 1)}
+	ev := callEvent{do, make(chan Reply, 1), &atomic.Bool{}}
 	if !e.events.Push(ctx, ev) {
 		return Reply{}, verdict.Wrap(ctx.Err(), verdict.NotRun, ReasonTimeout)
 	}
+	var err error
 	select {
 	case r := <-ev.reply:
-		return r, nil
+		return ownerReply(r)
 	case <-ctx.Done():
-		return Reply{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, ReasonTimeout)
+		err = verdict.Wrap(ctx.Err(), ev.abandon(), ReasonTimeout)
 	case <-e.done:
-		return Reply{}, verdict.New(verdict.MayHaveRun, ReasonNotOwner, "the partition went to another owner")
+		err = verdict.New(ev.abandon(), ReasonNotOwner, "the partition went to another owner")
+	}
+	select {
+	case r := <-ev.reply:
+		// It came at the same time.
+		return ownerReply(r)
+	default:
+		return Reply{}, err
+	}
+}
+
+// abandon gives a call up. It returns NotRun if the Core has not read it, and never will.
+func (ev callEvent) abandon() verdict.Verdict {
+	if ev.take() {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
+
+// ownerReply returns the refusal of an owner that ends as an error, since the next owner may
+// take the call.
+func ownerReply(r Reply) (Reply, error) {
+	if r.Outcome == OutcomeUnavailable && r.Reason == string(ReasonNotOwner) {
+		return Reply{}, verdict.New(verdict.NotRun, ReasonNotOwner, "the partition went to another owner before the submission was stored")
+	}
+	return r, nil
+}
+
+// refuseUnsent refuses the submissions whose records wait to be sent to the log when this
+// owner ends: they are certainly not in the log. Others get no reply.
+func (e *Engine) refuseUnsent() {
+	ids := e.core.UnstoredWrites()
+	if len(ids) == 0 {
+		return
+	}
+	e.core.writesWithdrawn(e.writer.Withdraw(ids), Reply{Outcome: OutcomeUnavailable, Reason: string(ReasonNotOwner), RetryAfterMS: minStoreRetryAfter.Milliseconds()})
+	for _, a := range e.core.Finish(false) {
+		if a, ok := a.(SendReply); ok {
+			a.Reply(a.Answer)
+		}
 	}
 }
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -166,6 +166,7 @@
 			cancel(err)
 		}
 	}()
+	defer e.refuseUnsent()
 	return e.loop(ctx, turn)
 }
 
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -109,6 +109,11 @@
 // WritesWithdrawn refuses the submissions whose writes were withdrawn, since the
 // log has not stored anything for storeDelay. They never run.
 func (c *Core) WritesWithdrawn(writeIDs []uint64, storeDelay time.Duration) {
+	c.writesWithdrawn(writeIDs, storeUnavailable(storeDelay))
+}
+
+// writesWithdrawn refuses the submissions whose writes were withdrawn with the given reply.
+func (c *Core) writesWithdrawn(writeIDs []uint64, r Reply) {
 	withdrawn := make(map[uint64]bool, len(writeIDs))
 	for _, id := range writeIDs {
 		withdrawn[id] = true
@@ -118,7 +123,7 @@
 		if j.stored || !withdrawn[j.acceptWriteID] {
 			continue
 		}
-		c.withdraw(j, storeUnavailable(storeDelay))
+		c.withdraw(j, r)
 	}
 }
 
