--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -132,6 +132,11 @@
 		Fields:  []string{"step", "members", "servers", "cpu", "waited"},
 		Meaning: "Capacity for all members of a gang is reserved while their tickets are requested from the policy service. The field cpu is in thousandths of a core; waited is the time since the step became runnable, in milliseconds.",
 	}
+	PlacementPass = Event{
+		Number: 6080, Level: slog.LevelInfo, Name: "placement_pass",
+		Fields:  []string{"tookUS", "queued", "steps", "servers", "placed", "end"},
+		Meaning: "A placement pass placed tasks, or examined steps for over a millisecond. The field tookUS is its length in microseconds; queued is the number of queued steps, steps and servers the number examined, a server once for each step. The field end says why the pass ended: done, start_room if no more starts could be sent, or budget if events wait to be handled first; the pass then goes on after them.",
+	}
 	PolicyApplied = Event{
 		Number: 6012, Level: slog.LevelInfo, Name: "advice_taken",
 		Fields:  []string{"step", "asked", "allowed", "validMS"},
@@ -297,7 +302,7 @@
 var submissionEvents = []Event{
 	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap, TenantInExcess, TenantWithinRate, CapGiven, CapTaken,
 	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
-	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved,
+	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved, PlacementPass,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -44,6 +44,7 @@
 	}
 	c.sendStart(a)
 	c.startRoom--
+	c.placement.starts++
 	c.metric.startsSent.Inc()
 	c.log.Log(events.TaskPlaced, "task", a.task.id().String(), "run", run, "server", s.info.ID,
 		"waited", c.now.Sub(t.step.readyAt).Milliseconds(), "free", s.free.CPU, "clockAge", c.now.Sub(s.clockAt).Milliseconds(),
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -175,6 +175,7 @@
 	runTimes        map[string]*runTimes
 	fenced          bool
 	placementNeeded bool
+	placement       placementCounts
 	// mostUnreachable is set while most servers with runs are unresponsive.
 	mostUnreachable bool
 	// startRoom is how many more starts the Engine can send soon; startsHeld is
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -98,6 +98,7 @@
 	ranked := p.serverForecasts(st.job().sub.Service)
 	out := make([]forecast, 0, len(ranked))
 	avoidsSlow := p.avoidsSlow(st)
+	p.count.servers += len(ranked)
 	for _, pr := range ranked {
 		if !pr.server.hasLabel(st.spec.Label) || avoidsSlow && pr.server.slow() || st.authorization.denied[pr.server.instanceKey()] {
 			continue
@@ -159,6 +160,7 @@
 		}
 	}
 	total := need
+	p.count.servers += 2 * len(forecasts)
 	for _, pr := range forecasts {
 		if p.isAllowed(st, pr.server) {
 			take(pr.server, min(p.availableSlots(st, pr.server), need))
@@ -222,6 +224,7 @@
 	capacity := 0
 	var out, known []string
 	for _, pr := range forecasts {
+		p.count.servers++
 		if len(out)+len(known) >= maxRequestServers || want <= 0 && len(out) >= least {
 			break
 		}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -29,6 +29,10 @@
 	completionTime    *metrics.Histogram
 	authorizationTime *metrics.Histogram
 	tenants           tenantGauges
+	placementPass     *metrics.Histogram
+	placementSteps    *metrics.Counter
+	placementServers  *metrics.Counter
+	placementPlaced   *metrics.Counter
 }
 
 // NewMetrics registers the metrics with a set.
@@ -51,6 +55,10 @@
 		firstStartTime:    set.NewHistogram("currantwinch_submission_first_start_seconds"),
 		completionTime:    set.NewHistogram("currantwinch_submission_seconds"),
 		authorizationTime: set.NewHistogram("currantwinch_advice_seconds"),
+		placementPass:     set.NewHistogram("currantwinch_placement_pass_seconds"),
+		placementSteps:    set.NewCounter("currantwinch_placement_steps_examined_total"),
+		placementServers:  set.NewCounter("currantwinch_placement_servers_examined_total"),
+		placementPlaced:   set.NewCounter("currantwinch_placement_tasks_placed_total"),
 	}
 }
 
@@ -83,6 +91,10 @@
 	m.count("currantwinch_near_waits_total", "result", result)
 }
 
+func (m *Metrics) placementPassEnded(end passEnd) {
+	m.count("currantwinch_placement_passes_total", "end", string(end))
+}
+
 func (m *Metrics) orderFailed(err error) {
 	m.count("currantwinch_orders_failed_total", "reason", string(verdict.ReasonOf(err)))
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,6 +14,8 @@
 	if c.config == nil || !c.mayStartTasks() {
 		return
 	}
+	// The pass is measured by the real clock; no decision depends on it.
+	began := time.Now()
 	c.dropPlacedSteps()
 	c.sortQueued()
 	p := &placementPass{
@@ -22,11 +24,15 @@
 	}
 	p.applyReservations(c.queued)
 	c.startsHeld = false
+	placed := c.placement.starts
+	end := passDone
 	for _, st := range c.queued {
 		if c.startRoom <= 0 {
 			c.holdStarts()
+			end = passStartRoom
 			break
 		}
+		p.count.steps++
 		switch {
 		case !p.worthTrying(st):
 		case c.mayStart(st):
@@ -38,6 +44,8 @@
 	c.heldForGangs = p.held
 	c.dropPlacedSteps()
 	c.backlog.queueSorted()
+	p.count.placed = c.placement.starts - placed
+	c.placement.passEnded(c, p.count, end, time.Since(began))
 }
 
 // dropPlacedSteps removes steps without tasks to place from the queue.
@@ -87,6 +95,7 @@
 	nearWaiters map[string]int
 	// usable caches the servers that accept tasks, by service.
 	usable map[string][]*server
+	count  passCount
 }
 
 func (p *placementPass) servers(service string) []*server {
@@ -197,6 +206,7 @@
 // them with a valid ticket, and how many of its tasks fit on the latter.
 func (p *placementPass) serversWithCapacity(st *step) (open, ticketed []*server, slots int) {
 	for _, s := range p.candidates(st) {
+		p.count.servers++
 		n := p.availableSlots(st, s)
 		if n == 0 {
 			continue
--- a/internal/scheduler/prefer.go
+++ b/internal/scheduler/prefer.go
@@ -5,6 +5,7 @@
 // held for a gang, then one of a suitable speed, then the fullest.
 func (p *placementPass) best(t *task, servers []*server) *server {
 	var best *server
+	p.count.servers += len(servers)
 	for _, s := range servers {
 		if p.availableSlots(t.step, s) == 0 {
 			continue
