--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -135,7 +135,7 @@
 	PlacementPass = Event{
 		Number: 6080, Level: slog.LevelInfo, Name: "placement_pass",
 		Fields:  []string{"tookUS", "queued", "steps", "servers", "placed", "end"},
-		Meaning: "A placement pass placed tasks, or examined steps for over a millisecond. The field tookUS is its length in microseconds; queued is the number of queued steps, steps and servers the number examined, a server once for each step. The field end says why the pass ended: done, start_room if no more starts could be sent, or budget if events wait to be handled first; the pass then goes on after them.",
+		Meaning: "A placement pass took over a millisecond or ended by its budget; or it placed tasks, and none was logged for 100 ms. The field tookUS is its length in microseconds; queued is the number of queued steps, steps and servers the number examined, a server once for each step. The field end says why the pass ended: done, start_room if no more starts could be sent, or budget if events wait to be handled first; the pass then goes on after them.",
 	}
 	PolicyApplied = Event{
 		Number: 6012, Level: slog.LevelInfo, Name: "advice_taken",
--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -45,16 +45,41 @@
 // decision about a server holds for the life of that instance; tickets expire.
 type authorization struct {
 	tickets map[string]ticketGrant
-	// denied holds the instances that may not run the step.
-	denied map[serverInstance]bool
-	// allowed holds the instances that may run the step, whether or not their
-	// tickets are still valid.
-	allowed map[serverInstance]bool
+	// decisions holds the decision about an instance under its number. An instance stays
+	// allowed when its ticket expires.
+	decisions []decision
 	// pending counts the open requests that name a server, by ID, and
 	// openRequests counts all of them.
 	pending      map[string]int
 	openRequests int
 	retryAt      time.Time
+	// validUntil is when the last ticket expires.
+	validUntil time.Time
+}
+
+// decision is the policy service's decision about a step and an instance of a server.
+type decision uint8
+
+const (
+	undecided decision = iota
+	allowed
+	denied
+)
+
+// decisionOn returns what the policy service has decided about s.
+func (a *authorization) decisionOn(s *server) decision {
+	if s.instanceNumber < len(a.decisions) {
+		return a.decisions[s.instanceNumber]
+	}
+	return undecided
+}
+
+// decide records a decision about s.
+func (a *authorization) decide(s *server, d decision) {
+	if n := s.instanceNumber + 1 - len(a.decisions); n > 0 {
+		a.decisions = append(a.decisions, make([]decision, n)...)
+	}
+	a.decisions[s.instanceNumber] = d
 }
 
 type serverInstance struct {
@@ -62,7 +87,17 @@
 	born int64
 }
 
-func (s *server) instanceKey() serverInstance { return serverInstance{s.info.ID, s.info.StartedAtMS} }
+// numberInstance numbers the instance that the server's entry describes, under which
+// steps keep what was decided about it.
+func (c *Core) numberInstance(s *server) {
+	key := serverInstance{s.info.ID, s.info.StartedAtMS}
+	n, ok := c.instanceNumbers[key]
+	if !ok {
+		n = len(c.instanceNumbers)
+		c.instanceNumbers[key] = n
+	}
+	s.instanceNumber = n
+}
 
 // allowRate is the moving average of the fraction of servers that a queue's
 // policy allows.
@@ -83,6 +118,9 @@
 	if st.job().queue.Policy == nil {
 		return "", true
 	}
+	if st.authorization.decisionOn(s) != allowed {
+		return "", false
+	}
 	p, ok := st.authorization.tickets[s.info.ID]
 	if !ok || c.now.Add(ticketMargin).After(p.expires) {
 		return "", false
@@ -96,18 +134,17 @@
 	if !p.core.mayRequest(st) {
 		return
 	}
-	var allowed, undecided []*server
+	var known, unknown []*server
 	for _, s := range candidates {
-		switch key := s.instanceKey(); {
-		case st.authorization.denied[key]:
-		case st.authorization.allowed[key]:
-			allowed = append(allowed, s)
-		default:
-			undecided = append(undecided, s)
+		switch st.authorization.decisionOn(s) {
+		case allowed:
+			known = append(known, s)
+		case undecided:
+			unknown = append(unknown, s)
 		}
 	}
 	rate := p.core.allowRateOf(st.job().queue.Name).rate
-	chosen, enough := p.chooseServers(st, need, rate, allowed, undecided)
+	chosen, enough := p.chooseServers(st, need, rate, known, unknown)
 	if !enough {
 		chosen = p.addFullServers(st, chosen)
 	}
@@ -138,7 +175,7 @@
 
 // decided reports whether the policy service has decided about s.
 func (a *authorization) decided(s *server) bool {
-	return a.allowed[s.instanceKey()] || a.denied[s.instanceKey()]
+	return a.decisionOn(s) != undecided
 }
 
 // mayRequest reports whether a request for the step may be sent now.
@@ -148,9 +185,19 @@
 	if st.spec.Gang {
 		most = maxRequestsPerGang
 	}
-	return a.openRequests < most && !c.now.Before(a.retryAt) && c.openRequests < c.policyClients*maxRequestsPerClient
+	if a.openRequests >= most || c.now.Before(a.retryAt) {
+		return false
+	}
+	if c.openRequests >= c.maxOpenRequests() {
+		st.entry.wantsClient = true
+		return false
+	}
+	return true
 }
 
+// maxOpenRequests returns how many policy requests may be in flight.
+func (c *Core) maxOpenRequests() int { return c.policyClients * maxRequestsPerClient }
+
 // sendRequest sends a request about the chosen servers, if any, and returns how
 // long the policy service is expected to take.
 func (c *Core) sendRequest(st *step, chosen []string) time.Duration {
@@ -172,17 +219,38 @@
 	return cost
 }
 
+// requestCandidate is a server that a request may name, with its free CPU, whether it is
+// away from the step's place and whether capacity of it is held for a gang.
+type requestCandidate struct {
+	server    *server
+	far, held bool
+	cpu       int64
+}
+
 // chooseServers picks servers until their expected capacity covers the need,
 // those near its place first, then those without capacity held for gangs, then those of
 // a suitable speed. It reports whether the need is covered.
-func (p *placementPass) chooseServers(st *step, need int, rate float64, allowed, undecided []*server) (ids []string, enough bool) {
+func (p *placementPass) chooseServers(st *step, need int, rate float64, known, unknown []*server) (ids []string, enough bool) {
 	want := capacityFactor * float64(need)
 	pick := func(servers []*server, chance float64) {
-		byFreeCPU := slices.Clone(servers)
-		slices.SortFunc(byFreeCPU, func(x, y *server) int {
-			return cmp.Or(compareBool(p.core.far(st, x), p.core.far(st, y)), compareBool(p.heldInLastPass(x), p.heldInLastPass(y)), p.compareSpeed(st, x, y), cmp.Compare(y.free.CPU, x.free.CPU))
+		byFreeCPU := make([]requestCandidate, len(servers))
+		for i, s := range servers {
+			byFreeCPU[i] = requestCandidate{s, p.core.far(st, s), p.heldInLastPass(s), s.free.CPU}
+		}
+		slices.SortFunc(byFreeCPU, func(x, y requestCandidate) int {
+			if x.far != y.far {
+				return compareBool(x.far, y.far)
+			}
+			if x.held != y.held {
+				return compareBool(x.held, y.held)
+			}
+			if order := p.compareSpeed(st, x.server, y.server); order != 0 {
+				return order
+			}
+			return cmp.Compare(y.cpu, x.cpu)
 		})
-		for _, s := range byFreeCPU {
+		for _, candidate := range byFreeCPU {
+			s := candidate.server
 			if len(ids) >= maxRequestServers || want <= 0 && len(ids) >= minRequestServers {
 				return
 			}
@@ -190,9 +258,9 @@
 			want -= chance * float64(p.availableSlots(st, s))
 		}
 	}
-	pick(allowed, 1)
+	pick(known, 1)
 	if want > 0 {
-		pick(undecided, rate)
+		pick(unknown, rate)
 	}
 	return ids, want <= 0
 }
@@ -201,6 +269,8 @@
 // servers.
 func (c *Core) AuthorizationCompleted(id workload.TaskID, asked []string, tickets []Ticket, validity time.Duration, err error) {
 	c.openRequests--
+	// The client is free for another step.
+	c.placementNeeded = true
 	j := c.jobs[id.Submission]
 	if j == nil {
 		return
@@ -218,7 +288,7 @@
 	for _, server := range asked {
 		a.pending[server] = max(a.pending[server]-1, 0)
 	}
-	c.placementNeeded = true
+	c.index.wake(st)
 	if err != nil {
 		c.log.Log(events.PolicyRequestFailed, "step", id.StepName(), "servers", len(asked), "error", err.Error())
 		a.retryAt = c.now.Add(policyRetryDelay)
@@ -232,8 +302,9 @@
 	a := &s.authorization
 	if a.tickets == nil {
 		a.tickets = make(map[string]ticketGrant)
-		a.denied = make(map[serverInstance]bool)
-		a.allowed = make(map[serverInstance]bool)
+	}
+	if len(tickets) > 0 {
+		a.validUntil = latest(a.validUntil, c.now.Add(validity))
 	}
 	learned := c.allowRateOf(s.job().queue.Name)
 	allowedNow := make(map[string]bool, len(tickets))
@@ -246,8 +317,7 @@
 		if srv == nil {
 			continue
 		}
-		key := srv.instanceKey()
-		if !a.allowed[key] {
+		if a.decisionOn(srv) != allowed {
 			hit := 0.0
 			if allowedNow[id] {
 				hit = 1
@@ -255,9 +325,9 @@
 			learned.rate += allowRateWeight * (hit - learned.rate)
 		}
 		if allowedNow[id] {
-			a.allowed[key] = true
+			a.decide(srv, allowed)
 		} else {
-			a.denied[key] = true
+			a.decide(srv, denied)
 		}
 	}
 }
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -104,9 +104,7 @@
 func (c *Core) backlogIn(key backlogKey, j *job) backlog {
 	x := &c.backlog
 	if indexed := len(c.queued) - len(x.recent); len(x.recent) > maxRecentSteps+indexed {
-		c.dropPlacedSteps()
-		c.sortQueued()
-		x.queueSorted()
+		c.sortQueue()
 	}
 	if x.stale {
 		c.indexBacklog()
--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		if _, ticketed := c.ticketFor(st, to); !ticketed {
-			if len(undecided) < maxCopyServers && !st.authorization.denied[to.instanceKey()] {
+			if len(undecided) < maxCopyServers && st.authorization.decisionOn(to) != denied {
 				undecided = append(undecided, to.info.ID)
 			}
 			continue
@@ -164,7 +164,7 @@
 func (c *Core) requestCopyTickets(s straggler, servers []string) {
 	st := s.attempt.task.step
 	terms := st.job().queue.Policy
-	if len(servers) == 0 || terms == nil || !c.mayRequest(st) || c.openRequests >= c.policyClients {
+	if len(servers) == 0 || terms == nil || c.openRequests >= c.policyClients || !c.mayRequest(st) {
 		return
 	}
 	cost := terms.DecisionTime + time.Duration(len(servers))*terms.TimePerServer
@@ -197,7 +197,7 @@
 func (c *Core) waitedFor(s *server, need workload.Resources) bool {
 	free := c.freeFor(nil, s)
 	for _, st := range c.queued {
-		if st.job().sub.Service != s.info.Service || !s.hasLabel(st.spec.Label) || st.authorization.denied[s.instanceKey()] {
+		if st.job().sub.Service != s.info.Service || !s.hasLabel(st.spec.Label) || st.authorization.decisionOn(s) == denied {
 			continue
 		}
 		waiting := st.unplacedTasks()
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -160,9 +160,35 @@
 	// openRequests counts the policy requests in flight; policyClients is the
 	// number of daemons that can send them.
 	openRequests, policyClients int
-	// heldForGangs is the capacity that the last placement pass held for gangs.
+	// heldForGangs is the capacity that is held for gangs, holders are the gangs, and
+	// holdRoom is how many others may try to hold some in place of what was released.
 	heldForGangs map[*server]workload.Resources
-	allowRates   map[string]*allowRate
+	holders      []*step
+	holdRoom     int
+	// index holds the queued steps in placement order, as sorted at sortedAt; wakeCursor
+	// is the block that was woken last without a cause.
+	index      queueIndex
+	sortedAt   time.Time
+	wakeCursor int
+	// delayed are the steps that are examined again at their wakeAt.
+	delayed []*step
+	// capWaiting holds, by tenant, the steps that wait until its cap allows more.
+	capWaiting map[string]*capQueue
+	// nearSteps are the steps of which tasks wait for slots near their place.
+	nearSteps []*step
+	// freed are the servers with freed capacity that steps were not examined for yet, and
+	// freedSeq counts such releases.
+	freed    []*server
+	freedSeq uint64
+	// instanceNumbers holds the numbers of the servers' instances.
+	instanceNumbers map[serverInstance]int
+	// pools holds the servers by service. It is renewed once serversChanged is set.
+	pools          map[string]*serverPool
+	serversChanged bool
+	// openBuffer, ticketedBuffer and forecastBuffer are reused by placement passes.
+	openBuffer, ticketedBuffer []*server
+	forecastBuffer             []forecast
+	allowRates                 map[string]*allowRate
 	// speeds is what is known of the servers' speeds, by service, and speedsReviewedAt is
 	// when that was last brought up to date.
 	speeds           map[string]*serviceSpeeds
@@ -214,6 +240,7 @@
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
 		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
+		heldForGangs: make(map[*server]workload.Resources), capWaiting: make(map[string]*capQueue), serversChanged: true, instanceNumbers: make(map[serverInstance]int),
 		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
 	}
 	c.memory.limit = bounds.MemoryBytes
@@ -385,6 +412,7 @@
 func (c *Core) Configure(config *routing.Configuration) {
 	c.config = config
 	c.tenants.ledger.Configure(config.Tenancy, c.now)
+	c.index.wakeAll()
 	c.placementNeeded = true
 	for _, j := range c.jobs {
 		if q, ok := config.Queue(j.sub.Queue); ok {
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -27,10 +27,6 @@
 	tickInterval = 50 * time.Millisecond
 	// eventCapacity limits the events queued for the Core.
 	eventCapacity = 4096
-	// placementPauseFactor: after a placement pass the next one waits this many
-	// times as long as the pass took. Passes over a long queue then leave most
-	// of the CPU time to orders and answers.
-	placementPauseFactor = 4
 	// candidatesInterval is the time between two looks at the candidates for witnesses.
 	candidatesInterval = time.Second
 	// maxEventBurst limits the events applied before actions are carried out.
@@ -247,10 +243,10 @@
 			e.withdrawUnstored()
 		}
 		e.core.SetStartRoom(e.orders.room())
-		waits := e.core.PlacementPending()
 		mayPlace := pacer.mayPlace()
+		made := mayPlace && e.core.PlacementPending()
 		actions := e.core.Finish(mayPlace)
-		pacer.roundDone(waits, mayPlace)
+		pacer.roundDone(made, e.core.PlacementPending())
 		e.execute(actions)
 		if e.core.Fenced() {
 			return partition.ErrFenced
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -25,6 +25,8 @@
 type forecast struct {
 	server *server
 	free   workload.Resources
+	// soon is the part of free that runs still use.
+	soon workload.Resources
 }
 
 // prepareGang handles a gang that cannot start now. It finds out which servers
@@ -32,16 +34,15 @@
 // later, and requests tickets once the capacity is free.
 func (p *placementPass) prepareGang(st *step, need int) {
 	if st.reserved != nil {
-		p.applyReservation(st)
 		return
 	}
 	forecasts := p.gangForecasts(st)
 	held, ready := p.planMembers(st, need, forecasts)
-	kept := p.holdCapacity(st, held)
+	p.holdCapacity(st, held)
 	switch {
 	case st.job().queue.Policy == nil:
 	case ready >= need:
-		p.requestGangTickets(st, held, kept)
+		p.requestGangTickets(st, held)
 	default:
 		p.discoverGangServers(st, need, forecasts)
 	}
@@ -49,14 +50,12 @@
 
 // requestGangTickets requests the tickets of a gang that lacks nothing else.
 // Its capacity is reserved from then on, whether or not it could be held.
-func (p *placementPass) requestGangTickets(st *step, held map[*server]int, kept bool) {
+func (p *placementPass) requestGangTickets(st *step, held map[*server]int) {
 	if !p.core.mayRequest(st) || st.hasOpenRequestFor(held) {
 		return
 	}
 	cost := p.core.sendRequest(st, serverIDs(held))
-	if p.reserve(st, held, cost) && !kept {
-		p.withhold(st, held)
-	}
+	p.reserve(st, held, cost)
 }
 
 // discoverGangServers asks about more servers: those with held capacity may
@@ -96,31 +95,39 @@
 // the one with the most expected capacity first.
 func (p *placementPass) gangForecasts(st *step) []forecast {
 	ranked := p.serverForecasts(st.job().sub.Service)
-	out := make([]forecast, 0, len(ranked))
-	avoidsSlow := p.avoidsSlow(st)
+	out := p.core.forecastBuffer[:0]
 	p.count.servers += len(ranked)
+	avoidsSlow := p.avoidsSlow(st)
 	for _, pr := range ranked {
-		if !pr.server.hasLabel(st.spec.Label) || avoidsSlow && pr.server.slow() || st.authorization.denied[pr.server.instanceKey()] {
+		if !pr.server.hasLabel(st.spec.Label) || avoidsSlow && pr.server.slow() || st.authorization.decisionOn(pr.server) == denied {
 			continue
 		}
-		out = append(out, forecast{pr.server, pr.free.Minus(p.held[pr.server])})
+		out = append(out, forecast{server: pr.server, free: pr.server.freeFor(st).Plus(pr.soon)})
 	}
+	p.core.forecastBuffer = out
 	return out
 }
 
-// serverForecasts lists a service's servers by expected free capacity. It is
-// computed once a pass.
+// serverForecasts lists a service's servers by expected free capacity. The list is a
+// few milliseconds old at most.
 func (p *placementPass) serverForecasts(service string) []forecast {
-	if ranked, ok := p.forecasts[service]; ok {
-		return ranked
+	c := p.core
+	pool := c.pools[service]
+	if pool == nil {
+		return nil
 	}
-	servers := p.servers(service)
-	ranked := make([]forecast, 0, len(servers))
-	for _, s := range servers {
-		ranked = append(ranked, forecast{s, s.expectedFree(p.core.now)})
+	if age := c.now.Sub(pool.forecastAt); len(pool.forecasts) == len(pool.usable) && age < time.Duration(len(pool.usable))*forecastTimePerServer && age >= 0 && !pool.changed {
+		return pool.forecasts
+	}
+	pool.forecastAt, pool.changed = c.now, false
+	p.count.servers += len(pool.usable)
+	ranked := pool.forecasts[:0]
+	for _, s := range pool.usable {
+		free := s.expectedFree(c.now)
+		ranked = append(ranked, forecast{s, free, free.Minus(s.free)})
 	}
 	slices.SortStableFunc(ranked, func(x, y forecast) int { return cmp.Compare(y.free.CPU, x.free.CPU) })
-	p.forecasts[service] = ranked
+	pool.forecasts = ranked
 	return ranked
 }
 
@@ -179,35 +186,30 @@
 }
 
 func (p *placementPass) isAllowed(st *step, s *server) bool {
-	return st.job().queue.Policy == nil || st.authorization.allowed[s.instanceKey()]
+	return st.job().queue.Policy == nil || st.authorization.decisionOn(s) == allowed
 }
 
-// holdCapacity withholds a gang's capacity from the steps that come later. It
-// reports false, and holds nothing, if that would exceed maxHeldCPU.
-func (p *placementPass) holdCapacity(st *step, members map[*server]int) bool {
-	cpu := st.memberCPU(members)
-	if p.heldCPU+cpu > p.maxHeldCPU(st) {
-		return false
+// holdCapacity withholds a gang's capacity from the steps that come later. It holds
+// nothing if that would exceed maxHeldCPU with what is held for gangs before it.
+func (p *placementPass) holdCapacity(st *step, members map[*server]int) {
+	c := p.core
+	if c.heldBefore(st)+st.memberCPU(members) > c.maxHeldCPU(st) {
+		st.holdRefused = true
+		c.dropHold(st)
+		return
 	}
-	p.heldCPU += cpu
-	p.withhold(st, members)
-	return true
+	c.hold(st, members, false)
+	c.dropLastHolds(st)
 }
 
 // maxHeldCPU returns the most CPU that may be held on the servers of the step's
 // service.
-func (p *placementPass) maxHeldCPU(st *step) int64 {
-	service := st.job().sub.Service
-	if most, ok := p.holdable[service]; ok {
-		return most
-	}
-	var sum int64
-	for _, s := range p.servers(service) {
-		sum += s.info.Capacity.CPU
-	}
-	most := int64(maxHeldFraction * float64(sum))
-	p.holdable[service] = most
-	return most
+func (c *Core) maxHeldCPU(st *step) int64 {
+	pool := c.pools[st.job().sub.Service]
+	if pool == nil {
+		return 0
+	}
+	return int64(maxHeldFraction * float64(pool.capacity))
 }
 
 // serversToQuery returns servers to ask about, enough that those allowed are
@@ -228,8 +230,8 @@
 		if len(out)+len(known) >= maxRequestServers || want <= 0 && len(out) >= least {
 			break
 		}
-		if st.authorization.allowed[pr.server.instanceKey()] {
-			if n := fitCount(st, pr.server, pr.server.free.Minus(p.held[pr.server])); n > 0 {
+		if st.authorization.decisionOn(pr.server) == allowed {
+			if n := p.availableSlots(st, pr.server); n > 0 {
 				want -= float64(n)
 				capacity += n
 				if st.authorization.pending[pr.server.info.ID] == 0 {
--- a/internal/scheduler/gangplace.go
+++ b/internal/scheduler/gangplace.go
@@ -53,6 +53,7 @@
 		return
 	}
 	st.reserved = nil
+	c.dropHold(st)
 	if present == 0 {
 		run = st.nextGangRun()
 		st.formationDeadline = c.formationDeadline()
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -72,12 +72,19 @@
 	spec       *workload.Step
 	tasks      []task
 	done       int
-	// queued is set while the step is in the Core's queue.
+	// queued is set while the step is in the Core's queue, and entry is its place there.
 	queued        bool
+	entry         queueEntry
 	authorization authorization
 	// reserved is the capacity reserved while a gang's tickets are requested,
 	// or nil.
 	reserved *reservation
+	// held is the capacity that is held for a gang, or nil. holdRefused is set if too much
+	// is held for others.
+	held        *gangHold
+	holdRefused bool
+	// wakeAt is when a delayed step is examined again.
+	wakeAt time.Time
 	// readyAt is when the last dependency was done.
 	readyAt time.Time
 	// waitingSince is when the step was queued first since all its tasks ran last.
@@ -97,6 +104,10 @@
 	groupRack string
 	// nearWaitSince is since when tasks wait for slots near their place; zero if none do.
 	nearWaitSince time.Time
+	// nearTasks counts them as of the last look at the step, and inNearSteps is set while
+	// the step is in the Core's nearSteps.
+	nearTasks   int
+	inNearSteps bool
 	// attemptsPerServer counts the step's attempts on each server.
 	attemptsPerServer map[*server]int
 }
--- a/internal/scheduler/near.go
+++ b/internal/scheduler/near.go
@@ -63,7 +63,7 @@
 		st.nearWaitSince = c.now
 	}
 	slots := p.nearSlotsOf(st)
-	n := p.nearWaiters[st.placeOf()]
+	n := p.nearBefore + st.nearTasks
 	if n >= len(slots) {
 		return false
 	}
@@ -73,10 +73,35 @@
 	if !task.Waits(slots[n]) {
 		return false
 	}
-	p.nearWaiters[st.placeOf()] = n + 1
+	c.noteNearTask(st)
 	return true
 }
 
+// noteNearTask counts a task of the step that waits for a slot near its place.
+func (c *Core) noteNearTask(st *step) {
+	if st.nearTasks++; !st.inNearSteps {
+		st.inNearSteps = true
+		c.nearSteps = append(c.nearSteps, st)
+	}
+}
+
+// nearTasksBefore counts the tasks that wait for slots near the place of a step, of steps
+// that come before it.
+func (c *Core) nearTasksBefore(st *step) int {
+	n, place := 0, st.placeOf()
+	c.nearSteps = slices.DeleteFunc(c.nearSteps, func(o *step) bool {
+		if o.inNearSteps = o.queued && o.nearTasks > 0; !o.inNearSteps && o != st {
+			return true
+		}
+		o.inNearSteps = true
+		if o != st && o.placeOf() == place && o.compareOrder(st) < 0 {
+			n += o.nearTasks
+		}
+		return false
+	})
+	return n
+}
+
 // timeLeft returns the part of the time to the job's target that the step may take.
 func (p *placementPass) timeLeft(st *step) time.Duration {
 	j, work := st.job(), st.work()
@@ -94,11 +119,9 @@
 		return p.nearSlots
 	}
 	p.nearFor, p.nearAt, p.nearSlots = st, p.core.now, p.nearSlots[:0]
-	if p.nearWaiters == nil {
-		p.nearWaiters = make(map[string]int)
-	}
+	p.nearBefore = p.core.nearTasksBefore(st)
 	need := st.spec.Reserved()
-	for _, s := range p.servers(st.job().sub.Service) {
+	for _, s := range p.core.usableServers(st.job().sub.Service) {
 		if !s.hasLabel(st.placeOf()) || !s.hasLabel(st.spec.Label) || s.slow() || s.trial != nil || !need.Fits(s.info.Capacity) ||
 			st.spec.MaxPerServer > 0 && st.attemptsPerServer[s] >= st.spec.MaxPerServer {
 			continue
@@ -118,7 +141,7 @@
 // beside what is held for gangs.
 func (p *placementPass) untilFree(st *step, s *server) (time.Duration, bool) {
 	c, need := p.core, st.spec.Reserved()
-	free := s.free.Minus(p.held[s])
+	free := s.freeFor(st)
 	runs := make([]delay.Run, 0, len(s.attempts))
 	memory := make([]delay.Run, 0, len(s.attempts))
 	for _, a := range s.attempts {
@@ -165,7 +188,7 @@
 		return open
 	}
 	out, added := slices.Clone(open), 0
-	for _, s := range p.servers(st.job().sub.Service) {
+	for _, s := range p.core.usableServers(st.job().sub.Service) {
 		if added < maxNearServers && s.hasLabel(place) && s.hasLabel(st.spec.Label) && !st.authorization.decided(s) && !slices.Contains(open, s) {
 			out = append(out, s)
 			added++
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -29,8 +29,10 @@
 
 // compare returns a negative number if a comes before b.
 func (a placementOrder) compare(b placementOrder) int {
-	return cmp.Or(cmp.Compare(a.notOverdue, b.notOverdue), cmp.Compare(a.excess, b.excess), cmp.Compare(a.priority, b.priority), cmp.Compare(a.late, b.late),
-		cmp.Compare(a.overShare, b.overShare), a.target.Compare(b.target), cmp.Compare(a.id, b.id))
+	if n := cmp.Or(a.notOverdue-b.notOverdue, a.excess-b.excess, a.priority-b.priority, a.late-b.late, a.overShare-b.overShare, a.target.Compare(b.target)); n != 0 {
+		return n
+	}
+	return cmp.Compare(a.id, b.id)
 }
 
 func (c *Core) placementOrderOf(st *step) placementOrder {
@@ -72,11 +74,10 @@
 
 func (c *Core) sortQueued() {
 	c.tenants.refreshShares()
-	keys := make(map[*step]placementOrder, len(c.queued))
 	for _, st := range c.queued {
-		keys[st] = c.placementOrderOf(st)
+		st.entry.order = c.placementOrderOf(st)
+	}
+	if !slices.IsSortedFunc(c.queued, (*step).compareOrder) {
+		slices.SortFunc(c.queued, (*step).compareOrder)
 	}
-	slices.SortFunc(c.queued, func(x, y *step) int {
-		return cmp.Or(keys[x].compare(keys[y]), cmp.Compare(x.index, y.index))
-	})
 }
--- a/internal/scheduler/pacer.go
+++ b/internal/scheduler/pacer.go
@@ -2,13 +2,16 @@
 
 import "time"
 
-// pacer spaces placement passes in proportion to the time that the last one
-// took.
+// placementPause is the time from a placement pass to the next one. Events that arrive
+// meanwhile share that pass: each pass looks at all servers once. It does not depend on the
+// length of a pass, which is bounded.
+const placementPause = 2 * time.Millisecond
+
+// pacer spaces placement passes.
 type pacer struct {
 	now   func() time.Time
 	timer *time.Timer
 	next  time.Time
-	began time.Time
 	// armed is set while the timer runs for a delayed pass.
 	armed bool
 }
@@ -20,23 +23,16 @@
 }
 
 // mayPlace reports whether a pass may start now.
-func (p *pacer) mayPlace() bool {
-	p.began = p.now()
-	return !p.began.Before(p.next)
-}
+func (p *pacer) mayPlace() bool { return !p.now().Before(p.next) }
 
-// roundDone records whether a pass was due and whether it was made. It arms the
-// timer for a pass that has to wait.
-func (p *pacer) roundDone(due, made bool) {
-	if !due {
-		return
-	}
+// roundDone records whether a pass was made. It arms the timer if a pass is pending
+// still: it had to wait, or the one that was made has not examined all that it should.
+func (p *pacer) roundDone(made, pending bool) {
 	now := p.now()
 	if made {
-		p.next = now.Add(placementPauseFactor * now.Sub(p.began))
-		return
+		p.next = now.Add(placementPause)
 	}
-	if !p.armed {
+	if pending && !p.armed {
 		p.armed = true
 		p.timer.Reset(p.next.Sub(now))
 	}
--- a/internal/scheduler/passcount.go
+++ b/internal/scheduler/passcount.go
@@ -14,10 +14,17 @@
 	passDone passEnd = "done"
 	// passStartRoom: no more starts can be sent now.
 	passStartRoom passEnd = "start_room"
+	// passBudget: the pass took as long as one may; the next one goes on.
+	passBudget passEnd = "budget"
 )
 
-// slowPass is the length from which a pass that placed nothing is logged.
-const slowPass = time.Millisecond
+const (
+	// slowPass is the length from which each pass is logged.
+	slowPass = time.Millisecond
+	// passLogInterval is the least time between the log lines of other passes, of which
+	// there are hundreds a second.
+	passLogInterval = 100 * time.Millisecond
+)
 
 // passCount is what placement passes examined and placed. A server counts once for each
 // step that it was examined for.
@@ -28,6 +35,8 @@
 	total passCount
 	// starts counts the tasks that were placed.
 	starts int
+	// loggedAt is when a pass was logged last.
+	loggedAt time.Time
 }
 
 // passEnded counts and logs a pass that took the given time.
@@ -41,7 +50,8 @@
 	m.placementSteps.Add(pass.steps)
 	m.placementServers.Add(pass.servers)
 	m.placementPlaced.Add(pass.placed)
-	if pass.placed > 0 || took >= slowPass {
+	if took >= slowPass || end == passBudget || pass.placed > 0 && c.now.Sub(n.loggedAt) >= passLogInterval {
+		n.loggedAt = c.now
 		c.log.Log(events.PlacementPass, "tookUS", took.Microseconds(), "queued", len(c.queued), "steps", pass.steps, "servers", pass.servers,
 			"placed", pass.placed, "end", string(end))
 	}
--- a/internal/scheduler/peakworld_test.go
+++ b/internal/scheduler/peakworld_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,11 +74,14 @@
 	// a placement while tasks were waiting and idle held. Both are counted from gapsFrom.
 	lastPlaced, gapsFrom time.Time
 	longestGap           time.Duration
-	// perSecond holds the placements by second, and idle the least use of CPU in it.
-	perSecond map[int]int
+	// tenants is set if submissions have tenants.
+	tenants bool
 	// closed keeps the number of open submissions constant.
 	closed bool
 	kindOf map[string]peakKind
+	// begun holds the submissions with a first start, and waits, by kind, the time to it.
+	begun map[string]bool
+	waits map[string][]time.Duration
 	// longestPass is the longest time that one pass took.
 	longestPass time.Duration
 }
@@ -130,7 +134,8 @@
 	h.answerAllPolls()
 	w := &peakWorld{
 		h: h, rng: rand.New(rand.NewPCG(1, 2)), costs: costs, speeds: speeds, ends: make(map[string]uint64), began: h.now, lastTick: h.now,
-		lastPlaced: h.now, perSecond: make(map[int]int), kindOf: make(map[string]peakKind),
+		lastPlaced: h.now, kindOf: make(map[string]peakKind),
+		begun: make(map[string]bool), waits: make(map[string][]time.Duration),
 	}
 	w.pacer = newPacer(func() time.Time { return w.h.now })
 	h.core.SetPolicyClientCount(peakClients)
@@ -163,6 +168,9 @@
 	}
 	id := fmt.Sprintf("%016x", w.submissions+4096)
 	sub := &workload.Submission{ID: id, Queue: k.name, Service: testService, Spec: "x", Steps: steps, Accepted: w.h.wall}
+	if w.tenants {
+		sub.Tenant = w.drawTenant()
+	}
 	w.kindOf[id] = k
 	j := newJob(sub, c.now)
 	j.stored = true
@@ -171,6 +179,30 @@
 	c.admit(j)
 }
 
+// peakTenants is the number of tenants. The first three send 0.3, 0.15 and 0.1 of the work, the
+// others the same part of the rest each.
+const peakTenants = 20
+
+// addTenants gives the submissions to come tenants, whose caps are 0.2 of the CPU each.
+func (w *peakWorld) addTenants() {
+	w.tenants = true
+	var all []routing.Tenant
+	for i := range peakTenants {
+		all = append(all, routing.Tenant{Name: fmt.Sprintf("t%02d", i), Weight: 4, Cap: cpuCap(peakServers * 64000 / 5)})
+	}
+	w.h.setTenants(all...)
+}
+
+func (w *peakWorld) drawTenant() string {
+	x := w.rng.Float64()
+	for i, part := range []float64{0.3, 0.15, 0.1} {
+		if x -= part; x < 0 {
+			return fmt.Sprintf("t%02d", i)
+		}
+	}
+	return fmt.Sprintf("t%02d", 3+w.rng.IntN(peakTenants-3))
+}
+
 // fill queues n submissions in the proportions of the sheet.
 func (w *peakWorld) fill(n int) {
 	total := 0.0
@@ -202,8 +234,8 @@
 	})
 }
 
-// allowed is the policy service's decision, which holds for the life of a step.
-func allowed(step string, server string, share float64) bool {
+// peakAllows is the policy service's decision, which holds for the life of a step.
+func peakAllows(step string, server string, share float64) bool {
 	f := fnv.New32a()
 	_, _ = f.Write([]byte(step + "/" + server))
 	return float64(f.Sum32()%1000) < share*1000
@@ -222,7 +254,7 @@
 	w.clients[first] = done
 	var tickets []Ticket
 	for _, s := range a.Servers {
-		if allowed(a.Step.StepName(), s, k.allowed) {
+		if peakAllows(a.Step.StepName(), s, k.allowed) {
 			tickets = append(tickets, Ticket{s, "t"})
 		}
 	}
@@ -232,8 +264,11 @@
 // start lets a server carry out a start: the run ends after its time.
 func (w *peakWorld) start(a StartTask) {
 	k := w.kindOf[a.Order.Task.Submission]
+	if j := w.h.core.jobs[a.Order.Task.Submission]; j != nil && !w.begun[j.sub.ID] {
+		w.begun[j.sub.ID] = true
+		w.waits[k.name] = append(w.waits[k.name], w.h.now.Sub(j.accepted))
+	}
 	w.placed++
-	w.perSecond[int(w.elapsed()/time.Second)]++
 	w.inFlight++
 	w.at(w.h.now.Add(peakTrip), func(c *Core) {
 		w.inFlight--
@@ -285,7 +320,7 @@
 		w.longestPass = max(w.longestPass, cost)
 		w.charge(cost)
 	}
-	w.pacer.roundDone(waits, mayPlace)
+	w.pacer.roundDone(waits && mayPlace, c.PlacementPending())
 	w.carryOut(actions)
 }
 
@@ -345,6 +380,19 @@
 	}
 }
 
+// logWaits logs the times to the first starts since the last call.
+func (w *peakWorld) logWaits() {
+	w.h.t.Helper()
+	for _, k := range peakKinds {
+		waits := w.waits[k.name]
+		slices.Sort(waits)
+		if n := len(waits); n > 0 {
+			w.h.t.Logf("%s: %d first starts, after %s in the median, 95%% within %s", k.name, n, waits[n/2].Round(time.Millisecond), waits[n*95/100].Round(time.Millisecond))
+		}
+		w.waits[k.name] = nil
+	}
+}
+
 // run lets the world go on for d.
 func (w *peakWorld) run(d time.Duration) {
 	for until := w.h.now.Add(d); w.h.now.Before(until); {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,59 +1,105 @@
 package scheduler
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
+	"github.com/currantwinch/currantwinch/placement/speed"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// runPlacement goes through the queued steps in placement order and places what
-// fits.
+const (
+	// sortTimePerStep: the queue is sorted again at the earliest this long after the last
+	// time for each queued step, so that sorting, which takes about a two-hundredth of that,
+	// does not dominate behind a long queue. Steps queued meanwhile are inserted. After
+	// maxSortInterval it is sorted whatever its length, since shares and lateness change.
+	sortTimePerStep = 50 * time.Microsecond
+	maxSortInterval = 200 * time.Millisecond
+	// alwaysSorted is the length up to which the queue is sorted for each pass.
+	alwaysSorted = 64
+	// forecastTimePerServer: forecasts are renewed at the earliest this long after the last
+	// time for each server, since each looks at every run.
+	forecastTimePerServer = 70 * time.Microsecond
+	// retryInterval is when a step is examined again that waits for what no event reports.
+	retryInterval = 50 * time.Millisecond
+	// maxGangInterval is when a gang that waits for capacity is planned anew at the latest,
+	// since what is expected to be free soon changes with time alone. With few such gangs
+	// it is gangTime for each, since a plan looks at all servers.
+	maxGangInterval = 400 * time.Millisecond
+	gangTime        = time.Millisecond
+	// gangQueuePart: a gang that holds nothing is examined for single servers as often as
+	// if one step in so many were such a gang.
+	gangQueuePart = 8
+	// maxPassWork bounds a pass, so that polls and answers are handled in between. It is
+	// in units of about a nanosecond on one core: a tenth of a core takes 20 ms for it.
+	maxPassWork = 2_000_000
+	// stepWork, serverWork and startWork are the work of examining a step, of examining a
+	// server for it, and of a start with its order.
+	stepWork   = 1000
+	serverWork = 40
+	startWork  = 10_000
+	// maxFreedPerStep bounds the servers with freed capacity for which a step is looked
+	// up before the next step is examined.
+	maxFreedPerStep = 8
+)
+
+// runPlacement examines the queued steps that something has changed for, in placement
+// order, and places what fits. If the pass ends before all are examined, the next one goes on.
 func (c *Core) runPlacement() {
 	if c.config == nil || !c.mayStartTasks() {
 		return
 	}
 	// The pass is measured by the real clock; no decision depends on it.
 	began := time.Now()
-	c.dropPlacedSteps()
-	c.sortQueued()
-	p := &placementPass{
-		core: c, held: make(map[*server]workload.Resources), heldBefore: c.heldForGangs, usable: make(map[string][]*server),
-		holdable: make(map[string]int64), maxFree: make(map[string]workload.Resources), forecasts: make(map[string][]forecast),
+	if len(c.queued) <= alwaysSorted || c.now.Sub(c.sortedAt) >= min(time.Duration(len(c.queued))*sortTimePerStep, maxSortInterval) {
+		c.sortQueue()
 	}
-	p.applyReservations(c.queued)
+	p := &placementPass{core: c, maxFree: make(map[string]workload.Resources)}
+	c.noticeFreed()
+	c.wakeDelayed()
+	c.checkHolds()
 	c.startsHeld = false
 	placed := c.placement.starts
 	end := passDone
-	for _, st := range c.queued {
+	for {
+		p.wakeForFreed()
+		c.wakeForCaps()
+		st := p.next()
+		if st == nil {
+			break
+		}
 		if c.startRoom <= 0 {
 			c.holdStarts()
 			end = passStartRoom
 			break
 		}
-		p.count.steps++
-		switch {
-		case !p.worthTrying(st):
-		case c.mayStart(st):
-			p.place(st)
-		default:
-			p.requestAhead(st)
+		if p.work(c.placement.starts-placed) > maxPassWork {
+			c.placementNeeded = true
+			end = passBudget
+			break
 		}
+		p.examine(st)
 	}
-	c.heldForGangs = p.held
-	c.dropPlacedSteps()
-	c.backlog.queueSorted()
 	p.count.placed = c.placement.starts - placed
 	c.placement.passEnded(c, p.count, end, time.Since(began))
 }
 
+// sortQueue drops the steps without tasks to place from the queue and sorts it.
+func (c *Core) sortQueue() {
+	c.sortedAt = c.now
+	c.dropPlacedSteps()
+	c.sortQueued()
+	c.index.rebuild(c.queued)
+	c.sortCapQueues()
+	c.backlog.queueSorted()
+}
+
 // dropPlacedSteps removes steps without tasks to place from the queue.
 func (c *Core) dropPlacedSteps() {
 	kept := c.queued[:0]
 	for _, st := range c.queued {
 		if st.job().ending != "" || st.unplacedTasks() == 0 {
 			st.queued = false
+			st.entry.block = nil
 			continue
 		}
 		kept = append(kept, st)
@@ -68,62 +114,220 @@
 	return j.stored && (!j.inherited || c.recovered) && c.startsHere(j)
 }
 
-// placementPass is one pass of placement over the queue.
+// placementPass is one pass of placement over the steps that something has changed for.
 type placementPass struct {
 	core *Core
-	// held is the capacity held for gangs that are not placed yet, and
-	// heldBefore that of the previous pass.
-	held, heldBefore map[*server]workload.Resources
-	heldCPU          int64
-	// reservedCPU is the CPU of all reservations, in thousandths of a core.
-	reservedCPU int64
-	// holdable is the most CPU that may be held, by service.
-	holdable map[string]int64
 	// maxFree caches maxFreeOf by service.
 	maxFree map[string]workload.Resources
-	// forecasts caches serverForecasts by service.
-	forecasts map[string][]forecast
 	// choice is the speedChoice of the step choiceFor at the time choiceAt.
 	choice    speedChoice
 	choiceFor *step
 	choiceAt  time.Time
 	// nearSlots are the slots expected near the place of the step nearFor at the time nearAt,
-	// and nearWaiters counts the tasks that wait for such slots, by place.
-	nearSlots   []time.Duration
-	nearFor     *step
-	nearAt      time.Time
-	nearWaiters map[string]int
-	// usable caches the servers that accept tasks, by service.
-	usable map[string][]*server
-	count  passCount
+	// and nearBefore counts the tasks of steps before it that wait for them.
+	nearSlots  []time.Duration
+	nearBefore int
+	nearFor    *step
+	nearAt     time.Time
+	count      passCount
+}
+
+// work returns the work of the pass so far.
+func (p *placementPass) work(placed int) int {
+	return stepWork*p.count.steps + serverWork*p.count.servers + startWork*placed
+}
+
+var (
+	wakeReasonsAlways = []wakeReason{wakeNow}
+	wakeReasonsClient = []wakeReason{wakeNow, wakeOnClient}
+	wakeReasonsHold   = []wakeReason{wakeOnHold}
+)
+
+// next returns the next step to examine, or nil.
+func (p *placementPass) next() *step {
+	c := p.core
+	for c.holdRoom > 0 {
+		c.holdRoom--
+		if st := c.index.first(wakeReasonsHold); st != nil {
+			c.index.setWaits(st, wakeNow)
+		}
+	}
+	if c.openRequests < c.maxOpenRequests() {
+		return c.index.first(wakeReasonsClient)
+	}
+	return c.index.first(wakeReasonsAlways)
+}
+
+// examine places what fits of a step and notes what it waits for after that.
+func (p *placementPass) examine(st *step) {
+	c := p.core
+	p.count.steps++
+	st.entry.wantsClient, st.entry.cappedNow = false, false
+	c.index.setWaits(st)
+	if st.job().ending != "" || st.unplacedTasks() == 0 {
+		c.dropHold(st)
+		return
+	}
+	st.holdRefused, st.nearTasks = false, 0
+	if st.held != nil {
+		st.held.renewed = false
+	}
+	if p.worthTrying(st) && !c.onlyLacksClient(st) {
+		if c.mayStart(st) {
+			p.place(st)
+		} else {
+			p.requestAhead(st)
+		}
+	}
+	if st.held != nil && !st.held.renewed && st.reserved == nil {
+		c.dropHold(st)
+	}
+	p.noteWaits(st)
+	// What the step itself has released does not help it.
+	st.entry.examinedAt = c.freedSeq
+}
+
+// noteWaits notes what an examined step waits for.
+func (p *placementPass) noteWaits(st *step) {
+	c := p.core
+	if st.unplacedTasks() == 0 {
+		c.dropHold(st)
+		return
+	}
+	if c.startRoom <= 0 {
+		c.index.setWaits(st, wakeNow)
+		return
+	}
+	if st.entry.cappedNow && c.heldByCap(st) {
+		c.waitForCap(st)
+		return
+	}
+	c.noteDelay(st)
+	a := &st.authorization
+	unanswered := st.job().queue.Policy != nil && a.openRequests > 0 && len(a.tickets) == 0
+	switch {
+	case !c.mayStart(st):
+		if st.entry.wantsClient {
+			c.index.setWaits(st, wakeOnClient)
+		}
+	case st.entry.wantsClient && (len(a.tickets) == 0 || st.spec.Gang):
+		c.index.setWaits(st, wakeOnClient)
+	case st.entry.wantsClient:
+		c.index.setWaits(st, wakeOnClient, wakeOnCapacity)
+	case unanswered:
+	case st.holdRefused:
+		c.index.setWaits(st, wakeOnHold)
+	case st.held == nil:
+		st.entry.gangAfter = c.now.Add(gangInterval(len(c.queued) / gangQueuePart))
+		c.index.setWaits(st, wakeOnCapacity)
+	}
+}
+
+// noteDelay sets when a step is examined again although no event reports that it should be.
+func (c *Core) noteDelay(st *step) {
+	var at time.Time
+	by := func(t time.Time) {
+		if t.After(c.now) && (at.IsZero() || t.Before(at)) {
+			at = t
+		}
+	}
+	by(st.authorization.retryAt)
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if !t.needsPlacement() {
+			continue
+		}
+		by(t.retryAt)
+		if t.crashes.Suspect() {
+			by(c.now.Add(retryInterval))
+		}
+	}
+	if st.job().stored && !c.mayStart(st) {
+		by(c.now.Add(retryInterval))
+	}
+	if c.speedsOf(st.job().sub.Service).slow > 0 {
+		by(st.readyAt.Add(speed.SlowWait(st.work())))
+	}
+	if st.nearTasks > 0 {
+		by(c.now.Add(retryInterval))
+	}
+	if st.spec.Gang && st.held == nil && !st.holdRefused && !st.entry.wantsClient {
+		by(c.now.Add(gangInterval(len(c.delayed) + 1)))
+	}
+	if at.IsZero() {
+		return
+	}
+	st.wakeAt = at
+	if !st.entry.delayed {
+		st.entry.delayed = true
+		c.delayed = append(c.delayed, st)
+	}
 }
 
-func (p *placementPass) servers(service string) []*server {
-	list, ok := p.usable[service]
-	if ok {
-		return list
-	}
-	for _, s := range p.core.servers {
-		if s.info.Service == service && s.stored && s.usable(p.core.now) {
-			list = append(list, s)
+// gangInterval returns how often each of n gangs is planned.
+func gangInterval(n int) time.Duration { return min(time.Duration(n)*gangTime, maxGangInterval) }
+
+// wakeDelayed wakes the delayed steps whose time has come.
+func (c *Core) wakeDelayed() {
+	kept := c.delayed[:0]
+	for _, st := range c.delayed {
+		if st.queued && c.now.Before(st.wakeAt) {
+			kept = append(kept, st)
+			continue
 		}
+		st.entry.delayed = false
+		c.index.wake(st)
 	}
-	slices.SortFunc(list, func(x, y *server) int { return cmp.Compare(x.info.ID, y.info.ID) })
-	p.usable[service] = list
-	return list
+	clear(c.delayed[len(kept):])
+	c.delayed = kept
+}
+
+// wakeJob lets the next pass examine all steps of a job.
+func (c *Core) wakeJob(j *job) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			c.index.wake(st)
+		}
+	}
+	c.placementNeeded = true
+}
+
+// wakeNextBlock lets the next pass examine some steps, others each time: a step that has
+// missed what it waits for does not wait for ever.
+func (c *Core) wakeNextBlock() {
+	if len(c.index.blocks) == 0 {
+		return
+	}
+	c.wakeCursor = (c.wakeCursor + 1) % len(c.index.blocks)
+	c.index.wakeWaiting(c.index.blocks[c.wakeCursor])
 }
 
 // worthTrying is a cheap check of whether a scan of all servers can help the
 // step: a gang may hold capacity below the limit; a single task needs a server with
 // enough free capacity and either a ticket or a request that may be sent.
 func (p *placementPass) worthTrying(st *step) bool {
-	if st.spec.Gang && (st.reserved != nil || p.heldCPU < p.maxHeldCPU(st)) {
+	c := p.core
+	if st.spec.Gang && (st.reserved != nil || c.heldBefore(st) < c.maxHeldCPU(st)) {
 		return true
 	}
 	if st.authorization.openRequests > 0 && len(st.authorization.tickets) == 0 {
 		return false
 	}
-	return st.spec.Reserved().Fits(p.maxFreeOf(st.job().sub.Service))
+	if st.spec.Reserved().Fits(p.maxFreeOf(st.job().sub.Service)) {
+		return true
+	}
+	st.holdRefused = st.spec.Gang
+	return false
+}
+
+// onlyLacksClient reports whether nothing of the step can start or be held, since it needs
+// an answer of the policy service first and no client is free.
+func (c *Core) onlyLacksClient(st *step) bool {
+	a := &st.authorization
+	if st.job().queue.Policy == nil || a.openRequests > 0 || st.spec.Gang && len(a.decisions) > 0 || c.now.Add(ticketMargin).Before(a.validUntil) {
+		return false
+	}
+	return !c.mayRequest(st) && st.entry.wantsClient
 }
 
 // maxFreeOf returns, for each resource, the most that any server of the service
@@ -134,7 +338,7 @@
 		return most
 	}
 	var most workload.Resources
-	for _, s := range p.servers(service) {
+	for _, s := range p.core.usableServers(service) {
 		most.CPU = max(most.CPU, s.free.CPU)
 		most.MemoryMB = max(most.MemoryMB, s.free.MemoryMB)
 		most.GPU = max(most.GPU, s.free.GPU)
@@ -143,22 +347,13 @@
 	return most
 }
 
-// candidates returns the servers that match the step's label, whatever their
-// free capacity, without slow ones that the step does not use yet.
-func (p *placementPass) candidates(st *step) []*server {
-	var out []*server
-	avoidsSlow := p.avoidsSlow(st)
-	for _, s := range p.servers(st.job().sub.Service) {
-		if s.hasLabel(st.spec.Label) && !(avoidsSlow && s.slow()) {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
 // fitCount returns how many more tasks of the step fit on s, given its free
 // capacity.
 func fitCount(st *step, s *server, free workload.Resources) int {
+	need := st.spec.Reserved()
+	if !need.Fits(free) {
+		return 0
+	}
 	if s.trial != nil && !(st.spec.Gang && s.trial.step == st) {
 		return 0
 	}
@@ -169,13 +364,13 @@
 	if limit <= 0 {
 		return 0
 	}
-	return st.spec.Reserved().FitCount(free, limit)
+	return need.FitCount(free, limit)
 }
 
 // availableSlots returns how many more tasks of the step fit on s beside the
 // capacity held for steps that come first.
 func (p *placementPass) availableSlots(st *step, s *server) int {
-	return fitCount(st, s, s.free.Minus(p.held[s]))
+	return fitCount(st, s, s.freeFor(st))
 }
 
 func (p *placementPass) place(st *step) {
@@ -202,21 +397,31 @@
 	p.requestTickets(st, len(st.tasks), open)
 }
 
-// serversWithCapacity lists the servers with capacity for the step, those among
-// them with a valid ticket, and how many of its tasks fit on the latter.
+// serversWithCapacity lists the servers with capacity for the step, without slow ones
+// that it does not use yet, those among them with a valid ticket, and how many of its
+// tasks fit on the latter. The lists are valid until the next call.
 func (p *placementPass) serversWithCapacity(st *step) (open, ticketed []*server, slots int) {
-	for _, s := range p.candidates(st) {
-		p.count.servers++
+	c := p.core
+	open, ticketed = c.openBuffer[:0], c.ticketedBuffer[:0]
+	need := st.spec.Reserved()
+	servers := c.usableServers(st.job().sub.Service)
+	p.count.servers += len(servers)
+	avoidsSlow := p.avoidsSlow(st)
+	for _, s := range servers {
+		if !need.Fits(s.free) || avoidsSlow && s.slow() || !s.hasLabel(st.spec.Label) {
+			continue
+		}
 		n := p.availableSlots(st, s)
 		if n == 0 {
 			continue
 		}
 		open = append(open, s)
-		if _, ok := p.core.ticketFor(st, s); ok {
+		if _, ok := c.ticketFor(st, s); ok {
 			ticketed = append(ticketed, s)
 			slots += n
 		}
 	}
+	c.openBuffer, c.ticketedBuffer = open, ticketed
 	return open, ticketed, slots
 }
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -343,6 +343,7 @@
 	c.checkForwards()
 	c.expireFinalStates()
 	if len(c.queued) > 0 {
+		c.wakeNextBlock()
 		c.placementNeeded = true
 	}
 }
--- a/internal/scheduler/prefer.go
+++ b/internal/scheduler/prefer.go
@@ -37,5 +37,5 @@
 	return a.free.CPU < b.free.CPU
 }
 
-// heldInLastPass reports whether the last pass held capacity of s for a gang.
-func (p *placementPass) heldInLastPass(s *server) bool { return p.heldBefore[s].CPU > 0 }
+// heldInLastPass reports whether capacity of s is held for a gang.
+func (p *placementPass) heldInLastPass(s *server) bool { return p.core.heldForGangs[s].CPU > 0 }
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -178,5 +178,7 @@
 	s.recordedAddress = kept.Address
 	s.waitedBefore, s.waitRecorded = c.waitedBefore[id]
 	c.servers[id] = s
+	c.serversChanged = true
+	c.numberInstance(s)
 	return nil
 }
--- a/internal/scheduler/reroute.go
+++ b/internal/scheduler/reroute.go
@@ -131,7 +131,7 @@
 		}
 	}
 	c.write([]partition.Record{recordOf(keyAccepted, sub.ID, &sub)}, nil)
-	c.placementNeeded = true
+	c.wakeJob(j)
 	c.log.Log(events.SubmissionRerouted, "id", sub.ID, "queue", sub.Queue, "service", service)
 }
 
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -81,7 +81,7 @@
 		}
 		now, later := 0, 0
 		for _, s := range c.servers {
-			if s.info.Service != service || !s.hasLabel(n.Label) || st != nil && st.authorization.denied[s.instanceKey()] {
+			if s.info.Service != service || !s.hasLabel(n.Label) || st != nil && st.authorization.decisionOn(s) == denied {
 				continue
 			}
 			if s.capable(c.now) {
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -46,6 +46,16 @@
 	// free is the capacity that no attempt has reserved.
 	free     workload.Resources
 	attempts map[runKey]*attempt
+	// seenFree is the free capacity that placement passes have seen, or what is left of it.
+	// freedAt is the Core's freedSeq when more became free, and inFreed is set until the
+	// steps that wait for capacity were examined for it.
+	seenFree workload.Resources
+	freedAt  uint64
+	inFreed  bool
+	// holds is the capacity that is held for gangs.
+	holds []serverHold
+	// instanceNumber is the Core's number of the instance that info describes.
+	instanceNumber int
 	// departsAt is the earliest time at which a draining server may shut down;
 	// zero if it gave none.
 	departsAt time.Time
@@ -187,6 +197,7 @@
 	s.free = s.free.Minus(a.need)
 	sub := a.task.step.job().sub
 	s.usage.Reserve(sub.Tenant, a.need, sub.Excess)
+	s.seenFree = s.seenFree.Minus(a.need)
 }
 
 // release removes an attempt from the server and frees its capacity.
--- a/internal/scheduler/serverlist.go
+++ b/internal/scheduler/serverlist.go
@@ -8,7 +8,7 @@
 
 // SetServers applies the platform's server list, which must be complete.
 func (c *Core) SetServers(list []ServerInfo) {
-	c.listRead = true
+	c.listRead, c.serversChanged = true, true
 	listed := make(map[string]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
@@ -51,6 +51,7 @@
 		s.departsAt = c.now.Add(info.Remaining)
 	}
 	s.info, s.listed = info, true
+	c.numberInstance(s)
 	if shrunk {
 		c.withdrawUnconfirmed(s)
 	}
@@ -84,6 +85,7 @@
 		c.markLost(a, lossServerLeft)
 	}
 	delete(c.servers, s.info.ID)
+	c.serversChanged = true
 	delete(c.exposed, s.info.ID)
 	if s.stored {
 		c.write([]partition.Record{tombstone(keyServer, s.info.ID)}, nil)
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -171,7 +171,7 @@
 		c.reply(reply, Reply{})
 	}
 	j.waiters = nil
-	c.placementNeeded = true
+	c.wakeJob(j)
 }
 
 // assignQueue sets a job's queue and the statistics of that queue's run times.
@@ -204,7 +204,15 @@
 
 // enqueue queues a step if it is ready and has tasks to place.
 func (c *Core) enqueue(s *step) {
-	if s.queued || s.done == len(s.tasks) || s.job().ending != "" || !s.ready() {
+	if s.queued {
+		if s.waitingSince.IsZero() {
+			s.waitingSince = c.now
+		}
+		c.index.wake(s)
+		c.placementNeeded = true
+		return
+	}
+	if s.done == len(s.tasks) || s.job().ending != "" || !s.ready() {
 		return
 	}
 	if s.readyAt.IsZero() {
@@ -214,7 +222,9 @@
 		s.waitingSince = c.now
 	}
 	s.queued = true
+	s.entry = queueEntry{order: c.placementOrderOf(s), waits: 1 << wakeNow, delayed: s.entry.delayed, capWaiting: s.entry.capWaiting}
 	c.queued = append(c.queued, s)
+	c.index.insert(s)
 	c.backlog.recent = append(c.backlog.recent, s)
 	c.placementNeeded = true
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -81,7 +81,7 @@
 		c.reply(reply, Reply{})
 	}
 	j.waiters = nil
-	c.placementNeeded = true
+	c.wakeJob(j)
 }
 
 // takeOverRejected drops a submission that the log does not accept. The partition that
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -74,6 +74,7 @@
 	}
 	t.attributeCapacity()
 	if t.yieldsToGang(name, st) {
+		st.entry.cappedNow = true
 		t.noteHeld(name, st.id().StepName())
 		return 0
 	}
@@ -84,6 +85,7 @@
 		}
 		return n
 	}
+	st.entry.cappedNow = true
 	t.noteHeld(name, st.id().StepName())
 	if !st.spec.Gang {
 		return allowed
