A gang with room under its cap keeps no work of its tenant waiting

A gang that had waited for its cap and then waited for something else, such as a backoff after a failed run, went on keeping that room from the tenant's later steps, since it was not examined for its cap meanwhile.

--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -121,7 +121,10 @@
 		return false
 	}
 	waiting := gang.unplacedTasks()
-	if !gang.queued || waiting == 0 || gang.job().ending != "" || t.ledger.MostAtOnce(name, gang.spec.Reserved(), waiting) < waiting {
+	need := gang.spec.Reserved()
+	over := !gang.queued || waiting == 0 || gang.job().ending != "" || t.ledger.MostAtOnce(name, need, waiting) < waiting
+	if over || t.ledger.Allows(name, need, waiting) == waiting {
+		// If it has room and does not start, it waits for something else.
 		delete(t.gangs, name)
 		return false
 	}
--- a/internal/scheduler/tenants_test.go
+++ b/internal/scheduler/tenants_test.go
@@ -47,6 +47,15 @@
 	return reply
 }
 
+// runOneAs submits one task of a tenant, confirms its start, and returns the start.
+func (h *harness) runOneAs(tenant, id string, cpu int64) StartTask {
+	h.t.Helper()
+	h.submitAs(tenant, id, stepOf(1, cpu))
+	start := h.takeStarts()[0]
+	h.confirmStart(start)
+	return start
+}
+
 func stepOf(count int, cpu int64) workload.Step {
 	return workload.Step{Count: count, Need: workload.Resources{CPU: cpu, MemoryMB: 100}, Estimate: time.Second}
 }
@@ -201,6 +210,30 @@
 	}
 }
 
+// A gang that waited for its cap may then wait for something else, such as the end of a
+// backoff. It must not keep the tenant's other work waiting with it.
+func TestCore_GangWithRoomUnderTheCapHoldsNothingBack(t *testing.T) {
+	h := newHarness(t, 2)
+	h.answerAllPolls()
+	h.setTenants(capped("a", 12_000))
+	running := h.runOneAs("a", id1, 4000)
+	h.submitAs("a", id2, gangOf(3, 4000))
+	h.advance(time.Millisecond)
+	h.submitAs("a", tenantID(9), stepOf(2, 4000))
+	if got := len(h.takeStarts()); got != 0 {
+		t.Fatalf("%d starts behind a gang that waits for room under the cap, want 0", got)
+	}
+	gang := h.core.jobs[id2].occurrences[0].steps[0]
+	for i := range gang.tasks {
+		gang.tasks[i].retryAt = h.now.Add(time.Hour)
+	}
+	h.advance(time.Second)
+	h.endRun(running, workload.EndDone, 1)
+	if got := len(h.takeStarts()); got != 2 {
+		t.Errorf("%d starts beside a gang that has room and waits for a backoff, want 2", got)
+	}
+}
+
 // A gang that can never run whole would be accepted and wait for ever.
 func TestCore_RefusesGangThatCanNeverRunUnderTheCap(t *testing.T) {
 	h := newHarness(t, 3)
