--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -137,9 +137,7 @@
 	}
 	a.state = stopping
 	a.answeredAt = time.Time{}
-	if c.tenants.faults.forgetStops {
-		c.tenants.ledger.Release(a.task.step.job().sub.Tenant, a.need, false)
-	}
+	c.tenants.stopping(a)
 	c.emit(StopTask{To: a.server.instance(), Order: c.order(a)})
 }
 
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -131,6 +131,13 @@
 	return t.core.placementOrderOf(gang).compare(t.core.placementOrderOf(st)) < 0
 }
 
+// stopping is called when an attempt is being stopped. It counts until its end is certain.
+func (t *tenants) stopping(a *attempt) {
+	if t.faults.forgetStops {
+		t.ledger.Release(a.task.step.job().sub.Tenant, a.need, false)
+	}
+}
+
 // attributeCapacity counts the capacity on which runs may be that cannot be attributed:
 // that of servers of earlier owners which have not listed their runs, and of servers that
 // list runs of unknown submissions.
