Excess leaves a quarter of the owner's memory to other submissions

A tenant that sends beyond its rate could fill the budget for submissions, so that those of all others were refused (memory_budget). Its excess is refused from three quarters on. The new test and the memory and tenant tests of the scheduler pass.

--- a/internal/scheduler/memory.go
+++ b/internal/scheduler/memory.go
@@ -134,16 +134,17 @@
 // checkMemory decides whether a submission is refused because the owner may not hold it.
 func (c *Core) checkMemory(j *job) (Reply, bool) {
 	m, need := &c.memory, j.reservedBytes()
-	if m.limit <= 0 || m.reserved+need <= m.limit {
+	limit := c.tenants.memoryLimit(j, m.limit)
+	if m.limit <= 0 || m.reserved+need <= limit {
 		return Reply{}, false
 	}
 	if need > m.limit {
 		return tooLarge(fmt.Sprintf("%d bytes in memory, at most %d", need, m.limit)), true
 	}
-	if c.measureMemory(); m.reserved+need <= m.limit {
+	if c.measureMemory(); m.reserved+need <= limit {
 		return Reply{}, false
 	}
 	after := spread(maxQueueRetryAfter, j.sub.ID)
-	detail := fmt.Sprintf("%d bytes beside the %d of what was accepted, at most %d", need, m.reserved, m.limit)
+	detail := fmt.Sprintf("%d bytes beside the %d of what was accepted, at most %d", need, m.reserved, limit)
 	return Reply{Outcome: OutcomeRefused, Reason: "memory_budget", Detail: detail, RetryAfterMS: after.Milliseconds()}, true
 }
--- a/internal/scheduler/tenantshare.go
+++ b/internal/scheduler/tenantshare.go
@@ -63,6 +63,18 @@
 	return max(cores(t.ledger.ExcessUse().CPU)+free, minExcessCores)
 }
 
+// excessMemory is the part of the memory for submissions that may be in use when excess is
+// accepted. The rest is for submissions within their tenants' rates.
+const excessMemory = 0.75
+
+// memoryLimit returns how much of a budget may be in use with a job.
+func (t *tenants) memoryLimit(j *job, budget int64) int64 {
+	if t.inExcess(j) {
+		return int64(excessMemory * float64(budget))
+	}
+	return budget
+}
+
 // excessPriority is above the priority of all queues. It is that of excess in the count of
 // open tasks.
 const excessPriority = 1 << 20
--- a/internal/scheduler/tenantshare_test.go
+++ b/internal/scheduler/tenantshare_test.go
@@ -121,3 +121,31 @@
 		t.Errorf("expected time once all 8 fit under the cap: %v, want %v", got, want)
 	}
 }
+
+// A tenant that fills the owner's memory with excess must not make the submissions of other
+// tenants be refused for want of it.
+func TestCore_ExcessLeavesMemoryForOthers(t *testing.T) {
+	h := newHarness(t, 1)
+	h.bounds.ShareWindow, h.bounds.MemoryBytes = time.Second, megabyte
+	h.takeOver()
+	h.answerAllPolls()
+	h.setTenants(routing.Tenant{Name: "a", Weight: 1}, routing.Tenant{Name: "b", Weight: 100})
+	h.do(func(c *Core) { c.SetServers(nil) })
+	n := 0
+	for ; n < 5000; n++ {
+		if got := h.submitAs("a", tenantID(n), stepOf(10, 4000)); got.Outcome != OutcomeDone {
+			if got.Reason != "memory_budget" {
+				t.Fatalf("submission %d: %+v, want it refused for its memory", n, got)
+			}
+			break
+		}
+	}
+	if n < 10 || n == 5000 {
+		t.Fatalf("%d submissions accepted, want some and then a refusal", n)
+	}
+	for i := range n / 5 {
+		if got := h.submitAs("b", tenantID(10_000+i), stepOf(10, 4000)); got.Outcome != OutcomeDone {
+			t.Fatalf("submission %d of another tenant, beside %d of excess: %+v, want it accepted", i, n, got)
+		}
+	}
+}
