check-config: a platform configuration is checked before it is published

Cause: a mistake in a configuration took effect on all daemons at once, and nothing said what a new version changes.

Change: currantwinch check-config FILE [--in-force FILE] [--json] reads the file by decodeConfigMessage, which the daemons use too, and names what is unreadable with its path; routes that get no request or lead to no listed service, tenants without keys, keys and names that occur twice, weights that sum to 0, amounts below 0, a body limit above what the smallest VM holds; and the changes against the version in force. Nothing is sent and no key is printed. Exit codes: 0 nothing found, 1 warnings, 2 not accepted by the daemons. A cap smaller than an admitted task is not checked: a configuration names no sizes of tasks.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,22 +33,23 @@
 type root struct {
 	Globals
 
-	Publish    publishCommand    `cmd:"" help:"Publish a document."`
-	Withdraw   withdrawCommand   `cmd:"" help:"Withdraw a service's document."`
-	Diff       diffCommand       `cmd:"" help:"Compare a file with the document in force."`
-	Show       showCommand       `cmd:"" help:"Show documents in force."`
-	History    historyCommand    `cmd:"" help:"List a service's publications."`
-	Wait       waitCommand       `cmd:"" help:"Wait until an offset is in force everywhere."`
-	Submit     submitCommand     `cmd:"" help:"Start a run of a workload."`
-	Cancel     cancelCommand     `cmd:"" help:"Cancel a job."`
-	Status     statusCommand     `cmd:"" help:"Show daemons, shares, workers, backend servers and jobs."`
-	Request    requestCommand    `cmd:"" help:"Send one request and print its verdict."`
-	Why        whyCommand        `cmd:"" help:"Explain why a job's tasks wait or run where they do."`
-	Outcome    outcomeCommand    `cmd:"" help:"Resolve a change whose outcome was lost."`
-	Dump       dumpCommand       `cmd:"" help:"Print a daemon's state dump."`
-	Completion completionCommand `cmd:"" help:"Print a shell's completion script."`
-	Explain    explainCommand    `cmd:"" help:"Explain a logged event by its number or name."`
-	Trace      traceCommand      `cmd:"" help:"Print what logs say of one submission, in order."`
+	Publish     publishCommand     `cmd:"" help:"Publish a document."`
+	CheckConfig checkConfigCommand `cmd:"" name:"check-config" help:"Check a configuration of the users' platform, and compare it with the one in force."`
+	Withdraw    withdrawCommand    `cmd:"" help:"Withdraw a service's document."`
+	Diff        diffCommand        `cmd:"" help:"Compare a file with the document in force."`
+	Show        showCommand        `cmd:"" help:"Show documents in force."`
+	History     historyCommand     `cmd:"" help:"List a service's publications."`
+	Wait        waitCommand        `cmd:"" help:"Wait until an offset is in force everywhere."`
+	Submit      submitCommand      `cmd:"" help:"Start a run of a workload."`
+	Cancel      cancelCommand      `cmd:"" help:"Cancel a job."`
+	Status      statusCommand      `cmd:"" help:"Show daemons, shares, workers, backend servers and jobs."`
+	Request     requestCommand     `cmd:"" help:"Send one request and print its verdict."`
+	Why         whyCommand         `cmd:"" help:"Explain why a job's tasks wait or run where they do."`
+	Outcome     outcomeCommand     `cmd:"" help:"Resolve a change whose outcome was lost."`
+	Dump        dumpCommand        `cmd:"" help:"Print a daemon's state dump."`
+	Completion  completionCommand  `cmd:"" help:"Print a shell's completion script."`
+	Explain     explainCommand     `cmd:"" help:"Explain a logged event by its number or name."`
+	Trace       traceCommand       `cmd:"" help:"Print what logs say of one submission, in order."`
 }
 
 // env is the environment in which a command runs.
