Daemons on VMs with slow links yield partitions as well

Cause: a VM of 0.48 cores with a link of 10 Mbit/s stayed in the group beside twelve of 0.8 cores with 200 Mbit/s, since these have less than twice its CPU, and became the owner of 350 backend servers in one start of three. Change: the rate of the link counts beside the CPU; a VM yields to four holders with twice one of the two and no less of the other.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -13,8 +13,9 @@
 	methodCapacity = "daemon.capacity"
 	// capacityTimeout limits one query of a daemon's capacity.
 	capacityTimeout = time.Second
-	// largerFactor: a VM with this many times this daemon's CPU is a better
-	// owner.
+	// largerFactor: a VM with this many times this daemon's CPU, or this many times
+	// its link's rate, and no less of the other, is a better owner. An owner sends
+	// all orders to its backend servers and receives their lists.
 	largerFactor = 2
 	// minLargerDaemons is the number of such VMs from which a daemon yields.
 	// Some may be lost at once without all of them being gone.
@@ -27,9 +28,23 @@
 	CPU int64 `json:"cpu"`
 	// MemoryMB is in mebibytes; 0 if it is not known.
 	MemoryMB int64 `json:"memoryMB,omitempty"`
+	// LinkMbps is the rate of the VM's link in Mbit/s; 0 if it is not known.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
 
-// Capacities tracks the CPU and the memory of the other daemons' VMs. Where VMs differ,
+// betterOwner reports whether a VM with this capacity should own partitions rather than
+// one with capacity o. Where a link's rate is not known, the CPU decides.
+func (c capacity) betterOwner(o capacity) bool {
+	if c.LinkMbps == 0 || o.LinkMbps == 0 {
+		return c.CPU >= largerFactor*o.CPU
+	}
+	if c.CPU < o.CPU || c.LinkMbps < o.LinkMbps {
+		return false
+	}
+	return c.CPU >= largerFactor*o.CPU || c.LinkMbps >= largerFactor*o.LinkMbps
+}
+
+// Capacities tracks the CPU, the memory and the links of the other daemons' VMs. Where VMs differ,
 // daemons on small ones yield partitions to those on large ones, and no daemon accepts more
 // than the smallest one can hold.
 type Capacities struct {
@@ -45,10 +60,11 @@
 	changed func(yields bool, larger, holders int)
 }
 
-// NewCapacities returns the Capacities of a daemon with the given thousandths of a core and
-// mebibytes of memory, and registers its method with the peers.
-func NewCapacities(self string, cpu, memoryMB int64, peers Daemons, decided func(yields bool, larger, holders int)) *Capacities {
-	own := capacity{cpu, memoryMB}
+// NewCapacities returns the Capacities of a daemon with the given thousandths of a core,
+// mebibytes of memory and rate of its link in Mbit/s, and registers its method with the
+// peers. A rate of 0 is not known.
+func NewCapacities(self string, cpu, memoryMB int64, linkMbps float64, peers Daemons, decided func(yields bool, larger, holders int)) *Capacities {
+	own := capacity{cpu, memoryMB, linkMbps}
 	c := &Capacities{self: self, own: own, peers: peers, changed: decided, others: make(map[string]capacity), querying: make(map[string]bool)}
 	peers.Handle(methodCapacity, roles.TypedHandler(reasonBadCall, func(_ context.Context, from string, asker capacity) (any, error) {
 		c.record(from, asker)
@@ -77,7 +93,7 @@
 		if !ok {
 			c.query(name)
 		}
-		if ok && other.CPU >= largerFactor*c.own.CPU {
+		if ok && other.betterOwner(c.own) {
 			larger++
 		}
 	}
--- a/internal/entry/capacity_test.go
+++ b/internal/entry/capacity_test.go
@@ -56,7 +56,7 @@
 					peers[name] = cpu
 					holders = append(holders, name)
 				}
-				c := NewCapacities("me", tt.own, 284, peers, func(bool, int, int) {})
+				c := NewCapacities("me", tt.own, 284, 0, peers, func(bool, int, int) {})
 				if c.ShouldYield(holders) {
 					t.Error("yields to daemons of unknown capacity")
 				}
@@ -93,7 +93,7 @@
 // VMs only a few hold a partition, whatever their size.
 func TestCapacities_YieldsToLargerDaemonsThatQuery(t *testing.T) {
 	p := &connectedPeers{capacityPeers: make(capacityPeers)}
-	c := NewCapacities("me", 192, 284, p, func(bool, int, int) {})
+	c := NewCapacities("me", 192, 284, 0, p, func(bool, int, int) {})
 	// A small holder that has queried this daemon is known, so that no query
 	// runs in the background.
 	if _, err := p.handler(t.Context(), "other", json.RawMessage(`{"CPU":192}`)); err != nil {
@@ -123,7 +123,7 @@
 func TestCapacities_SmallestMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		peers := capacityPeers{"large": 536, "small": 184}
-		c := NewCapacities("me", 400, 284, peers, func(bool, int, int) {})
+		c := NewCapacities("me", 400, 284, 0, peers, func(bool, int, int) {})
 		if got := c.SmallestMemoryMB(); got != 284 {
 			t.Errorf("the smallest VM has %d MB before any other is known, want 284", got)
 		}
@@ -133,3 +133,26 @@
 		}
 	})
 }
+
+// A service's owner on a VM with a tenth of the others' link sent 450 starts a second where
+// 900 were offered, and refused the rest while servers were idle: its CPU alone kept it in
+// the group. The table names the own VM and the other one.
+func TestCapacity_BetterOwner(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		other, own capacity
+		want       bool
+	}{
+		{"twice the CPU, link unknown", capacity{CPU: 800}, capacity{CPU: 400, LinkMbps: 10}, true},
+		{"more CPU, faster link", capacity{CPU: 800, LinkMbps: 200}, capacity{CPU: 480, LinkMbps: 10}, true},
+		{"same CPU, faster link", capacity{CPU: 400, LinkMbps: 200}, capacity{CPU: 400, LinkMbps: 100}, true},
+		{"less CPU, faster link", capacity{CPU: 200, LinkMbps: 200}, capacity{CPU: 400, LinkMbps: 10}, false},
+		{"twice the CPU, slower link", capacity{CPU: 800, LinkMbps: 10}, capacity{CPU: 400, LinkMbps: 200}, false},
+		{"alike", capacity{CPU: 400, LinkMbps: 200}, capacity{CPU: 400, LinkMbps: 200}, false},
+		{"slightly more of both", capacity{CPU: 700, LinkMbps: 150}, capacity{CPU: 400, LinkMbps: 100}, false},
+	} {
+		if got := c.other.betterOwner(c.own); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -226,7 +226,7 @@
 	MemberYieldChanged = Event{
 		Number: 6044, Level: slog.LevelInfo, Name: "member_yields",
 		Fields:  []string{"yields", "larger", "holders", "cpu"},
-		Meaning: "This daemon yields partitions to daemons on larger VMs, or no longer does. The field larger is how many of the holders have at least twice its CPU; cpu is in thousandths of a core.",
+		Meaning: "This daemon yields partitions to daemons on larger VMs, or no longer does. The field larger is how many of the holders have at least twice its CPU, or a link of at least twice the rate, and no less of the other; cpu is in thousandths of a core.",
 	}
 	VMIsolationChanged = Event{
 		Number: 6045, Level: slog.LevelWarn, Name: "vm_cut_off",
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -155,7 +155,7 @@
 }
 
 func (h *Host) newMember(store *relay.Relay, peers *peer.Peers, s platform.Settings) *partition.Member {
-	h.capacities = entry.NewCapacities(h.base.Self.Name, s.CPU, s.MemoryMB, peers, func(yields bool, larger, holders int) {
+	h.capacities = entry.NewCapacities(h.base.Self.Name, s.CPU, s.MemoryMB, s.LinkMbps, peers, func(yields bool, larger, holders int) {
 		h.o.Events.Log(events.MemberYieldChanged, "yields", yields, "larger", larger, "holders", holders, "cpu", s.CPU)
 	})
 	// A daemon that was killed and restarts within its member TTL has its partitions
