Steps that come before a gang after sorting are examined for what it holds

Cause: capacity that is held for a gang counts against the steps behind it. If a step moves before the gang, since the gang became late or its tenant reached its share, no event woke the step for that capacity. Found by reading; it waited for the tick that wakes its block. Change: when sorting changes the order, the servers on which capacity is held count as freed. The test of missed steps also runs with tenants at their caps, and its look leaves out gangs: their plans are renewed at intervals, and a new plan frees capacity. No test shows the order's change alone.

--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -91,6 +91,16 @@
 // not held any more.
 const holdsPerRelease = 2
 
+// holdersMoved lets the steps be examined again that may come before a gang now, on the
+// servers on which capacity is held for it.
+func (c *Core) holdersMoved() {
+	for _, st := range c.holders {
+		for s := range st.held.members {
+			c.capacityFreed(s)
+		}
+	}
+}
+
 // checkHolds ends the holds of gangs that no longer wait and the reservations that are
 // over, and lets the gangs be examined whose plan is old.
 func (c *Core) checkHolds() {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -72,12 +72,16 @@
 	return u
 }
 
-func (c *Core) sortQueued() {
+// sortQueued sorts the queue in placement order. It reports whether the order of its steps
+// has changed.
+func (c *Core) sortQueued() bool {
 	c.tenants.refreshShares()
 	for _, st := range c.queued {
 		st.entry.order = c.placementOrderOf(st)
 	}
-	if !slices.IsSortedFunc(c.queued, (*step).compareOrder) {
-		slices.SortFunc(c.queued, (*step).compareOrder)
+	if slices.IsSortedFunc(c.queued, (*step).compareOrder) {
+		return false
 	}
+	slices.SortFunc(c.queued, (*step).compareOrder)
+	return true
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -87,7 +87,9 @@
 func (c *Core) sortQueue() {
 	c.sortedAt = c.now
 	c.dropPlacedSteps()
-	c.sortQueued()
+	if c.sortQueued() {
+		c.holdersMoved()
+	}
 	c.index.rebuild(c.queued)
 	c.sortCapQueues()
 	c.backlog.queueSorted()
--- a/internal/scheduler/placepass_test.go
+++ b/internal/scheduler/placepass_test.go
@@ -37,11 +37,14 @@
 }
 
 // A pass examines only the steps that something has changed for. If a change wakes no step, a
-// task waits beside capacity that it may use. A look at all steps must not place any of those
-// that are no gangs, whose plans are renewed at intervals.
+// task waits beside capacity that it may use. A look at all steps but gangs, whose plans are
+// renewed at intervals, must place nothing.
 func TestPlacement_NoStepMissesWhatItWaitsFor(t *testing.T) {
-	for _, queued := range []int{300, 3_000} {
+	for _, queued := range []int{300, 2_000, 3_000} {
 		w := newPeakWorld(t, peakCosts{})
+		if queued == 2_000 {
+			w.addTenants()
+		}
 		w.closed = true
 		w.fill(queued)
 		looks := 0
@@ -52,7 +55,11 @@
 				c.SetStartRoom(1000)
 				w.carryOut(c.Finish(true))
 			}
-			c.index.wakeAll()
+			for _, st := range c.queued {
+				if !st.spec.Gang {
+					c.index.wake(st)
+				}
+			}
 			c.placementNeeded = true
 			c.SetStartRoom(1000)
 			missed := 0
