Copies beside steps that a cap holds back

Cause: over 64 queued steps kept stragglers from getting copies, also if a tenant's cap held them back while capacity was free.

Change: only steps that wait for capacity count, and are compared with.

Result: TestCopies_StepsHeldByACapAreNoObstacle, which fails on the code before; TestCopies, TestNear and TestSpeeds pass.

--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -40,10 +40,13 @@
 // startCopies starts copies of the runs that take much longer than expected, once placement
 // has used what it could.
 func (c *Core) startCopies() {
-	if c.config == nil || c.now.Sub(c.copiesCheckedAt) < copyInterval || !c.mayStartTasks() || len(c.queued) > maxWaitingSteps {
+	if c.config == nil || c.now.Sub(c.copiesCheckedAt) < copyInterval || !c.mayStartTasks() {
 		return
 	}
 	c.copiesCheckedAt = c.now
+	if c.findWaitingSteps(); len(c.copyWaiting) > maxWaitingSteps {
+		return
+	}
 	candidates, budget := c.stragglers()
 	speculation.Order(candidates, func(s straggler) speculation.Run { return s.run })
 	searches := 0
@@ -59,6 +62,20 @@
 	}
 }
 
+// findWaitingSteps lists the steps that wait for capacity, up to one more than
+// maxWaitingSteps. Those that their tenant's cap holds back do not.
+func (c *Core) findWaitingSteps() {
+	c.copyWaiting = c.copyWaiting[:0]
+	for _, st := range c.queued {
+		if len(c.copyWaiting) > maxWaitingSteps {
+			return
+		}
+		if !st.entry.capWaiting && st.job().ending == "" && st.unplacedTasks() > 0 {
+			c.copyWaiting = append(c.copyWaiting, st)
+		}
+	}
+}
+
 // stragglers lists the runs that may have a copy and are overdue, and the budget for copies
 // of each service.
 func (c *Core) stragglers() ([]straggler, map[string]*speculation.Budget) {
@@ -192,11 +209,11 @@
 	return fitCount(st, s, c.freeFor(nil, s)) > 0
 }
 
-// waitedFor reports whether steps with tasks to place, on all of which placement has been
+// waitedFor reports whether steps that wait for capacity, on all of which placement has been
 // tried, may use the capacity that a copy would take of a server's free capacity.
 func (c *Core) waitedFor(s *server, need workload.Resources) bool {
 	free := c.freeFor(nil, s)
-	for _, st := range c.queued {
+	for _, st := range c.copyWaiting {
 		if st.job().sub.Service != s.info.Service || !s.hasLabel(st.spec.Label) || st.authorization.decisionOn(s) == denied {
 			continue
 		}
--- a/internal/scheduler/copiesround_test.go
+++ b/internal/scheduler/copiesround_test.go
@@ -105,3 +105,35 @@
 		t.Error("no copies were started")
 	}
 }
+
+// A tenant at its cap may have any number of steps queued. They do not wait for capacity, and
+// must not keep the stragglers of others from getting copies.
+func TestCopies_StepsHeldByACapAreNoObstacle(t *testing.T) {
+	h := newHarness(t, 3)
+	h.setTenants(capped("a", 32000), capped("b", 1000))
+	h.answerAllPolls()
+	h.submitAs("a", id1, speculative(1))
+	first := h.takeStarts()[0]
+	h.confirmStart(first)
+	lasting := oneTask(1000)
+	lasting.LongRunning = true
+	for i := range 100 {
+		h.submitAs("b", tenantID(100+i), lasting)
+	}
+	running := map[string][]StartTask{first.To.ID: {first}}
+	for _, a := range h.takeStarts() {
+		h.confirmStart(a)
+		running[a.To.ID] = append(running[a.To.ID], a)
+	}
+	h.knowUsual()
+	h.wait(3*time.Second, running)
+	copies := 0
+	for _, a := range h.takeStarts() {
+		if a.Order.Task.Submission == id1 {
+			copies++
+		}
+	}
+	if copies != 1 {
+		t.Errorf("%d copies of a straggler beside 99 steps that a cap holds back, want 1", copies)
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -195,6 +195,8 @@
 	speedsReviewedAt time.Time
 	// copiesCheckedAt is when stragglers were last searched for.
 	copiesCheckedAt time.Time
+	// copyWaiting are the steps that waited for capacity then.
+	copyWaiting []*step
 	// lastStepNumber is the number of the last step that got one.
 	lastStepNumber uint64
 	// runTimes holds the mean run time of each queue.
