--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -124,7 +124,7 @@
 
 func (h *Host) newPeers() (*peer.Peers, error) {
 	l := h.limits
-	listener, err := intake.Listen(h.base.Self.Name, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, SocketBytes: peerSocketBytes, Report: h.reporter})
+	listener, err := intake.Listen(h.base.Self.Name, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, SocketBytes: peerSocketBytes, LongLived: true, Report: h.reporter})
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
@@ -250,8 +250,7 @@
 	router.HandleFunc("/metrics", h.handleMetrics)
 	router.HandleFunc("/debug/state", h.handleState)
 	l := h.limits
-	bodies := callerAPI.Bodies
-	h.callers, h.ready = h.newServer(bodies.Protect(h.countInFlight(callerAPI))), h.newServer(bodies.Protect(router))
+	h.callers, h.ready = h.newServer(callerAPI.Bodies.Protect(h.countInFlight(callerAPI))), h.newServer(intake.WithoutBodies(router))
 	for _, s := range []struct {
 		server              *http.Server
 		name, address       string
--- a/internal/intake/bodies.go
+++ b/internal/intake/bodies.go
@@ -41,6 +41,20 @@
 	})
 }
 
+// WithoutBodies marks connections as Protect does, for handlers that read no bodies: a body
+// that comes all the same is not read, and its connection is closed after the answer.
+func WithoutBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(-time.Hour))
+			closeAfter(w)
+		}
+		setBusy(r.Context(), true)
+		defer setBusy(r.Context(), false)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Read reads a body of at most limit bytes. Its error is a *Refusal if the call has to be
 // refused as not run, or ErrTooLarge.
 func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -11,8 +11,10 @@
 	grace = 250 * time.Millisecond
 	// waitTimeout limits the wait for bytes that others hold.
 	waitTimeout = time.Second
-	// retryInterval is the time between two searches for a request that gives way.
+	// retryInterval limits the time between two attempts of a request that waits.
 	retryInterval = 50 * time.Millisecond
+	// searchInterval is the time after a search without a result in which there is none.
+	searchInterval = 20 * time.Millisecond
 	// smallBytes is what a small request holds at most, and smallPart the part of the
 	// budget, an eighth, that only small requests may use: ordinary ones get through while
 	// large ones wait.
@@ -44,9 +46,14 @@
 	limit int64
 	now   func() time.Time
 
-	mu      sync.Mutex
-	used    int64
-	entries map[*Entry]struct{}
+	mu   sync.Mutex
+	used int64
+	// leaving counts the bytes of requests that give way and have not released them.
+	leaving int64
+	// searchAfter is when a request that gives way is searched next, after a search that
+	// found none: each search looks at all requests.
+	searchAfter time.Time
+	entries     map[*Entry]struct{}
 	// changed is closed when bytes are released or a request gives way.
 	changed chan struct{}
 }
@@ -202,7 +209,7 @@
 			e.held += n
 			return true
 		}
-		freeSoon := free + b.leaving()
+		freeSoon := free + b.leaving
 		if n <= freeSoon {
 			if early {
 				b.used += n
@@ -210,11 +217,17 @@
 			}
 			return early
 		}
-		victim := b.slowest()
+		now := b.now()
+		if now.Before(b.searchAfter) {
+			return false
+		}
+		victim := b.slowest(now)
 		if victim == nil {
+			b.searchAfter = now.Add(searchInterval)
 			return false
 		}
 		victim.gaveWay = true
+		b.leaving += victim.held
 		victim.interrupt()
 		b.signal()
 		if victim == e {
@@ -223,21 +236,10 @@
 	}
 }
 
-// leaving returns the bytes of requests that give way and have not released them.
-func (b *Budget) leaving() (total int64) {
-	for e := range b.entries {
-		if e.gaveWay {
-			total += e.held
-		}
-	}
-	return total
-}
-
 // slowest returns the request that gives way next, or nil if all are fast: the one whose
 // rest takes the longest at its present rate. If all that arrive wait for this budget, it
 // is the one that holds the most, so that the others can go on.
-func (b *Budget) slowest() (slowest *Entry) {
-	now := b.now()
+func (b *Budget) slowest(now time.Time) (slowest *Entry) {
 	longest, blocked := grace, true
 	var largest *Entry
 	for e := range b.entries {
@@ -272,6 +274,9 @@
 	n = min(n, e.held)
 	e.held -= n
 	e.budget.used -= n
+	if e.gaveWay {
+		e.budget.leaving -= n
+	}
 	e.budget.signal()
 }
 
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -2,10 +2,14 @@
 
 import "time"
 
+// connectionGrace is how long a new connection never gives way: its request comes right
+// behind it. Clients that open many connections at once must not keep others out.
+const connectionGrace = 10 * time.Millisecond
+
 // ConnectionState is what decides which connection gives way to a new one.
 type ConnectionState struct {
 	Address string
-	// Idle is the time since the last byte in either direction.
+	// Idle is how long the next request or message has been awaited, or an answer not taken.
 	Idle time.Duration
 	// Busy is set while a request that has come is being handled.
 	Busy bool
@@ -31,7 +35,7 @@
 	}
 	index = -1
 	for i, c := range all {
-		if c.Busy || c.Idle < grace || ofAddress && c.Address != address {
+		if c.Busy || c.Idle < connectionGrace || ofAddress && c.Address != address {
 			continue
 		}
 		if index < 0 || before(c, all[index]) {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -75,7 +75,7 @@
 		// address. The part that is left lets callers of other addresses connect.
 		AddressConnections:  cmp.Or(set.AddressConnections, connections-connections/4),
 		PeerConnections:     cmp.Or(set.PeerConnections, max(16, min(maxPeerConnections, int(memory/connectionsPart/peerConnectionBytes), descriptors/descriptorsPart))),
-		OperatorConnections: cmp.Or(set.OperatorConnections, 32),
+		OperatorConnections: cmp.Or(set.OperatorConnections, max(16, min(64, descriptors/8))),
 		HeaderBytes:         cmp.Or(set.HeaderBytes, 16*kilobyte),
 		StallTimeout:        cmp.Or(set.StallTimeout, 2*time.Second),
 		// A caller's time budget is 3 s, and 5 s if it states none.
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -30,7 +30,11 @@
 	SocketBytes int
 	// WriteTimeout limits each write.
 	WriteTimeout time.Duration
-	Report       *Reporter
+	// LongLived is set where connections are kept open for any number of messages: what
+	// counts is when the last byte passed. Elsewhere it is when the connection was opened,
+	// or its last request answered.
+	LongLived bool
+	Report    *Reporter
 }
 
 // Listener accepts connections within bounds. A connection that has been idle for long
@@ -44,6 +48,9 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	// order and states are used by yielding alone.
+	order  []*Conn
+	states []ConnectionState
 }
 
 // Listen opens a listener at a TCP address.
@@ -116,7 +123,7 @@
 // admit returns the bounded connection, or nil if it was refused for want of room.
 func (l *Listener) admit(inner net.Conn) *Conn {
 	c := &Conn{Conn: inner, listener: l, address: hostOf(inner)}
-	c.progress()
+	c.mark(&c.waitsSince)
 	l.mu.Lock()
 	victim, admitted := l.yielding(c.address)
 	if victim != nil {
@@ -153,17 +160,18 @@
 	if len(l.conns) < min(limit, perAddress) {
 		return nil, true
 	}
-	conns, states := make([]*Conn, 0, len(l.conns)), make([]ConnectionState, 0, len(l.conns))
+	l.order, l.states = l.order[:0], l.states[:0]
+	defer func() { clear(l.order) }()
 	now := time.Since(l.began)
 	for c := range l.conns {
-		conns = append(conns, c)
-		states = append(states, c.state(now))
+		l.order = append(l.order, c)
+		l.states = append(l.states, c.state(now))
 	}
-	index, ok := Yielding(states, address, limit, perAddress)
+	index, ok := Yielding(l.states, address, limit, perAddress)
 	if index < 0 {
 		return nil, ok
 	}
-	return conns[index], true
+	return l.order[index], true
 }
 
 func hostOf(c net.Conn) string {
@@ -179,33 +187,40 @@
 	net.Conn
 	listener *Listener
 	address  string
-	// lastProgress is when the last byte passed, since the listener began.
-	lastProgress  atomic.Int64
-	busy, writing atomic.Bool
-	known         atomic.Bool
+	// waitsSince is since when the next request or message is awaited, and writesSince
+	// since when a write goes on, both since the listener began; writesSince is 0 if none
+	// goes on.
+	waitsSince, writesSince atomic.Int64
+	busy, known             atomic.Bool
 }
 
-func (c *Conn) progress() { c.lastProgress.Store(int64(time.Since(c.listener.began))) }
+func (c *Conn) mark(at *atomic.Int64) { at.Store(max(1, int64(time.Since(c.listener.began)))) }
 
 func (c *Conn) state(now time.Duration) ConnectionState {
-	return ConnectionState{
-		Address: c.address, Idle: now - time.Duration(c.lastProgress.Load()),
-		// An answer that is not taken protects its connection no longer.
-		Busy: c.busy.Load() && !c.writing.Load(), Known: c.known.Load(),
+	s := ConnectionState{Address: c.address, Idle: now - time.Duration(c.waitsSince.Load()), Busy: c.busy.Load(), Known: c.known.Load()}
+	// An answer that is not taken protects its connection no longer.
+	if writes := c.writesSince.Load(); writes > 0 && s.Busy {
+		s.Busy, s.Idle = false, now-time.Duration(writes)
 	}
+	return s
 }
 
 // SetKnown notes that the other end has said who it is.
 func (c *Conn) SetKnown() { c.known.Store(true) }
 
 // SetBusy notes whether a request that has come is being handled.
-func (c *Conn) SetBusy(busy bool) { c.busy.Store(busy) }
+func (c *Conn) SetBusy(busy bool) {
+	if !busy {
+		c.mark(&c.waitsSince)
+	}
+	c.busy.Store(busy)
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.progress()
+	if n > 0 && c.listener.o.LongLived {
+		c.mark(&c.waitsSince)
 	}
 	return n, err
 }
@@ -217,14 +232,9 @@
 			return 0, err
 		}
 	}
-	c.progress()
-	c.writing.Store(true)
-	defer c.writing.Store(false)
-	n, err := c.Conn.Write(b)
-	if n > 0 {
-		c.progress()
-	}
-	return n, err
+	c.mark(&c.writesSince)
+	defer c.writesSince.Store(0)
+	return c.Conn.Write(b)
 }
 
 // CloseWrite lets net/http end an answer before the connection is closed.
--- a/internal/rig/doc.go
+++ b/internal/rig/doc.go
@@ -1,4 +1,5 @@
 // Package rig tests daemons as processes: several of them schedule tasks on stand-ins of
 // the platform's store and backend servers, while the paths between any two of these are
-// cut one by one, and servers restart under their IDs. Its tests take flags; see rig_test.go.
+// cut one by one, servers restart under their IDs, and untrusted clients hold connections,
+// bodies and messages open at every daemon. Its tests take flags; see rig_test.go.
 package rig
--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -67,6 +67,10 @@
 	process *exec.Cmd
 	ended   chan struct{}
 	closed  bool
+	// killing is set while the process is being killed, and ends counts those of its
+	// processes that ended by themselves.
+	killing bool
+	ends    int
 }
 
 // newFleet starts everything and waits until all daemons are ready. Logs are kept in dir, and
@@ -198,11 +202,16 @@
 		return
 	}
 	ended := make(chan struct{})
-	d.process, d.ended = process, ended
+	d.process, d.ended, d.killing = process, ended, false
 	f.ledger.note("daemon %d starts, process %d", d.number, process.Process.Pid)
 	go func() {
 		_ = process.Wait()
 		_ = log.Close()
+		d.mu.Lock()
+		if !d.killing {
+			d.ends++
+		}
+		d.mu.Unlock()
 		f.ledger.note("daemon %d has ended", d.number)
 		close(ended)
 	}()
@@ -219,6 +228,9 @@
 
 // kill kills a daemon's process and waits until it has ended.
 func (d *daemon) kill() {
+	d.mu.Lock()
+	d.killing = true
+	d.mu.Unlock()
 	d.signal(syscall.SIGKILL)
 	d.mu.Lock()
 	ended := d.ended
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -135,12 +135,17 @@
 		}
 	}
 	f := newFleet(t, binary, dir, *daemonsFlag, s.maxLease)
+	stop := f.untrusted(*untrustedFlag)
 	play(f, seed, *roundsFlag, s.plan)
+	stop()
 	r := result{seed: seed, provesNothing: s.contested, breaches: f.ledger.breaches(), logged: make(map[string]int)}
 	f.ledger.count(&r)
 	var claims []claim
 	for _, d := range f.daemons {
 		d.close()
+		if d.ends > 0 {
+			r.breaches = append(r.breaches, fmt.Sprintf("daemon %d ended %d times by itself", d.number, d.ends))
+		}
 		claims = append(claims, readLog(t, d, r.logged)...)
 	}
 	r.changes, r.contested = f.ledger.contests(claims, f.serversOf())
--- a/internal/untrusted/daemon_test.go
+++ b/internal/untrusted/daemon_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	// A change of the daemon must not leave an earlier result in the cache of go test.
+	_ "github.com/currantwinch/currantwinch/internal/command"
 	"github.com/currantwinch/currantwinch/platform/standin"
 )
 
