A daemon that is told to stop ends in its time whatever the store does

The steps of drain added up to more than the time given: schedulers 1 s, leaving the group 1 s, then 2.5 s for the balancer, counted only from there although readiness fails from the beginning, then calls in flight for up to 3 s; schedulers could be started again between their stop and the leave.

Each step now has its place before the deadline; the balancer's delay counts from the start of the stop, the time of calls in flight ends 0.6 s before the deadline so that each is answered, and no scheduler starts after StopAll.

Measured: TestHost_StopsInTimeWhateverTheStoreDoes (stops within 4 s) fails before with a slow store and a sound one, and passes for a store that hangs, is slow, resets or is well; tenure, entry, docs and the tests TestHost_(Runs|Next|Refuses|Keeps|Serves) pass.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,6 +44,11 @@
 	storePollInterval = 50 * time.Millisecond
 	// leaveTimeout limits the release of partitions at a planned stop.
 	leaveTimeout = time.Second
+	// answerTime is left at the end of a planned stop for the calls that are still
+	// being answered: their time ends, so that each gets a verdict.
+	answerTime = 300 * time.Millisecond
+	// endTime is left after that for connections and duties to end.
+	endTime = 300 * time.Millisecond
 	// dumpTimeout limits the collection of a state dump.
 	dumpTimeout = time.Second
 	// peerSocketBytes is the size of the buffers of an accepted connection of a daemon. A
@@ -81,8 +86,10 @@
 	policyClients *entry.PolicyClients
 
 	callers, ready *http.Server
-	stopping       atomic.Bool
-	inFlight       atomic.Int64
+	// endCalls ends the time of all calls of callers.
+	endCalls context.CancelFunc
+	stopping atomic.Bool
+	inFlight atomic.Int64
 	// layoutsLoaded is set once the layouts of all configured services were known.
 	layoutsLoaded atomic.Bool
 }
@@ -251,6 +258,9 @@
 	router.HandleFunc("/debug/state", h.handleState)
 	l := h.limits
 	h.callers, h.ready = h.newServer(callerAPI.Bodies.Protect(h.countInFlight(callerAPI))), h.newServer(intake.WithoutBodies(router))
+	calls, endCalls := context.WithCancel(context.Background())
+	h.endCalls = endCalls
+	h.callers.BaseContext = func(net.Listener) context.Context { return calls }
 	for _, s := range []struct {
 		server              *http.Server
 		name, address       string
@@ -389,15 +399,9 @@
 // Err returns the error of the duty that failed.
 func (h *Host) Err() error { return h.duties.Err() }
 
-// awaitStore waits while no daemon can reach the store. No other daemon could take
-// over the partitions then, so this one serves them for as long as the deadline of
-// ctx allows.
-func (h *Host) awaitStore(ctx context.Context) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return
-	}
-	last := deadline.Add(-balancerDelay - leaveTimeout)
+// awaitStore waits while no daemon can reach the store, until the given time. No other daemon
+// could take over the partitions then, so this one serves them for as long as it may.
+func (h *Host) awaitStore(ctx context.Context, last time.Time) {
 	for h.store.StoreUnreachable() && h.base.Now().Before(last) {
 		if !duty.Sleep(ctx, storePollInterval) {
 			return
@@ -405,10 +409,17 @@
 	}
 }
 
-// drain releases the partitions and completes the accepted requests.
+// drain releases the partitions and completes the accepted requests. Its steps fit into the
+// time that ctx allows, whatever the store does: it waits for the store only as long as
+// is left for all others to take their longest time.
 func (h *Host) drain(ctx context.Context) error {
 	h.stopping.Store(true)
-	h.awaitStore(ctx)
+	defer h.endCalls()
+	began := h.base.Now()
+	deadline, bounded := ctx.Deadline()
+	if bounded {
+		h.awaitStore(ctx, deadline.Add(-tenure.StopTimeout-leaveTimeout-answerTime-endTime))
+	}
 	h.tenures.StopAll()
 	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
 	err := h.member.Leave(leave)
@@ -416,11 +427,31 @@
 	if err != nil {
 		h.o.Events.Log(events.StoreLost, "call", "leave", "error", err.Error())
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(balancerDelay):
+	// Readiness probes have failed since the stop began.
+	rest := balancerDelay - h.base.Now().Sub(began)
+	if bounded {
+		rest = min(rest, deadline.Sub(h.base.Now())-answerTime-endTime)
 	}
-	err = h.callers.Shutdown(ctx)
+	duty.Sleep(ctx, rest)
+	err = h.completeCalls(ctx)
 	_ = h.ready.Close()
 	return errors.Wrap(err, "complete accepted calls")
 }
+
+// completeCalls accepts no more calls, and waits for those that are being answered. Shortly
+// before the deadline of ctx it ends their time, so that they are answered at once.
+func (h *Host) completeCalls(ctx context.Context) error {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		timer := time.AfterFunc(deadline.Sub(h.base.Now())-answerTime-endTime, h.endCalls)
+		defer timer.Stop()
+		limited, cancel := context.WithDeadline(ctx, deadline.Add(-endTime))
+		defer cancel()
+		ctx = limited
+	}
+	err := h.callers.Shutdown(ctx)
+	if err != nil && h.InFlight() == 0 {
+		// Shutdown looks for the end of calls every half second.
+		return h.callers.Close()
+	}
+	return err
+}
--- a/internal/tenure/manager.go
+++ b/internal/tenure/manager.go
@@ -26,9 +26,9 @@
 	// while the partition is still assigned to this daemon. It is also the
 	// interval between reconciliations.
 	restartDelay = 200 * time.Millisecond
-	// stopTimeout bounds how long StopAll waits for the schedulers to store
+	// StopTimeout bounds how long StopAll waits for the schedulers to store
 	// their state.
-	stopTimeout = time.Second
+	StopTimeout = time.Second
 )
 
 // PartitionOf returns the partition that holds the submissions of a service's
@@ -67,6 +67,8 @@
 
 	mu      sync.Mutex
 	running map[partition.ID]*runningEngine
+	// stopped is set once no scheduler may be started any more.
+	stopped bool
 }
 
 type runningEngine struct {
@@ -140,8 +142,8 @@
 			running.cancel()
 		}
 	}
-	if !t.o.Member.LeaseValid() {
-		// Another daemon may hold the partitions by now. Running schedulers
+	if t.stopped || !t.o.Member.LeaseValid() {
+		// This daemon stops, or another one may hold the partitions by now. Running schedulers
 		// continue until they are fenced, but no new one is started.
 		return
 	}
@@ -195,16 +197,18 @@
 	return running
 }
 
-// StopAll stops all schedulers and waits for them, for at most stopTimeout.
+// StopAll stops all schedulers and waits for them, for at most StopTimeout. None is started
+// after it, although this daemon holds its partitions until it has left the group.
 func (t *Manager) StopAll() {
 	t.mu.Lock()
+	t.stopped = true
 	running := make([]*runningEngine, 0, len(t.running))
 	for _, r := range t.running {
 		r.cancel()
 		running = append(running, r)
 	}
 	t.mu.Unlock()
-	deadline := time.After(stopTimeout)
+	deadline := time.After(StopTimeout)
 	for _, r := range running {
 		select {
 		case <-r.done:
