The home of a queue is known once it is stored

A daemon that had stored a home waited until its next read showed it. The append is conditional at the offset up to which all was applied, so that its success says that the home is the first one.

Test: TestManager_HomeIsKnownOnceItIsStored; the package passes with the race detector.

--- a/shard/home.go
+++ b/shard/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 
 	"github.com/currantwinch/currantwinch/partition"
@@ -51,9 +52,25 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	err = k.o.Log.Append(ctx, LayoutPartition, partition.Fence{At: &end}, []partition.Record{{Key: homePrefix + queue, Value: value}})
+	if err == nil {
+		k.homeStored(queue, service, end)
+	}
 	return errors.Wrap(err, "store the home of a queue")
 }
 
+// homeStored applies a home that was appended at the given offset. Everything before it has
+// been applied, so that it is the first of its queue; callers need not wait until it is read.
+func (k *Manager) homeStored(queue, service string, offset uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, known := k.Home(queue); !known {
+		next := maps.Clone(*k.homes.Load())
+		next[queue] = service
+		k.homes.Store(&next)
+	}
+	k.endOffset = max(k.endOffset, offset+1)
+}
+
 // decode returns the home of a record, and false if the record is not one of a home. The
 // first home of a queue counts.
 func (h homes) decode(r partition.Record) (queue, service string, is bool, err error) {
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -115,6 +115,7 @@
 
 // apply applies records. It skips a layout that contradicts the one in force.
 func (k *Manager) apply(records []partition.Record) {
+	k.mu.Lock()
 	next, nextHomes := maps.Clone(*k.table.Load()), maps.Clone(*k.homes.Load())
 	for _, r := range records {
 		if queue, service, isHome, err := nextHomes.decode(r); isHome {
@@ -145,7 +146,6 @@
 	k.table.Store(&next)
 	k.homes.Store(&nextHomes)
 	k.version.Add(1)
-	k.mu.Lock()
 	k.loaded = true
 	for _, r := range records {
 		k.endOffset = max(k.endOffset, r.Offset+1)
