A listener's accept queue holds at least 128 connections

Cause: an eighth of the connections of a small VM is 36, fewer than the daemons of a large deployment, which reconnect together after a restart; a connection that finds no room is tried again after a second. Change: at least 128.

--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -19,7 +19,9 @@
 	// backlogPart is the part of a listener's connections, an eighth, that may wait to be
 	// accepted beside them.
 	backlogPart = 8
-	minBacklog  = 16
+	// minBacklog lets the daemons of a large deployment reconnect at once after a restart:
+	// a connection that finds no room is tried again by its sender after a second.
+	minBacklog = 128
 )
 
 // ListenerOptions are the bounds of one listener; 0 means none.
