Admission: free servers of another kind, and returning submissions

A submission was refused for a queue that waits for servers of another kind while its own were idle, and one that was refused and came back was placed behind all that had come meanwhile.

Tests: RefusesNothingThatFreeServersCouldRun and ReturningSubmissionIsPlacedBeforeLaterOnes fail before. Not done: the time that the caller has left, one tenant at 6 times (TestCore_HotTenantPaysForItsExcessItself has 7).

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -160,7 +160,9 @@
 	}
 	d := c.decideByOrders(j)
 	if d.Admit {
-		d = c.decideByCores(j)
+		if d = c.decideByCores(j); !d.Admit {
+			d.Admit = c.serversFree(j)
+		}
 	}
 	if d.Admit {
 		d = c.decideByCap(j)
@@ -169,6 +171,7 @@
 		c.openTasks[c.openPriority(j)] += j.taskCount()
 		return Reply{}, false
 	}
+	c.arrivals.Refused(j.sub.ID, c.now)
 	after := spread(d.RetryAfter, j.sub.ID)
 	return Reply{Outcome: OutcomeRefused, Reason: string(d.Reason), RetryAfterMS: after.Milliseconds()}, true
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/currantwinch/currantwinch/admission"
 	"github.com/currantwinch/currantwinch/crashloop"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
@@ -215,7 +216,9 @@
 	startRate    startRate
 	// openTasks is the last result of countOpenTasks, plus the tasks accepted
 	// since, by openPriority. It is kept while sendingHeldUp.
-	openTasks     map[int]int
+	openTasks map[int]int
+	// arrivals remembers when submissions that were refused came first.
+	arrivals      *admission.Arrivals
 	openCountedAt time.Time
 	faults        tenureFaults
 	// tenants holds the starts of each tenant below its cap.
@@ -244,7 +247,7 @@
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
 		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
 		heldForGangs: make(map[*server]workload.Resources), capWaiting: make(map[string]*capQueue), serversChanged: true, instanceNumbers: make(map[serverInstance]int),
-		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int),
+		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int), arrivals: admission.NewArrivals(maxArrivals, arrivalKept),
 	}
 	c.memory.limit = bounds.MemoryBytes
 	c.tenants = newTenants(c)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -48,6 +48,9 @@
 	recordBytes int
 	// accepted is when the submission arrived, on this daemon's clock.
 	accepted time.Time
+	// firstArrival is when the submission came for the first time, if it was refused
+	// before; zero if that is not known.
+	firstArrival time.Time
 	// criticalPath is the declared time of the longest chain of dependent
 	// steps.
 	criticalPath time.Duration
@@ -238,6 +241,16 @@
 	return j.accepted.Add(time.Duration(stretch*float64(j.expectedCriticalPath())) + j.queue.TargetLatency)
 }
 
+// orderTarget returns the target by which the submission is ordered: counted from its first
+// arrival, so that one that was refused and returns is not placed behind those that came
+// meanwhile. It is late only by targetTime, or its return would put it behind all of them.
+func (j *job) orderTarget() time.Time {
+	if j.firstArrival.IsZero() {
+		return j.targetTime()
+	}
+	return j.targetTime().Add(j.firstArrival.Sub(j.accepted))
+}
+
 func (j *job) expectedCriticalPath() time.Duration {
 	if j.runs == nil || j.runs.mean == 0 {
 		return j.criticalPath
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -13,9 +13,9 @@
 const longRunningPatience = 2 * time.Second
 
 // placementOrder is the sort key of a step: first long-running tasks that have waited too
-// long since their last run, then what its tenant sent within its rate, then the queue's priority, then steps that can still meet their target
-// before late ones, then tenants that use less than their share, then the earliest
-// target.
+// long since their last run, then what its tenant sent within its rate, then the queue's
+// priority, then steps that can still meet their target before late ones, then tenants that
+// use less than their share, then the earliest target.
 type placementOrder struct {
 	// notOverdue is 0 for a step whose long-running tasks have waited too long, else 1.
 	notOverdue int
@@ -58,16 +58,18 @@
 }
 
 func (c *Core) orderOf(j *job) placementOrder {
-	u := placementOrder{notOverdue: 1, priority: j.queue.Priority, target: j.targetTime(), id: j.sub.ID}
+	u := placementOrder{notOverdue: 1, priority: j.queue.Priority, target: j.orderTarget(), id: j.sub.ID}
 	// A submission with long-running tasks has no end that could be late. Behind all that is
 	// in time it would never start again while fresh work comes.
-	if c.now.After(u.target) && !j.sub.Timed() && !j.longRunning() {
+	if c.now.After(j.targetTime()) && !j.sub.Timed() && !j.longRunning() {
 		u.late = 1
 	}
 	u.excess, u.overShare = c.tenants.orderOf(j)
 	if u.excess > 0 {
 		// Late excess would come behind all that arrives, and would not start while it does.
-		u.late = 0
+		// Excess that returns does not overtake what was accepted meanwhile, which would
+		// then start later than its admission promised.
+		u.late, u.target = 0, j.targetTime()
 	}
 	return u
 }
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -66,6 +66,7 @@
 	}
 	j := newJob(sub, c.now)
 	j.recordBytes = recordBytes(accepted)
+	j.firstArrival = c.arrivals.First(sub.ID, c.now)
 	c.assignQueue(j)
 	if r, refused := c.checkMemory(j); refused {
 		c.refuse(sub, r, reply)
