--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -72,17 +72,6 @@
 	return until
 }
 
-// pollLease returns the lease deadline for a poll; 0 extends none. A deadline that was sent
-// before extends nothing at the instance that got it, but the server may have restarted, and
-// the next instance, whose clock has begun anew, would grant its longest lease for it.
-func (c *Core) pollLease(s *server) int64 {
-	s.pollDeadlineMS = 0
-	if c.renewable(s) && c.leaseLeft() > 0 {
-		s.pollDeadlineMS = c.extendLease(s)
-	}
-	return s.pollDeadlineMS
-}
-
 // lease returns the lease that the Core sends. A longer lease outlasts longer
 // outages; a shorter one makes the capacity of lost runs available sooner.
 func (b Bounds) lease() time.Duration { return min(b.MaxLease, maxLease) }
--- a/internal/scheduler/leases.go
+++ b/internal/scheduler/leases.go
@@ -112,6 +112,17 @@
 	a.grantedUntil = latest(a.grantedUntil, c.now.Add(lasts))
 }
 
+// pollLease returns the lease deadline for a poll; 0 extends none. A deadline that was sent
+// before extends nothing at the instance that got it, but the server may have restarted, and
+// the next instance, whose clock has begun anew, would grant its longest lease for it.
+func (c *Core) pollLease(s *server) int64 {
+	s.pollDeadlineMS = 0
+	if c.renewable(s) && c.leaseLeft() > 0 {
+		s.pollDeadlineMS = c.extendLease(s)
+	}
+	return s.pollDeadlineMS
+}
+
 // mayBeGrantedByPoll notes that a poll with a lease deadline got no answer. If the next
 // instance of the server has carried it out, every run that it began under a start meant for
 // the instance before got the longest lease by now.
