--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -54,6 +54,9 @@
 	// peerSocketBytes is the size of the buffers of an accepted connection of a daemon. A
 	// round trip of 50 ms leaves it 10 Mbit/s.
 	peerSocketBytes = 64 << 10
+	// peerBacklog lets the daemons of a large deployment reconnect together after a restart:
+	// a connection that finds no room is tried again by its sender after a second.
+	peerBacklog = 128
 )
 
 // Options configures a Host.
@@ -131,7 +134,7 @@
 
 func (h *Host) newPeers() (*peer.Peers, error) {
 	l := h.limits
-	listener, err := intake.Listen(h.base.Self.Name, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, SocketBytes: peerSocketBytes, LongLived: true, Report: h.reporter})
+	listener, err := intake.Listen(h.base.Self.Name, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, Backlog: peerBacklog, SocketBytes: peerSocketBytes, LongLived: true, Report: h.reporter})
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -19,9 +19,7 @@
 	// backlogPart is the part of a listener's connections, an eighth, that may wait to be
 	// accepted beside them.
 	backlogPart = 8
-	// minBacklog lets the daemons of a large deployment reconnect at once after a restart:
-	// a connection that finds no room is tried again by its sender after a second.
-	minBacklog = 128
+	minBacklog  = 16
 )
 
 // ListenerOptions are the bounds of one listener; 0 means none.
@@ -31,6 +29,8 @@
 	// Connections bounds the accepted connections, and AddressConnections those of one
 	// address.
 	Connections, AddressConnections int
+	// Backlog is the least number of connections that may wait to be accepted.
+	Backlog int
 	// SocketBytes is the size of a socket's receive and send buffers, which bounds what it
 	// has received and nobody has read.
 	SocketBytes int
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := setBacklog(inner, max(minBacklog, o.Connections/backlogPart)); err != nil {
+	if err := setBacklog(inner, max(minBacklog, o.Backlog, o.Connections/backlogPart)); err != nil {
 		_ = inner.Close()
 		return nil, err
 	}
