Refuse nothing for a rate or a capacity that is not known yet

The count of free slots beside the queue took no more slots of a server than the submission has tasks, and refused one beside 126 servers with room for it twice over.

Change: the rate is measured only while starts wait for the sender, counts for 10 s, and refuses nothing before. Servers that have not answered count in full. All slots of a free server count. A measured rate of the sender still refuses beside free servers (maxSendWait): work that cannot be sent would be accepted and left waiting.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -39,19 +39,6 @@
 // cores converts thousandths of a core.
 func cores(cpu int64) float64 { return float64(cpu) / 1000 }
 
-// drainingCores returns how many cores of a service work off its queue: those in
-// use, since capacity that no task of the queue fits on does not help.
-func (c *Core) drainingCores(service string) (used, usable float64) {
-	for _, s := range c.servers {
-		if s.info.Service != service || !s.usable(c.now) {
-			continue
-		}
-		usable += cores(s.info.Capacity.CPU)
-		used += cores(s.info.Capacity.CPU - s.free.CPU)
-	}
-	return max(used, minDrainFraction*usable), usable
-}
-
 // admissionOptions bound waits by nothing but the limits that are given.
 var admissionOptions = admission.Options{
 	MaxWaitFraction: 1, MaxStartFraction: 1, MaxWait: time.Hour, MinRetryAfter: minQueueRetryAfter, MaxRetryAfter: maxQueueRetryAfter,
@@ -61,12 +48,13 @@
 // behind the work that is placed before it.
 func (c *Core) decideByCores(j *job) admission.Decision {
 	b := c.backlogBefore(j)
-	draining, usable := c.drainingCores(j.sub.Service)
-	if b.tasks == 0 || usable == 0 {
+	k := c.drainingCores(j.sub.Service)
+	if b.tasks == 0 || k.usable == 0 {
 		return admission.Decision{Admit: true}
 	}
+	draining := k.draining
 	if c.tenants.inExcess(j) {
-		draining = c.tenants.excessCores(usable - draining)
+		draining = c.tenants.excessCores(k.free)
 	}
 	request := admission.Request{
 		Prediction: estimate.Prediction{P50: j.expectedCriticalPath(), Class: estimate.Long},
@@ -77,9 +65,10 @@
 }
 
 // decideByOrders decides whether a submission's tasks can be ordered soon behind
-// what was accepted before.
+// what was accepted before. Nothing is refused for a rate that was not measured: a new owner
+// has ordered little because few servers have answered it.
 func (c *Core) decideByOrders(j *job) admission.Decision {
-	if !c.sendingHeldUp() {
+	if !c.sendingHeldUp() || !c.startRate.known(c.now) {
 		return admission.Decision{Admit: true}
 	}
 	open := 0.0
@@ -109,6 +98,7 @@
 		c.countOpenTasks()
 	}
 	c.startsHeld, c.startsHeldAt = true, c.now
+	c.startRate.held(c.now)
 }
 
 // countOpenTasks counts, by priority, the tasks of accepted submissions that are
@@ -185,29 +175,53 @@
 	return d + time.Duration(retrySpread*float64(h.Sum32()%parts)/parts*float64(d))
 }
 
-// initialStartRate is the rate of starts assumed before the first measurement, in
-// starts a second.
-const initialStartRate = 100
-
-// startRate is the measured rate of confirmed starts.
+// startRate is the rate of confirmed starts, measured while starts wait for the sender. At
+// other times it only says how little there was to start.
 type startRate struct {
-	count     int
-	since     time.Time
-	perSecond float64
+	count int
+	// since is the beginning of the measurement, heldAt when starts last waited, and
+	// measuredAt the end of the last measurement.
+	since, heldAt, measuredAt time.Time
+	perSecond                 float64
 }
 
-// startRateInterval is the time over which the rate of starts is measured.
-const startRateInterval = time.Second
+const (
+	// startRateInterval is the time over which the rate of starts is measured.
+	startRateInterval = time.Second
+	// maxHeldGap is the longest time between two moments at which starts wait, if they
+	// waited in between. It is four ticks, at which a placement pass runs at the latest.
+	maxHeldGap = 4 * tickInterval
+	// startRateValidity is how long a measurement counts. A rate that an outage lowered
+	// must not refuse anything long after it.
+	startRateValidity = 10 * time.Second
+)
 
-// measure updates the rate once an interval is over.
+// held notes that starts wait for the sender.
+func (r *startRate) held(now time.Time) {
+	if r.since.IsZero() || now.Sub(r.heldAt) > maxHeldGap {
+		r.count, r.since = 0, now
+	}
+	r.heldAt = now
+}
+
+// measure updates the rate once starts have waited for an interval.
 func (r *startRate) measure(now time.Time) {
 	if r.since.IsZero() {
-		r.since = now
+		return
+	}
+	if now.Sub(r.heldAt) > maxHeldGap {
+		r.since = time.Time{}
+		return
 	}
 	elapsed := now.Sub(r.since)
 	if elapsed < startRateInterval {
 		return
 	}
 	r.perSecond = max(float64(r.count)/elapsed.Seconds(), 1)
-	r.count, r.since = 0, now
+	r.count, r.since, r.measuredAt = 0, now, now
+}
+
+// known reports whether the rate was measured lately.
+func (r *startRate) known(now time.Time) bool {
+	return r.perSecond > 0 && now.Sub(r.measuredAt) <= startRateValidity
 }
--- a/internal/scheduler/admission_free.go
+++ b/internal/scheduler/admission_free.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"github.com/currantwinch/currantwinch/workload"
@@ -32,7 +33,7 @@
 		if s.info.Service != j.sub.Service || !s.stored || !s.usable(c.now) || s.trial != nil || !s.hasLabel(first.Label) {
 			continue
 		}
-		n := timesIn(need, s.free.Minus(c.heldForGangs[s]), first.Count)
+		n := need.FitCount(s.free.Minus(c.heldForGangs[s]), math.MaxInt32)
 		if first.MaxPerServer > 0 {
 			n = min(n, first.MaxPerServer)
 		}
@@ -75,15 +76,6 @@
 	return first
 }
 
-// timesIn returns how often a need fits into what is free, up to most.
-func timesIn(need, free workload.Resources, most int) int {
-	n := 0
-	for n < most && need.Scaled(n+1).Fits(free) {
-		n++
-	}
-	return n
-}
-
 // slotsOf returns how many slots of the given size a task with another need takes at most.
 func slotsOf(need, slot workload.Resources) int {
 	n := 1
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -247,7 +247,7 @@
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
 		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
 		heldForGangs: make(map[*server]workload.Resources), capWaiting: make(map[string]*capQueue), serversChanged: true, instanceNumbers: make(map[serverInstance]int),
-		startRoom: math.MaxInt, startRate: startRate{perSecond: initialStartRate}, openTasks: make(map[int]int), arrivals: admission.NewArrivals(maxArrivals, arrivalKept),
+		startRoom: math.MaxInt, openTasks: make(map[int]int), arrivals: admission.NewArrivals(maxArrivals, arrivalKept),
 	}
 	c.memory.limit = bounds.MemoryBytes
 	c.tenants = newTenants(c)
