--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -269,7 +269,7 @@
 // runTimes is the measured mean run time of a queue's tasks, and their usual work.
 type runTimes struct {
 	mean  time.Duration
-	usual speed.Usual
+	usual speed.UsualWork
 }
 
 // runTimeWeight is the weight of the newest run in the moving average.
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -219,11 +219,11 @@
 	for _, s := range servers {
 		slots[s.speedClass] += p.availableSlots(st, s)
 	}
-	rooms := make([]speed.Room, 0, len(slots))
+	available := make([]speed.ClassSlots, 0, len(slots))
 	for class, n := range slots {
-		rooms = append(rooms, speed.Room{Class: class, Slots: n})
+		available = append(available, speed.ClassSlots{Class: class, Slots: n})
 	}
-	low, high, ok := choice.Range(rooms, need)
+	low, high, ok := choice.Range(available, need)
 	if !ok {
 		return servers
 	}
--- a/placement/delay/delay.go
+++ b/placement/delay/delay.go
@@ -8,30 +8,33 @@
 )
 
 const (
-	// confidence is the part of the time lost by running far that the expected wait may
-	// take: ends of runs are not known exactly, and other tasks may take the slot.
+	// confidence is the fraction of the time lost by running far that the expected wait may
+	// take: the ends of runs are not known exactly, and other tasks may take the slot.
 	confidence = 0.6
 	// maxWait is the longest wait. A submission with nothing running for 3 s beside free
 	// capacity counts as lost.
 	maxWait = 1500 * time.Millisecond
-	// overdueFactor is how many times its expected time a run may have taken to be expected
-	// to end soon, and overdueWait the part of that time that it is then given.
+	// A run older than overdueFactor times its expected time has no known end. A younger one
+	// is expected to last for at least overdueWait times its expected time.
 	overdueFactor = 1.5
 	overdueWait   = 0.25
 )
 
-// Task is a task that could start far now.
+// Task is a task that could start now on a far server: one away from its data or its group.
 type Task struct {
-	// Near is its expected run time near, and Factor how many times as long it takes far.
+	// Near is its expected run time on a near server, and Factor the ratio of its run time on
+	// a far server to that.
 	Near   time.Duration
 	Factor float64
-	// Waited is how long it has waited for a near slot, and Left the time to its target.
+	// Waited is how long it has waited for a near slot, and Left the time until its target,
+	// negative if that has passed.
 	Waited, Left time.Duration
 }
 
-// Limit returns the longest time that the task may wait in all: no longer than it loses by
-// running far, and no longer than its objective allows. If a far run can still be in time, it
-// must be so after the wait; if only a near one can, a near one must.
+// Limit returns the longest total time that the task may wait, counted from the start of
+// its wait: at most what it loses by running far, and at most what its target allows. If a
+// far run can still meet the target, it must be able to after the wait; if only a near run
+// can, a near run must.
 func (t Task) Limit() time.Duration {
 	if t.Factor <= 1 || t.Near <= 0 {
 		return 0
@@ -55,15 +58,17 @@
 	return t.Waited+untilNear < t.Limit() && float64(untilNear) < confidence*float64(lost)
 }
 
-// Run is a run on a near server: its age, its expected time and what it frees.
+// Run is a run on a near server.
 type Run struct {
+	// Age is the time since its start, and Expected its expected run time; 0 if unknown.
 	Age, Expected time.Duration
-	Frees         int64
+	// Frees is the amount of the resource that its end frees, in the unit of UntilFree.
+	Frees int64
 }
 
-// UntilFree returns the time until so much is free on a server, given what is free now and
-// its runs. It reports false if that is not to be expected: a run that is long overdue has no
-// known end.
+// UntilFree returns the time until need units of a resource are free on a server, given what
+// is free now and the server's runs. It reports false if too few of the runs have a known
+// end: one that is long overdue has none.
 func UntilFree(need, free int64, runs []Run) (time.Duration, bool) {
 	if free >= need {
 		return 0, true
--- a/placement/speculation/speculation.go
+++ b/placement/speculation/speculation.go
@@ -1,6 +1,6 @@
-// Package speculation decides when a second copy of a running task pays. It holds no state
-// and no clock. A copy pays if the run is expected to last for longer than a new one takes
-// elsewhere, and it may cost only a small part of the capacity in use.
+// Package speculation decides when to start a second copy of a running task. It holds no
+// state and no clock. A copy pays if the run is expected to last longer than a new run on
+// another server. Copies together may use only a small fraction of the capacity in use.
 package speculation
 
 import (
@@ -17,24 +17,25 @@
 	budgetShare = 0.05
 )
 
-// Run is a run of which a copy may be started.
+// Run is a run for whose task a copy may be started.
 type Run struct {
-	// Age is how long it has taken so far, Expected how long such a task takes on its
-	// server, and Uncertainty by which factor that may be wrong: 1 if it is exact.
+	// Age is the time since its start, Expected the expected run time of such a task on its
+	// server (0 if unknown), and Uncertainty the factor by which that may be wrong: 1 if it
+	// is exact.
 	Age, Expected time.Duration
 	Uncertainty   float64
-	// Slow is set if its server has turned slow, so that Expected is much longer than on
-	// others.
+	// Slow is set if its server has become slow, so that Expected is much longer than on
+	// other servers.
 	Slow bool
-	// Priority is that of its work; 0 comes first.
+	// Priority is the priority of its submission's queue; 0 comes first.
 	Priority int
 	// CPU is what a copy reserves, in thousandths of a core.
 	CPU int64
 }
 
-// Remaining returns how long the run is expected to last, or 0 for one of which nothing
-// speaks for a copy. One that is long overdue is expected to take as long again: whatever
-// holds it up has no known end.
+// Remaining returns how long the run is expected to last, or 0 if there is no reason for a
+// copy: the run is neither overdue nor on a slow server. A run that is long overdue is
+// expected to take as long again, since the cause of the delay has no known end.
 func (r Run) Remaining() time.Duration {
 	if r.Expected <= 0 {
 		return 0
@@ -49,8 +50,8 @@
 	return max(r.Expected-r.Age, 0)
 }
 
-// Pays reports whether a copy that takes the given time elsewhere, its start included, is
-// expected to end before the run does.
+// Pays reports whether a copy is expected to end before the run does. Elsewhere is the time
+// that the copy takes on another server, including its start.
 func (r Run) Pays(elsewhere time.Duration) bool { return r.Remaining() > elsewhere }
 
 // Budget limits the CPU of copies, in thousandths of a core.
@@ -59,22 +60,22 @@
 	InUse, Copies int64
 }
 
-// Allows reports whether one more copy may start. Of small services one copy may run,
-// whatever its size.
+// Allows reports whether one more copy that reserves cpu may start. One copy may always run,
+// so that small services have copies too.
 func (b *Budget) Allows(cpu int64) bool {
 	return b.Copies == 0 || float64(b.Copies+cpu) <= budgetShare*float64(b.InUse)
 }
 
-// Take counts a copy.
+// Take counts a copy that reserves cpu.
 func (b *Budget) Take(cpu int64) { b.Copies += cpu }
 
-// Order sorts candidates: those of the most urgent work first, then those that are the
-// longest overdue.
+// Order sorts candidates in place: by priority, then by descending ratio of age to expected
+// time. Run returns the Run of a candidate.
 func Order[T any](candidates []T, run func(T) Run) {
 	slices.SortStableFunc(candidates, func(x, y T) int {
 		a, b := run(x), run(y)
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.ratio(), a.ratio()))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.overdueRatio(), a.overdueRatio()))
 	})
 }
 
-func (r Run) ratio() float64 { return float64(r.Age) / float64(max(r.Expected, 1)) }
+func (r Run) overdueRatio() float64 { return float64(r.Age) / float64(max(r.Expected, 1)) }
--- a/placement/speed/choice.go
+++ b/placement/speed/choice.go
@@ -8,26 +8,27 @@
 )
 
 const (
-	// yieldFactor is how many times as long as the shortest objective of the service's queues
-	// that of a queue is whose work leaves the fast servers to more urgent work.
+	// yieldFactor: a queue whose mean objective is more than this many times the shortest of
+	// the service's queues leaves the fast servers to more urgent work.
 	yieldFactor = 2
-	// objectiveWindow is how long a queue without work is remembered, checkInterval the time
+	// objectiveWindow is how long a queue without new work is kept, checkInterval the time
 	// between two searches for the shortest objective, and objectiveWeight the weight of the
-	// newest in a queue's moving average.
+	// newest objective in a queue's moving average.
 	objectiveWindow = 30 * time.Second
 	checkInterval   = time.Second
 	objectiveWeight = 0.05
-	// sufficeMargin is how much of its time a task may be expected to take on a server
-	// that suffices: stragglers and declared times that are off take the rest.
+	// sufficeMargin: a server suffices for a task that is expected to take at most this
+	// fraction of the time left. The rest is for stragglers and wrong declared times.
 	sufficeMargin = 0.85
 	// maxSlowWait is the longest wait for another server while only slow ones are free. A
 	// submission with nothing running for 3 s beside free capacity counts as lost.
 	maxSlowWait = time.Second
 )
 
-// Objectives finds the most urgent work of a service by the lengths of the objectives of
-// its queues' work. Those of single submissions depend on declared times, which may be far
-// off. The zero value knows none.
+// Objectives finds the most urgent queues of a service by their mean objectives. An
+// objective is the time from a submission's arrival to its target. Those of single
+// submissions depend on declared times, which may be wrong by a large factor. The zero value
+// has no queues.
 type Objectives struct {
 	queues map[string]*objective
 	// shortest is the shortest mean objective of a queue, determined at checked.
@@ -41,7 +42,7 @@
 	seen time.Time
 }
 
-// Observe adds the objective of a piece of work of a queue: the time from its arrival to its
+// Observe adds the objective of a submission to a queue: the time from its arrival to its
 // target.
 func (o *Objectives) Observe(queue string, length time.Duration, now time.Time) {
 	q := o.queues[queue]
@@ -69,13 +70,14 @@
 	}
 }
 
-// Yields reports whether the work of a queue leaves the fast servers to other work.
+// Yields reports whether a queue's work leaves the fast servers to more urgent work. It
+// reports false for a queue without observations.
 func (o *Objectives) Yields(queue string) bool {
 	q := o.queues[queue]
 	return q != nil && q.mean > yieldFactor*o.shortest
 }
 
-// Choice is the order in which a piece of work prefers the classes of free servers.
+// Choice is the order in which a task prefers the speed classes of free servers.
 type Choice struct {
 	// Yields is set for work that leaves the fast servers to more urgent work.
 	Yields bool
@@ -83,8 +85,8 @@
 	Least int
 }
 
-// NewChoice returns the choice of a task that takes the given time on the usual server and
-// has the given time left.
+// NewChoice returns the choice of a task that takes the time work on the usual server and
+// has the time left until its target.
 func NewChoice(yields bool, work, left time.Duration) Choice {
 	c := Choice{Yields: yields, Least: math.MaxInt32}
 	if yields && work > 0 && left > 0 {
@@ -112,22 +114,23 @@
 }
 
 // SlowWait returns how long a task may wait for another server while only slow ones are
-// free: not longer than it saves.
+// free: at most the time that it saves, and at most 1 s. Work is its expected run time on
+// the usual server.
 func SlowWait(work time.Duration) time.Duration {
 	return min(time.Duration(float64(work)*(1/OfClass(slowClass)-1)), maxSlowWait)
 }
 
-// Room is the number of members of a gang that fit on the servers of a class.
-type Room struct{ Class, Slots int }
+// ClassSlots is the number of members of a gang that fit on the servers of a class.
+type ClassSlots struct{ Class, Slots int }
 
 // Range returns the lowest and the highest class of the servers that a gang of need members
 // should use. A gang runs at the speed of its slowest member, so that members on faster
-// servers gain nothing. It reports false if the members do not fit.
-func (c Choice) Range(rooms []Room, need int) (low, high int, ok bool) {
-	rooms = slices.SortedFunc(slices.Values(rooms), func(x, y Room) int { return cmp.Compare(x.Class, y.Class) })
-	for i, r := range rooms {
+// servers gain nothing. It reports false if fewer than need members fit on all servers.
+func (c Choice) Range(available []ClassSlots, need int) (low, high int, ok bool) {
+	available = slices.SortedFunc(slices.Values(available), func(x, y ClassSlots) int { return cmp.Compare(x.Class, y.Class) })
+	for i, lowest := range available {
 		slots, to := 0, 0
-		for _, further := range rooms[i:] {
+		for _, further := range available[i:] {
 			slots, to = slots+further.Slots, further.Class
 			if slots >= need {
 				break
@@ -136,8 +139,8 @@
 		if slots < need {
 			break
 		}
-		if !ok || c.prefersRange(r.Class, to, low, high) {
-			low, high, ok = r.Class, to, true
+		if !ok || c.prefersRange(lowest.Class, to, low, high) {
+			low, high, ok = lowest.Class, to, true
 		}
 	}
 	return low, high, ok
--- a/placement/speed/choice_test.go
+++ b/placement/speed/choice_test.go
@@ -37,7 +37,7 @@
 
 // A gang with one member on a slow server holds all other servers for as long as that.
 func TestChoice_Range(t *testing.T) {
-	rooms := []speed.Room{{Class: 3, Slots: 4}, {Class: 0, Slots: 10}, {Class: -1, Slots: 6}, {Class: -5, Slots: 20}}
+	rooms := []speed.ClassSlots{{Class: 3, Slots: 4}, {Class: 0, Slots: 10}, {Class: -1, Slots: 6}, {Class: -5, Slots: 20}}
 	urgent := speed.NewChoice(false, time.Second, time.Second)
 	other := speed.NewChoice(true, time.Second, time.Minute)
 	for _, c := range []struct {
--- a/placement/speed/speed.go
+++ b/placement/speed/speed.go
@@ -30,7 +30,7 @@
 	// halfLife is the time without a run in which the estimate comes half as close to 1.
 	// A server that turned slow gets no work, so that nothing else ends the avoidance.
 	halfLife = 8 * time.Second
-	// restTime is the time without a run before the estimate begins to fade.
+	// restTime is the time without a run after which the estimate begins to approach 1.
 	restTime = 4 * time.Second
 	// maxObservation bounds one observation, as a logarithm, to a factor of 20.
 	maxObservation = 3
@@ -41,8 +41,9 @@
 	minDifference = 0.14
 	// classWidth is the width of a class, as a logarithm.
 	classWidth = 0.35
-	// spreadFactor takes the median absolute deviation of normally distributed values to
-	// their standard deviation, and medianFactor that to the standard error of a median.
+	// The standard deviation of normally distributed values is spreadFactor times their
+	// median absolute deviation. The standard error of their median is medianFactor times
+	// that of their mean.
 	spreadFactor, medianFactor = 1.48, 1.25
 	// minSpread is the least standard deviation that is assumed of single runs. With few
 	// runs priorSpread counts as much as spreadRuns of them, and with fewer than minRuns
@@ -53,7 +54,9 @@
 	minRuns     = 5
 )
 
-// Estimator estimates the speed of one server instance. The zero value knows nothing.
+// Estimator estimates the speed of one server instance, where 1 is the speed for which
+// expected times are given and 2 is twice as fast. The zero value has no observations and
+// estimates 1. It is not safe for concurrent use.
 type Estimator struct {
 	// runs holds the last observations, a ring of which next is the oldest once full.
 	runs  [steadyWindow]float32
@@ -65,8 +68,8 @@
 	newest int
 	// lastRun is when the last run ended.
 	lastRun time.Time
-	// normalStart is when the run that began last began, of those that ended in about the
-	// usual time. Runs that began before it are overdue for their own sake.
+	// normalStart is the latest start of a run that ended in about the usual time. A run that
+	// began before it and is overdue is a straggler: the server is not the cause.
 	normalStart time.Time
 	// steady, recent and spread are computed from runs.
 	steady, recent, spread float64
@@ -82,10 +85,11 @@
 	position int
 }
 
-// Observe adds a run that ended: expected is its time on a server of speed 1. Tasks of one
-// step have one declared time, so that all their expected times are wrong together: the
-// runs of one group, which is not 0, count as one observation. A run that took long is
-// ignored if one that did not began as late: it is a straggler, and the server is not slow.
+// Observe adds a run that ended at now and took the given time; expected is its time on a
+// server of speed 1. Tasks of one step have one declared time, so that all their expected
+// times are wrong by the same factor: the runs of one group, which is not 0, count as one
+// observation. A long run is ignored if a run of usual length began at the same time or
+// later: it is a straggler, and the server is not slow.
 func (e *Estimator) Observe(groupID uint64, expected, took time.Duration, now time.Time) {
 	if expected <= 0 || took <= 0 {
 		return
@@ -99,8 +103,8 @@
 			e.normalStart = start
 		}
 	case !start.After(e.normalStart):
-		// A straggler. Counting those would count steps with many tasks wrongly, whose
-		// other runs are one observation.
+		// A straggler. All other runs of its step are one observation, so that stragglers
+		// of steps with many tasks would have too much weight.
 		return
 	}
 	e.add(groupID, x)
@@ -127,11 +131,10 @@
 	return float32(min(max(x, -maxObservation), maxObservation))
 }
 
-// SetOverdue replaces what is known of the runs in progress. Each is given by its
-// expected time on a server of speed 1 and its age, which is a lower bound of its run
-// time. Those that are not overdue for a server of this speed are ignored, and so are
-// stragglers: those after which another run began that ended in about the usual time. Of
-// each group one run counts.
+// SetOverdue replaces the observations of runs in progress, whose ages are lower bounds of
+// their run times. Runs that are not overdue on a server of this speed are ignored, and so
+// are stragglers: runs after whose start another run began that ended in about the usual
+// time. One run of each group counts.
 func (e *Estimator) SetOverdue(running []Running, now time.Time) {
 	before := len(e.overdue)
 	e.overdue = e.overdue[:0]
@@ -159,7 +162,9 @@
 
 // Running is a run in progress.
 type Running struct {
-	Group         uint64
+	// Group identifies the tasks of one step; it is not 0.
+	Group uint64
+	// Expected is its expected time on a server of speed 1, and Age the time since its start.
 	Expected, Age time.Duration
 }
 
@@ -222,15 +227,15 @@
 	return estimate, deviation
 }
 
-// Speed returns the estimated speed; 1 if nothing is known.
+// Speed returns the estimated speed, a factor; 1 without observations.
 func (e *Estimator) Speed(now time.Time) float64 {
 	x, _ := e.log(now)
 	return math.Exp(x)
 }
 
 // Base returns the speed of a service's usual server, as a logarithm: the median of its
-// servers. An error of what tasks are expected to take is common to all servers, and a
-// class must not depend on it.
+// servers, 0 if there are none. An error of the expected run times is common to all servers,
+// and a class must not depend on it.
 func Base(servers []*Estimator, now time.Time) float64 {
 	if len(servers) == 0 {
 		return 0
@@ -243,9 +248,10 @@
 	return logs[len(logs)/2]
 }
 
-// Class returns the class of the server against the usual server: 0 if its speed is not
-// known to differ, higher classes for faster servers. Servers of one class count as alike,
-// so that chance alone decides no placement.
+// Class returns the speed class of the server relative to the usual server, whose speed is
+// base, a logarithm (see Base): 0 if its speed is not known to differ, higher classes for
+// faster servers. Servers of one class count as equal, so that random variation of run times
+// does not decide placement.
 func (e *Estimator) Class(now time.Time, base float64) int {
 	x, deviation := e.log(now)
 	x -= base
@@ -262,11 +268,11 @@
 	return class
 }
 
-// OfClass returns the speed in the middle of a class, where the usual server has 1.
+// OfClass returns the speed in the middle of a class, as a factor of the usual server's.
 func OfClass(class int) float64 { return math.Exp(classWidth * float64(class)) }
 
-// Slow reports whether a class is that of a server to work round: it takes over 2.4 times
-// the usual time.
+// Slow reports whether a class is that of a slow server, which placement avoids: it takes
+// over 2.4 times the usual time.
 func Slow(class int) bool { return class <= slowClass }
 
 // slowClass is the highest class of a slow server. The servers of a mixed fleet, with
--- a/placement/speed/speed_test.go
+++ b/placement/speed/speed_test.go
@@ -15,7 +15,7 @@
 type fleet struct {
 	random  *rand.Rand
 	now     time.Time
-	usual   speed.Usual
+	usual   speed.UsualWork
 	speeds  []float64
 	servers []speed.Estimator
 	group   uint64
@@ -202,7 +202,7 @@
 // Declared times that are worthless must not spoil an estimate that the queue's usual
 // time makes exact.
 func TestUsual_TrustsWhatIsReliable(t *testing.T) {
-	var byUsual, byDeclared speed.Usual
+	var byUsual, byDeclared speed.UsualWork
 	random := rand.New(rand.NewPCG(1, 1))
 	for range 100 {
 		byUsual.Observe(time.Duration(1+random.IntN(1000))*time.Millisecond, time.Second, 1)
--- a/placement/speed/usual.go
+++ b/placement/speed/usual.go
@@ -19,11 +19,13 @@
 	maxDifference = 2
 )
 
-// Usual is the usual work of a queue's tasks: their run times on a server of speed 1, by
-// themselves and against their declared times. It tells how far either can be trusted:
-// declared times may be far off, and a queue may hold tasks of very different lengths.
-// The zero value knows nothing.
-type Usual struct {
+// UsualWork estimates the run times of a queue's tasks on a server of speed 1, from runs
+// that ended and from declared times, each weighted by its reliability: declared times may
+// be wrong by a large factor, and a queue may hold tasks of very different lengths. The zero
+// value has no runs. It is not safe for concurrent use.
+type UsualWork struct {
+	// work holds the logarithms of the last run times on a server of speed 1, in seconds,
+	// and bias those of their ratios to the declared times; 0 for a task without one.
 	work, bias   [usualWindow]float32
 	count, next  int
 	sinceCompute int
@@ -33,7 +35,7 @@
 
 // Observe adds a run of a task with a declared time, which took the given time on a server
 // of the given speed.
-func (u *Usual) Observe(declared, took time.Duration, speed float64) {
+func (u *UsualWork) Observe(declared, took time.Duration, speed float64) {
 	if took <= 0 || speed <= 0 {
 		return
 	}
@@ -52,9 +54,11 @@
 	}
 }
 
-// Work returns the expected run time of a task with a declared time on a server of speed
-// 1: the mean of what the usual time and the declared time say, each by its reliability.
-func (u *Usual) Work(declared time.Duration) time.Duration {
+// Work returns the expected run time, on a server of speed 1, of a task with the given
+// declared time; 0 means that none is declared. It is the geometric mean of the usual and
+// the declared time, each weighted by its reliability, and the declared time alone until
+// Known reports true.
+func (u *UsualWork) Work(declared time.Duration) time.Duration {
 	if !u.Known() {
 		return declared
 	}
@@ -62,7 +66,7 @@
 		return seconds(u.workMedian)
 	}
 	byUsual, byDeclared := 1/(u.workSpread*u.workSpread), 1/(u.biasSpread*u.biasSpread)
-	// The median bias takes the declared time to the unit of the usual time, so that speeds
+	// The median bias corrects the declared time to the scale of the usual time, so that speeds
 	// are relative to the service's usual server.
 	difference := math.Log(declared.Seconds()) + u.biasMedian - u.workMedian
 	most := maxDifference * u.workSpread * max(u.workSpread/u.biasSpread, 1)
@@ -72,28 +76,29 @@
 
 // CautiousWork returns the longer of Work and the usual time: a declared time that is far
 // too short must not make an ordinary run look overdue.
-func (u *Usual) CautiousWork(declared time.Duration) time.Duration {
+func (u *UsualWork) CautiousWork(declared time.Duration) time.Duration {
 	return max(u.Work(declared), seconds(u.workMedian))
 }
 
-// Known reports whether the usual time is known.
-func (u *Usual) Known() bool { return u.count >= minUsualRuns }
+// Known reports whether enough runs were observed to estimate the usual time.
+func (u *UsualWork) Known() bool { return u.count >= minUsualRuns }
 
-// Uncertainty returns the factor by which what Work returns may be wrong in one of eighty
-// cases.
-func (u *Usual) Uncertainty() float64 {
+// Uncertainty returns the factor by which the result of Work is too low or too high in about
+// one of eighty cases. Known must report true.
+func (u *UsualWork) Uncertainty() float64 {
 	byUsual, byDeclared := 1/(u.workSpread*u.workSpread), 1/(u.biasSpread*u.biasSpread)
 	return math.Exp(2.5 / math.Sqrt(byUsual+byDeclared))
 }
 
-// Siblings holds the work of a step's tasks that ended, which tells more about the others
-// than a declared time. The zero value knows none, and neither does nil.
+// Siblings holds the run times of the ended tasks of one step, which predict those of its
+// other tasks better than a declared time does. The zero value and nil hold none.
 type Siblings struct {
 	ended [maxSiblings]sibling
 	count int
 }
 
-// sibling is a task that ended: its work, as a logarithm, and the server that it ran on.
+// sibling is a task that ended: the logarithm of its run time on a server of speed 1, in
+// seconds, and the number of the server instance that it ran on.
 type sibling struct {
 	work   float32
 	server uint64
@@ -116,9 +121,9 @@
 	s.count++
 }
 
-// Work returns the median work of the tasks that ended on other servers than the given one.
-// It reports false if they are too few. Those on the same server say nothing about it: if it
-// is slow, all of them took long.
+// Work returns the median run time, on a server of speed 1, of the tasks that ended on other
+// servers than the given one. It reports false if fewer than three did. Tasks on the same
+// server do not show whether it is slow, since all of them took long then.
 func (s *Siblings) Work(server uint64) (time.Duration, bool) {
 	if s == nil {
 		return 0, false
