--- a/tenant/exchange.go
+++ b/tenant/exchange.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// peakWindow is the time over which the largest demand of a tenant counts as what it
-	// needs soon. It lasts for one to two windows.
+	// peakWindow is the length of one window of peak. The largest demand of a tenant counts as
+	// what it needs soon for one to two windows.
 	peakWindow = time.Second
-	// ceilingTime is how long an owner keeps below the part that another one may get, so
-	// that its runs end and leave room for a transfer. An owner that still wants it asks
-	// twice in that time.
+	// ceilingTime is how long an owner starts nothing above the fraction that it keeps after
+	// a division of the cap, so that capacity for a transfer becomes free as its runs end.
+	// The owner that needs the transfer asks twice in that time.
 	ceilingTime = time.Second
-	// minTransfer is the least amount that is transferred unless less was asked for. Each
-	// transfer costs three writes.
+	// minTransfer is the smallest amount, in millionths of the cap, that is transferred unless
+	// less was asked for. Each transfer costs three writes.
 	minTransfer = Whole / 1000
 )
 
@@ -42,7 +42,8 @@
 	return quota.Amounts{max(a[0], b[0]), max(a[1], b[1]), max(a[2], b[2])}
 }
 
-// Observe notes what the waiting work of a tenant would use, beside what it uses.
+// Observe updates the recent peak of a tenant's demand: what it uses, plus what its queued
+// tasks would reserve.
 func (l *Ledger) Observe(name string, queued workload.Resources, now time.Time) {
 	a, _, capped := l.limitOf(name)
 	if !capped {
@@ -57,8 +58,9 @@
 	}
 }
 
-// Ask returns the question to other owners of one whose work needs more of a tenant's cap
-// than it holds. It returns false if nothing is to be asked.
+// Ask returns the request to the owners of other partitions for a part of a tenant's cap, if
+// the tenant's runs and queued tasks here need more than this owner holds, and otherwise
+// false. The caller sets From.
 func (l *Ledger) Ask(name string, queued workload.Resources) (Question, bool) {
 	a, limit, capped := l.limitOf(name)
 	if !capped {
@@ -72,10 +74,11 @@
 	return Question{Tenant: name, Held: held, Demand: demand, Amount: demand - held}, true
 }
 
-// Grant returns how much this owner gives to one that asks: what it does not use and does
-// not need soon. If both need more than they have, the cap is divided by their demands; the
-// one that has too much starts nothing above its part for a while, and gives what its runs
-// leave as they end.
+// Grant returns how much this owner gives to one that asks, in millionths of the cap: what
+// it neither uses nor needs soon, or 0. If both need more than they hold, the sum of what
+// they hold is divided in proportion to their demands. An owner that holds more than its
+// part then starts nothing above that part for a second, and gives what its runs free as
+// they end.
 func (l *Ledger) Grant(q Question, queued workload.Resources, now time.Time) int64 {
 	a, limit, capped := l.limitOf(q.Tenant)
 	if !capped || q.Amount <= 0 {
--- a/tenant/fraction.go
+++ b/tenant/fraction.go
@@ -17,15 +17,17 @@
 	Amount int64 `cbor:"1,keyasint"`
 	// Sent is the number of the last transfer to another partition.
 	Sent uint64 `cbor:"2,keyasint,omitempty"`
-	// Out are the transfers that are not known to have been taken, at most one to each
-	// partition. What they carry counts for no partition.
+	// Out are the unconfirmed transfers to other partitions, at most one to each. Their
+	// amounts belong to no partition.
 	Out []Transfer `cbor:"3,keyasint,omitempty"`
 	// Taken is the number of the last transfer that was taken from each partition.
 	Taken map[int]uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Transfer is a part of a fraction on its way to another partition.
+// Transfer is a part of a fraction that is being sent to another partition.
 type Transfer struct {
+	// Number counts the sender's transfers of this tenant's cap, To is the receiving
+	// partition, and Amount is in millionths of the cap.
 	Number uint64 `cbor:"1,keyasint"`
 	To     int    `cbor:"2,keyasint"`
 	Amount int64  `cbor:"3,keyasint"`
@@ -52,7 +54,7 @@
 }
 
 // Fractions holds what one partition may use of the caps. The partition that is the first
-// holder has the whole of each cap until it stores something else. A Fractions must be used
+// holder has the whole of each cap until it stores another Fraction. A Fractions must be used
 // by one goroutine at a time.
 type Fractions struct {
 	first    bool
@@ -74,7 +76,7 @@
 // SetFirst sets whether the partition is the first holder.
 func (f *Fractions) SetFirst(first bool) { f.first = first }
 
-// Load restores what the log has of a tenant.
+// Load restores the stored Fraction of a tenant.
 func (f *Fractions) Load(name string, stored Fraction) {
 	h := &holding{stored: stored, sendable: make(map[uint64]bool)}
 	for _, t := range stored.Out {
@@ -83,7 +85,7 @@
 	f.holdings[name] = h
 }
 
-// of returns the holding of a tenant, which the caller changes.
+// of returns the holding of a tenant for a change, and creates it if there is none.
 func (f *Fractions) of(name string) *holding {
 	h := f.holdings[name]
 	if h == nil {
@@ -190,8 +192,8 @@
 // snapshot returns the Fraction to store. Its slices and maps are not changed afterwards.
 func (h *holding) snapshot() Fraction { return h.stored }
 
-// limitBy returns the part of a limit that a fraction makes, rounded down. A limit of zero
-// is none and stays so; a part of nothing is negative, so that it is not taken for none.
+// limitBy returns the given fraction of a limit, rounded down. A limit of 0 means unlimited
+// and stays 0; a result that rounds to 0 becomes -1, so that it does not mean unlimited.
 func limitBy(limit quota.Amounts, fraction int64) quota.Amounts {
 	if fraction >= Whole {
 		return limit
@@ -209,8 +211,8 @@
 	return limit
 }
 
-// fractionFor returns the least fraction of a limit that holds an amount, more than Whole
-// if the limit itself is less.
+// fractionFor returns the smallest fraction of a limit, in millionths, that covers an amount.
+// It exceeds Whole if the amount reaches the limit of a resource.
 func fractionFor(amount, limit quota.Amounts) int64 {
 	var most int64
 	for i, all := range limit {
--- a/tenant/ledger.go
+++ b/tenant/ledger.go
@@ -52,7 +52,7 @@
 	excess quota.Amounts
 	// unattributed is capacity that any tenant may be using.
 	unattributed quota.Amounts
-	// Fractions is the part of each cap that this owner may use.
+	// Fractions holds the part of each cap that this owner may use.
 	Fractions *Fractions
 }
 
@@ -147,10 +147,10 @@
 }
 
 // Allows returns how many of n tasks that need as much each may start now. Every start
-// begins while the tenant's use is below its cap, so that a task larger than what is left
-// of the cap is not passed over for as long as smaller ones come. The use exceeds the cap
-// by less than one task. An owner that has no more than half of the cap starts nothing that
-// ends above its part: all owners together may exceed the cap by one task only.
+// begins while the tenant's use is below its cap, so that a steady stream of smaller tasks
+// cannot starve a task larger than the rest of the cap. The use exceeds the cap by less than
+// one task. An owner that holds at most half of the cap starts nothing that would exceed its
+// fraction, so that all owners together exceed the cap by less than one task.
 func (l *Ledger) Allows(name string, need workload.Resources, n int) int {
 	a, limit, capped := l.limitOf(name)
 	if !capped {
@@ -167,7 +167,8 @@
 	return quota.StartsWithin(used, amountsOf(need), limit, n)
 }
 
-// AtCap reports whether a tenant uses all that it may of a resource.
+// AtCap reports whether a tenant uses all that this owner may use of its cap, for at least
+// one resource.
 func (l *Ledger) AtCap(name string) bool {
 	a, limit, capped := l.limitOf(name)
 	if !capped {
@@ -195,7 +196,7 @@
 	return quota.StartsBelow(quota.Amounts{}, amountsOf(need), limit, n)
 }
 
-// Cap returns a tenant's cap; a resource that is 0 has no bound.
+// Cap returns a tenant's cap over all owners; a resource that is 0 is unlimited.
 func (l *Ledger) Cap(name string) workload.Resources {
 	_, limit, _ := l.limitOf(name)
 	return resourcesOf(limit)
--- a/tenant/share.go
+++ b/tenant/share.go
@@ -7,8 +7,8 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// InExcess reports whether another submission of a tenant is beyond its rate, with a burst
-// of what the tenant may send within the window.
+// InExcess reports whether another submission of a tenant would exceed its rate. The burst
+// is what the rate allows within the window of NewLedger.
 func (l *Ledger) InExcess(name string, now time.Time) bool {
 	a, _, entitled := l.limitOf(name)
 	return entitled && a.submissions.TokensAt(now) < 1
@@ -22,10 +22,10 @@
 	}
 }
 
-// RefreshShares renews which tenants use all of their share of total or more. A tenant's share
-// is its weight divided by the weights of all tenants that have attempts or of which
-// waiting reports that work waits. What a tenant uses is the largest fraction that it uses
-// of any resource.
+// RefreshShares recomputes the share and the usage of each tenant, as fractions of total, the
+// capacity in service. A tenant's share is its weight divided by the sum of the weights of
+// the tenants that have attempts or for which waiting reports queued work. Its usage is the
+// largest fraction that it uses of any resource (dominant share).
 func (l *Ledger) RefreshShares(total workload.Resources, waiting func(name string) bool) {
 	if !l.active {
 		return
@@ -46,15 +46,15 @@
 	}
 }
 
-// OverShare reports whether a tenant used all of its share or more when the shares were last
-// renewed.
+// OverShare reports whether a tenant's usage was at least its share at the last
+// RefreshShares.
 func (l *Ledger) OverShare(name string) bool {
 	a, _, entitled := l.limitOf(name)
 	return entitled && a.over
 }
 
-// Share returns the share of the capacity to which a tenant is entitled while all tenants
-// that have work compete, and the fraction that it used, when the shares were last renewed.
+// Share returns a tenant's share and usage, as fractions of the capacity from 0 to 1, as of
+// the last RefreshShares.
 func (l *Ledger) Share(name string) (share, usage float64) {
 	a := l.accounts[name]
 	if a == nil {
