Wording of package intake: define 'give way', name evicted requests

Cause: 'give way' was used without a definition, and reasons, usage and errors of exported functions were not described.

Values in metrics and events are unchanged.

Tested: go test ./internal/intake.

--- a/internal/intake/bodies.go
+++ b/internal/intake/bodies.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// firstBytes is the first size of a body's buffer. Most submissions fit in it.
+// firstBytes is the initial size of a body's buffer. Most submissions fit in it.
 const firstBytes = 4 * kilobyte
 
 // ErrTooLarge is the error of a body that is longer than allowed.
@@ -16,7 +16,9 @@
 // Bodies reads the bodies of callers' calls within a budget. A nil *Bodies reads without
 // one.
 type Bodies struct {
-	Budget                    *Budget
+	// Budget bounds the bytes of all bodies together.
+	Budget *Budget
+	// StallTimeout bounds the time without progress of a body, and BodyTimeout its whole time.
 	StallTimeout, BodyTimeout time.Duration
 	Report                    *Reporter
 }
@@ -56,7 +58,7 @@
 }
 
 // Read reads a body of at most limit bytes. Its error is a *Refusal if the call has to be
-// refused as not run, or ErrTooLarge.
+// refused as not run, ErrTooLarge, or that of the connection.
 func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
 	if b == nil {
 		data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
@@ -102,7 +104,8 @@
 // closeAfter makes the server close the connection after the answer.
 func closeAfter(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
-// Reserve takes what the decoded body holds, with at most maxObjects objects.
+// Reserve takes the bytes that the decoded body holds, with at most maxObjects objects. It
+// returns a *Refusal if the budget does not have them.
 func (b *Body) Reserve(maxObjects int) error {
 	if b.entry == nil {
 		return nil
@@ -110,7 +113,7 @@
 	return b.entry.Take(DecodedBytes(b.Bytes, maxObjects))
 }
 
-// Decoded drops the bytes of the body, which the decoded values do not refer to.
+// Decoded releases the bytes of the body. Decoded values must not refer to them.
 func (b *Body) Decoded() {
 	if b.entry != nil {
 		b.entry.Release(int64(cap(b.Bytes)))
@@ -118,7 +121,7 @@
 	b.Bytes = nil
 }
 
-// Release gives back all that the body holds.
+// Release returns all bytes that the body holds to the budget.
 func (b *Body) Release() {
 	if b.entry != nil {
 		b.entry.End()
@@ -145,9 +148,9 @@
 		}
 		n, err := x.readSome()
 		x.buffer = x.buffer[:len(x.buffer)+n]
-		switch gaveWay := x.entry.Add(n); {
-		case gaveWay != nil:
-			return gaveWay
+		switch refusal := x.entry.Add(n); {
+		case refusal != nil:
+			return refusal
 		case int64(len(x.buffer)) > x.limit:
 			return ErrTooLarge
 		case err == io.EOF:
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -6,18 +6,19 @@
 )
 
 const (
-	// grace is how long a request is never the one that gives way, and the least time that
-	// the rest of one that gives way would take: an ordinary request is complete by then.
-	grace = 250 * time.Millisecond
-	// waitTimeout limits the wait for bytes that others hold.
+	// evictionGrace is the age below which a request does not give way, and the least time
+	// that the rest of one that does is expected to take. An ordinary request is complete
+	// within that.
+	evictionGrace = 250 * time.Millisecond
+	// waitTimeout limits the wait of a request for bytes that other requests hold.
 	waitTimeout = time.Second
 	// retryInterval limits the time between two attempts of a request that waits.
 	retryInterval = 50 * time.Millisecond
-	// searchInterval is the time after a search without a result in which there is none.
+	// searchInterval is the least time from a search that found no request to evict to the
+	// next one: a search looks at all requests.
 	searchInterval = 20 * time.Millisecond
-	// smallBytes is what a small request holds at most, and smallPart the part of the
-	// budget, an eighth, that only small requests may use: ordinary ones get through while
-	// large ones wait.
+	// A request that holds at most smallBytes is small. Only small requests may use the last
+	// 1/smallPart of the budget, so that they are read while large ones wait.
 	smallBytes = 16 * kilobyte
 	smallPart  = 8
 )
@@ -25,10 +26,13 @@
 // Reason says why a request or a connection was refused.
 type Reason string
 
-// Reasons of refusals.
+// Reasons of refusals. Their values are part of metrics and events.
 const (
+	// ReasonGaveWay: the request was the slowest when the budget was full.
 	ReasonGaveWay Reason = "gave_way"
-	ReasonFull    Reason = "intake_full"
+	// ReasonFull: the request waited for the budget for a second.
+	ReasonFull Reason = "intake_full"
+	// ReasonStalled: the body made no progress, or took too long.
 	ReasonStalled Reason = "body_stalled"
 )
 
@@ -37,7 +41,7 @@
 
 func (r *Refusal) Error() string { return string(r.Reason) }
 
-// Usage is what a budget and its requests hold, for metrics.
+// Usage is what the requests of a budget hold, and the budget's limit, in bytes.
 type Usage struct{ Held, Limit int64 }
 
 // Budget bounds the bytes of all requests together. When it is full, the slowest request
@@ -48,13 +52,12 @@
 
 	mu   sync.Mutex
 	used int64
-	// leaving counts the bytes of requests that give way and have not released them.
-	leaving int64
-	// searchAfter is when a request that gives way is searched next, after a search that
-	// found none: each search looks at all requests.
+	// evictedBytes counts the bytes that evicted requests have not released yet.
+	evictedBytes int64
+	// searchAfter is the earliest time of the next search for a request to evict.
 	searchAfter time.Time
 	entries     map[*Entry]struct{}
-	// changed is closed when bytes are released or a request gives way.
+	// changed is closed, and replaced, when bytes are released or a request is evicted.
 	changed chan struct{}
 }
 
@@ -64,8 +67,9 @@
 	progress  Progress
 	held      int64
 	interrupt func()
-	// arriving is set until the whole request has come; only then may it give way.
-	arriving, waiting, gaveWay, ended bool
+	// arriving is set until the whole request has come. Only an arriving request is evicted.
+	// waiting is set while Take waits for bytes.
+	arriving, waiting, evicted, ended bool
 }
 
 // NewBudget returns an empty budget of limit bytes.
@@ -80,8 +84,8 @@
 	return Usage{b.used, b.limit}
 }
 
-// Begin adds a request of an expected size. Interrupt ends its reading or writing; it is
-// called once, with the budget locked, if the request has to give way.
+// Begin adds a request with an expected size in bytes. Interrupt ends its reading or
+// writing; it is called once, with the budget locked, if the request has to give way.
 func (b *Budget) Begin(size int64, interrupt func()) *Entry {
 	e := &Entry{budget: b, progress: NewProgress(size, b.now()), interrupt: interrupt, arriving: true}
 	b.mu.Lock()
@@ -90,7 +94,7 @@
 	return e
 }
 
-// Add notes that n bytes have come. It fails if the request has to give way.
+// Add records that n bytes have come. It returns a *Refusal if the request has to give way.
 func (e *Entry) Add(n int) error {
 	e.budget.mu.Lock()
 	defer e.budget.mu.Unlock()
@@ -98,11 +102,12 @@
 	return e.err()
 }
 
-// Do calls f unless the request has to give way. Interrupt is not called meanwhile.
+// Do calls f with the budget locked, so that interrupt is not called meanwhile. If the request
+// has to give way, it returns a *Refusal instead.
 func (e *Entry) Do(f func()) error {
 	e.budget.mu.Lock()
 	defer e.budget.mu.Unlock()
-	if e.gaveWay {
+	if e.evicted {
 		return e.err()
 	}
 	f()
@@ -110,35 +115,38 @@
 }
 
 func (e *Entry) err() error {
-	if e.gaveWay {
+	if e.evicted {
 		return &Refusal{ReasonGaveWay}
 	}
 	return nil
 }
 
-// Arrived notes that the whole request has come. From then on it does not give way.
+// Arrived records that the whole request has come. From then on it does not give way. It
+// returns a *Refusal if it already has to.
 func (e *Entry) Arrived() error {
 	e.budget.mu.Lock()
 	defer e.budget.mu.Unlock()
-	if e.gaveWay {
+	if e.evicted {
 		return e.err()
 	}
 	e.arriving = false
 	return nil
 }
 
-// Try takes n bytes without waiting. Requests that are slower give way.
+// Try takes n bytes without waiting, and reports whether it could. Slower requests give way;
+// their bytes count as free before they are released.
 func (e *Entry) Try(n int64) bool {
 	e.budget.mu.Lock()
 	defer e.budget.mu.Unlock()
-	return !e.gaveWay && e.budget.take(e, n, true)
+	return !e.evicted && e.budget.take(e, n, true)
 }
 
-// TryQueue takes n bytes that are added to those to be sent, without waiting.
+// TryQueue takes n bytes for a message that is queued to be sent, without waiting, and
+// reports whether it could.
 func (e *Entry) TryQueue(n int64) bool {
 	e.budget.mu.Lock()
 	defer e.budget.mu.Unlock()
-	if e.ended || e.gaveWay {
+	if e.ended || e.evicted {
 		return false
 	}
 	if e.held == 0 {
@@ -151,8 +159,8 @@
 	return true
 }
 
-// Take takes n bytes. It waits while slower requests give way, or while none does and all
-// are fast.
+// Take takes n bytes. It waits until they are free, for at most a second; slower requests
+// give way meanwhile. It returns a *Refusal if it fails.
 func (e *Entry) Take(n int64) error {
 	b := e.budget
 	b.mu.Lock()
@@ -165,11 +173,11 @@
 	}()
 	for {
 		switch {
-		case e.gaveWay:
+		case e.evicted:
 			return e.err()
 		case b.take(e, n, false):
 			return nil
-		case e.gaveWay:
+		case e.evicted:
 			return e.err()
 		case b.now().Sub(began) >= waitTimeout:
 			return &Refusal{ReasonFull}
@@ -198,7 +206,7 @@
 	if e.held+n > smallBytes {
 		limit -= limit / smallPart
 	}
-	// Nobody gives way to what can never fit.
+	// No request is evicted for one that can never fit.
 	if e.held+n > limit {
 		return false
 	}
@@ -209,7 +217,7 @@
 			e.held += n
 			return true
 		}
-		freeSoon := free + b.leaving
+		freeSoon := free + b.evictedBytes
 		if n <= freeSoon {
 			if early {
 				b.used += n
@@ -226,8 +234,8 @@
 			b.searchAfter = now.Add(searchInterval)
 			return false
 		}
-		victim.gaveWay = true
-		b.leaving += victim.held
+		victim.evicted = true
+		b.evictedBytes += victim.held
 		victim.interrupt()
 		b.signal()
 		if victim == e {
@@ -240,10 +248,10 @@
 // rest takes the longest at its present rate. If all that arrive wait for this budget, it
 // is the one that holds the most, so that the others can go on.
 func (b *Budget) slowest(now time.Time) (slowest *Entry) {
-	longest, blocked := grace, true
+	longest, blocked := evictionGrace, true
 	var largest *Entry
 	for e := range b.entries {
-		if !e.arriving || e.gaveWay || e.held == 0 {
+		if !e.arriving || e.evicted || e.held == 0 {
 			continue
 		}
 		if e.waiting {
@@ -253,7 +261,7 @@
 			continue
 		}
 		blocked = false
-		if left := e.progress.Left(now); e.progress.Age(now) >= grace && left >= longest {
+		if left := e.progress.Left(now); e.progress.Age(now) >= evictionGrace && left >= longest {
 			slowest, longest = e, left
 		}
 	}
@@ -274,8 +282,8 @@
 	n = min(n, e.held)
 	e.held -= n
 	e.budget.used -= n
-	if e.gaveWay {
-		e.budget.leaving -= n
+	if e.evicted {
+		e.budget.evictedBytes -= n
 	}
 	e.budget.signal()
 }
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -61,8 +61,8 @@
 	SocketBytes int
 }
 
-// LimitsFor returns set with each limit that is 0 derived from the VM's memory and
-// descriptors; 0 means that these are not known.
+// LimitsFor returns set with each limit that is 0 derived from the VM's memory in mebibytes
+// and the process's limit of file descriptors; 0 means that these are not known.
 func LimitsFor(memoryMB int64, descriptors int, set Limits) Limits {
 	memory := cmp.Or(memoryMB*megabyte, unknownMemory)
 	descriptors = cmp.Or(descriptors, unknownDescriptors)
@@ -113,7 +113,8 @@
 	return nil
 }
 
-// DecodedBytes bounds what a body takes once it is decoded, beside the body itself:
+// DecodedBytes returns an upper bound of the memory in bytes that a body takes once it is
+// decoded, beside the body itself:
 // its strings; its list elements, of which each follows a comma, with the list's former
 // length while it grows; and its objects, of which only maxObjects are kept.
 func DecodedBytes(body []byte, maxObjects int) int64 {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -107,9 +107,9 @@
 	return &Listener{Listener: inner, o: o, began: time.Now(), done: make(chan struct{}), conns: make(map[*Conn]struct{})}
 }
 
-// Accept waits for a connection that finds room. Errors other than that of a closed
-// listener are reported, and it goes on after a pause: they concern one connection, or a
-// shortage that passes.
+// Accept waits for a connection that the bounds admit. Errors other than that of a closed
+// listener are reported, and it continues after a pause: they concern one connection, or a
+// temporary shortage.
 func (l *Listener) Accept() (net.Conn, error) {
 	pause := minAcceptPause
 	for {
@@ -147,7 +147,7 @@
 	return len(l.conns)
 }
 
-// admit returns the bounded connection, or nil if it was refused for want of room.
+// admit returns the bounded connection, or nil if the bounds do not admit it.
 func (l *Listener) admit(inner net.Conn) *Conn {
 	c := &Conn{Conn: inner, listener: l, address: hostOf(inner)}
 	c.mark(&c.waitsSince)
--- a/internal/intake/progress.go
+++ b/internal/intake/progress.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// rateWindow is the time over which the present rate of a request is measured, beside
-// the window before it.
+// rateWindow is half the time over which the present rate of a request is measured: the
+// current window and the one before it.
 const rateWindow = 500 * time.Millisecond
 
-// Progress is how far a request or message has come, by its client's doing.
+// Progress measures how fast the client sends, or takes, a request or message.
 type Progress struct {
 	// Size is the length in bytes that is expected in the end.
 	Size        int64
@@ -22,7 +22,7 @@
 	return Progress{Size: size, began: now, windowBegan: now}
 }
 
-// Add notes that n bytes have come.
+// Add records that n bytes have come.
 func (p *Progress) Add(n int64, now time.Time) {
 	p.roll(now)
 	p.received += n
@@ -39,7 +39,7 @@
 	}
 }
 
-// Resume leaves out a time in which the daemon did not read.
+// Resume excludes a time during which the daemon did not read.
 func (p *Progress) Resume(waited time.Duration) {
 	p.began, p.windowBegan = p.began.Add(waited), p.windowBegan.Add(waited)
 }
@@ -47,8 +47,8 @@
 // Age returns how long the client has had to send.
 func (p *Progress) Age(now time.Time) time.Duration { return now.Sub(p.began) }
 
-// Left returns how long the rest takes at the present rate. A client that has stopped
-// counts as sending a byte a second.
+// Left returns how long the rest takes at the present rate, which counts as at least one
+// byte a second.
 func (p *Progress) Left(now time.Time) time.Duration {
 	p.roll(now)
 	elapsed := now.Sub(p.windowBegan)
