Wording of internal/scheduler and what it uses

Cause: names and comments of caps, placement order, speeds, near servers and copies used figures of speech or words with a second meaning (patience, look, copies of a transfer), one name told of a pass that is past (heldInLastPass), and capTimeout and askTimeout described calls that they do not limit.

Change: comments, and unexported names: longRunningMaxWait, hasHeldCapacity, sends, maxCapWakes, maxCapChecks, minDifferentPart, arrivalRetention. No behaviour, stored data, settings, metrics or events change.

Tested: go build ./..., go vet and go test of internal/scheduler follow.

--- a/internal/entry/capacity.go
+++ b/internal/entry/capacity.go
@@ -44,9 +44,9 @@
 	return c.CPU >= largerFactor*o.CPU || c.LinkMbps >= largerFactor*o.LinkMbps
 }
 
-// Capacities tracks the CPU, the memory and the links of the other daemons' VMs. Where VMs differ,
-// daemons on small ones yield partitions to those on large ones, and no daemon accepts more
-// than the smallest one can hold.
+// Capacities tracks the CPU, the memory and the links of the other daemons' VMs. Where VMs
+// differ, daemons on small ones yield partitions to those on large ones, and no daemon
+// accepts more than the smallest one can hold.
 type Capacities struct {
 	self  string
 	own   capacity
--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -19,10 +19,10 @@
 	maxNamedPeers = 2048
 	// otherPeers is the name in the metrics of all others.
 	otherPeers = "other"
-	// firstMessageBytes is the first size of a message's buffer.
+	// firstMessageBytes is the initial size of a message's buffer.
 	firstMessageBytes = 4 << 10
-	// minMessageRate limits the whole time of a message, beside the time of a stall. It is
-	// a third of what the slowest link, 10 Mbit/s, gives to each of several connections.
+	// minMessageRate, in bytes a second, limits the whole time of a message, beside the time
+	// of a stall. It is a third of what the slowest link, 10 Mbit/s, gives to each of several connections.
 	minMessageRate = 64 << 10
 )
 
@@ -34,8 +34,9 @@
 	// Received bounds the messages that arrive or are handled, and Queued those that wait
 	// to be written.
 	Received, Queued *intake.Budget
-	StallTimeout     time.Duration
-	Report           *intake.Reporter
+	// StallTimeout bounds the time without progress of a message.
+	StallTimeout time.Duration
+	Report       *intake.Reporter
 }
 
 // awaitHello closes an accepted connection whose other end does not say who it is.
@@ -53,7 +54,7 @@
 	}
 }
 
-// setKnown notes that the other end of a connection has said who it is.
+// setKnown marks a connection whose other end has sent its hello.
 func setKnown(c net.Conn) {
 	if secured, ok := c.(*tls.Conn); ok {
 		c = secured.NetConn()
@@ -142,8 +143,8 @@
 	return s.intake.StallTimeout
 }
 
-// holdCall takes the bytes of a call's parameters for as long as it is handled. It
-// reports false if there are too many.
+// holdCall takes the bytes of a call's parameters from the budget until release is called. It
+// reports false if the budget does not have them.
 func (s *stream) holdCall(n int) (release func(), ok bool) {
 	if s.intake == nil {
 		return func() {}, true
--- a/internal/scheduler/admission_free.go
+++ b/internal/scheduler/admission_free.go
@@ -8,13 +8,13 @@
 )
 
 const (
-	// maxArrivals bounds the refused submissions whose first arrival is remembered: some
-	// 300 refusals a second for the longest retry delay, in half a megabyte.
+	// maxArrivals bounds the refused submissions whose first arrival is kept: about 300
+	// refusals a second for the longest retry delay, in half a megabyte.
 	maxArrivals = 4096
-	// arrivalKept is how long it is remembered, which exceeds the longest retry delay with
-	// its spread.
-	arrivalKept = 20 * time.Second
-	// maxStepsAhead bounds the queued steps that are looked at for one refusal.
+	// arrivalRetention is how long a first arrival is kept. It exceeds the longest retry delay
+	// with its jitter.
+	arrivalRetention = 20 * time.Second
+	// maxStepsAhead bounds the queued steps that are examined for one refusal.
 	maxStepsAhead = 256
 )
 
--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -235,7 +235,7 @@
 	pick := func(servers []*server, chance float64) {
 		byFreeCPU := make([]requestCandidate, len(servers))
 		for i, s := range servers {
-			byFreeCPU[i] = requestCandidate{s, p.core.far(st, s), p.heldInLastPass(s), s.free.CPU}
+			byFreeCPU[i] = requestCandidate{s, p.core.far(st, s), p.hasHeldCapacity(s), s.free.CPU}
 		}
 		slices.SortFunc(byFreeCPU, func(x, y requestCandidate) int {
 			if x.far != y.far {
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// take reports whether the Core, or the caller that abandons the call, is the first to take it.
+// take reports whether the Core, or the caller that abandons the call, is the first to take
+// it.
 func (ev callEvent) take() bool { return ev.taken.CompareAndSwap(false, true) }
 
 // call passes a call to the Core and waits for its reply. The verdict of an error is NotRun if
@@ -136,7 +137,7 @@
 	}
 }
 
-// abandon gives a call up. It returns NotRun if the Core has not read it, and never will.
+// abandon abandons a call. It returns NotRun if the Core has not read it, and never will.
 func (ev callEvent) abandon() verdict.Verdict {
 	if ev.take() {
 		return verdict.NotRun
--- a/internal/scheduler/caps.go
+++ b/internal/scheduler/caps.go
@@ -10,21 +10,24 @@
 )
 
 const (
-	// capTimeout limits one call to the owner of another partition about a cap.
+	// capTimeout limits one attempt to send a transfer to the owner of another partition.
 	capTimeout = 1500 * time.Millisecond
-	// storeHolderPause is the time between two attempts to store the first holder.
+	// storeHolderPause is the time from the end of an attempt to store the first holder to
+	// the next one.
 	storeHolderPause = 200 * time.Millisecond
 )
 
-// CapTransfer is a part of a tenant's cap on its way from one partition to another.
+// CapTransfer is a part of a tenant's cap that is sent from one partition to another.
 type CapTransfer struct {
+	// From is the sending partition, Number counts its transfers of this tenant's cap, and
+	// Amount is in millionths of the cap.
 	Tenant string `json:"tenant"`
 	From   int    `json:"from"`
 	Number uint64 `json:"number"`
 	Amount int64  `json:"amount"`
 }
 
-// CapHolder says which partition had the whole of all caps first.
+// CapHolder says which partition held the whole of all caps at first.
 type CapHolder struct {
 	// Known is set if one is stored, and First if it is this partition.
 	Known, First bool
@@ -40,9 +43,10 @@
 	StoreHolder(ctx context.Context) error
 	// Others lists the other partitions that hold shards of any service. It does no I/O.
 	Others() []int
-	// Ask passes a question to the owner of a partition.
+	// Ask passes a request to the owner of a partition. A grant arrives as a transfer, not
+	// as a result.
 	Ask(ctx context.Context, partition int, q tenant.Question) error
-	// Send returns nil once the owner of the partition holds the transfer.
+	// Send returns nil once the owner of the partition has stored the transfer.
 	Send(ctx context.Context, partition int, t CapTransfer) error
 }
 
@@ -60,8 +64,8 @@
 func (AskCap) action()  {}
 func (SendCap) action() {}
 
-// updateCaps tells the Core what it holds of the caps that it has no records of, and stores
-// the first holder if there is none.
+// updateCaps tells the Core whether its partition is the first holder, and stores it as that
+// if none is stored.
 func (e *Engine) updateCaps() {
 	if e.o.Caps == nil {
 		return
@@ -78,14 +82,15 @@
 	}
 }
 
-// askCap sends a question. The answer, if there is one, is a transfer.
+// askCap sends a request to the owners of all other partitions. A grant arrives as a
+// transfer.
 func (e *Engine) askCap(a AskCap) {
 	a.Question.From = e.o.Partition.Part
 	for _, part := range e.o.Caps.Others() {
 		go func() {
 			ctx, cancel := context.WithTimeout(e.ctx, askTimeout)
 			defer cancel()
-			// An owner that does not answer gives nothing. It is asked again.
+			// An error counts as no grant. The Core asks again after capAskInterval.
 			_ = e.o.Caps.Ask(ctx, part, a.Question)
 		}()
 	}
@@ -115,7 +120,7 @@
 
 func (ev capAskedEvent) apply(c *Core) { c.CapAsked(ev.question) }
 
-// AskCap handles the question of another partition's owner.
+// AskCap handles the request of another partition's owner for a part of a tenant's cap.
 func (e *Engine) AskCap(ctx context.Context, q tenant.Question) error {
 	if err := e.awaitClaim(ctx); err != nil {
 		return err
--- a/internal/scheduler/capwait.go
+++ b/internal/scheduler/capwait.go
@@ -6,24 +6,26 @@
 )
 
 const (
-	// capWakes is how many steps of a tenant are examined within capWakeInterval because
-	// its use fell below its cap: while the servers are full as well, each of them only
-	// learns that.
-	capWakes        = 16
+	// maxCapWakes bounds the steps of a tenant that are examined within capWakeInterval
+	// because its use fell below its cap. While the servers are full as well, none of them
+	// can start.
+	maxCapWakes     = 16
 	capWakeInterval = 20 * time.Millisecond
-	// maxCapLook is how many steps of a tenant are looked at for one that its cap allows.
-	maxCapLook = 8
+	// maxCapChecks bounds the steps of a tenant that are checked to find one that its cap
+	// allows.
+	maxCapChecks = 8
 )
 
 // capQueue holds the steps, in placement order, that their tenant's cap holds back.
 type capQueue struct {
 	steps []*step
-	// woken counts the steps that were woken since the time since.
+	// woken counts the steps that were woken since the beginning of the current
+	// capWakeInterval, at since.
 	woken int
 	since time.Time
 }
 
-// waitForCap notes that a step waits until its tenant's cap allows more.
+// waitForCap adds a step to the capQueue of its tenant, until the cap allows more.
 func (c *Core) waitForCap(st *step) {
 	if st.entry.capWaiting {
 		return
@@ -61,7 +63,7 @@
 		if c.now.Sub(q.since) >= capWakeInterval {
 			q.since, q.woken = c.now, 0
 		}
-		for i := 0; i < min(len(q.steps), maxCapLook) && q.woken < capWakes; i++ {
+		for i := 0; i < min(len(q.steps), maxCapChecks) && q.woken < maxCapWakes; i++ {
 			st := q.steps[i]
 			waits := st.queued && st.job().ending == "" && st.unplacedTasks() > 0
 			if waits && c.heldByCap(st) {
--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -18,14 +18,14 @@
 const (
 	// copyInterval is the time between two searches for stragglers.
 	copyInterval = 100 * time.Millisecond
-	// copyStartTime is how long the start of a copy takes until it runs.
+	// copyStartTime is the assumed time from the order to start a copy until it runs.
 	copyStartTime = 20 * time.Millisecond
 	// maxWaitingSteps is the number of steps with tasks to place beyond which no copy
 	// starts, since the service is full.
 	maxWaitingSteps = 64
-	// maxSearches bounds the stragglers for which all servers are looked at in one search.
+	// maxSearches bounds the stragglers for which all servers are examined every copyInterval.
 	maxSearches = 8
-	// maxCopyServers bounds the servers that a question about a copy names.
+	// maxCopyServers bounds the servers that a policy request for a copy names.
 	maxCopyServers = 4
 )
 
@@ -106,9 +106,9 @@
 	return out, budgets
 }
 
-// mayCopy reports whether the task of a run may have a copy. One of which no more run may
-// fail has none: a failed copy would end its submission. One that may crash its servers
-// has none: two runs of it would crash two.
+// mayCopy reports whether the task of a run may have a copy. A task none of whose further
+// runs may fail has no copy, since a failed copy would end its submission. A task that may
+// crash its servers has none, since two runs would crash two servers.
 func (c *Core) mayCopy(a *attempt) bool {
 	t, st := a.task, a.task.step
 	if most := st.job().queue.MaxFailedRuns; most > 0 && len(t.failedRuns)+1 >= most {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -35,8 +35,8 @@
 	ReuseAfter time.Duration
 	// MemoryBytes is the budget for what is held of submissions; 0 means none.
 	MemoryBytes int64
-	// RemoteFactor is how many times as long a task takes away from its data or its group; at most 1 if
-	// that makes no difference.
+	// RemoteFactor is the ratio of a task's run time away from its data or its group to that
+	// near them; at most 1 if that makes no difference.
 	RemoteFactor float64
 	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
 	// if that is not known.
@@ -247,11 +247,11 @@
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
 		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
 		heldForGangs: make(map[*server]workload.Resources), capWaiting: make(map[string]*capQueue), serversChanged: true, instanceNumbers: make(map[serverInstance]int),
-		startRoom: math.MaxInt, openTasks: make(map[int]int), arrivals: admission.NewArrivals(maxArrivals, arrivalKept),
+		startRoom: math.MaxInt, openTasks: make(map[int]int), arrivals: admission.NewArrivals(maxArrivals, arrivalRetention),
 	}
 	c.memory.limit = bounds.MemoryBytes
 	c.tenants = newTenants(c)
-	c.capShares.copies = make(map[capTransferKey]int)
+	c.capShares.sends = make(map[capTransferKey]int)
 	claim := nextClaim(records, "", bounds, nil)
 	claim.Epoch = epoch
 	c.SetClaim(claim, now, wall)
--- a/internal/scheduler/fractions.go
+++ b/internal/scheduler/fractions.go
@@ -13,20 +13,22 @@
 	// capAskInterval is the least time between two questions to other owners.
 	capAskInterval = 500 * time.Millisecond
 	// minCapDelay is the delay before an unanswered transfer is sent again. It doubles with
-	// each copy up to maxCapDelay.
+	// each repetition up to maxCapDelay.
 	minCapDelay = 100 * time.Millisecond
 	maxCapDelay = 2 * time.Second
 )
 
-// capShares is what a Core does to share the caps with the owners of other partitions.
+// capShares is the state by which a Core divides the caps with the owners of other
+// partitions.
 type capShares struct {
-	// others is the number of other partitions.
+	// others is the number of other partitions, and askedAt when their owners were last
+	// asked.
 	others  int
 	askedAt time.Time
-	// demand is what the waiting work of each tenant needs.
+	// demand is what the unplaced tasks of each tenant reserve together, as of askedAt.
 	demand map[string]workload.Resources
-	// copies counts how often each unconfirmed transfer was sent.
-	copies map[capTransferKey]int
+	// sends counts how often each unconfirmed transfer was sent.
+	sends map[capTransferKey]int
 }
 
 type capTransferKey struct {
@@ -35,8 +37,8 @@
 }
 
 // SetCapHolder sets what is known of the first holder of all caps, and the number of other
-// partitions. While no holder is stored, the only partition holds everything: any other one
-// must store a holder before it uses a cap.
+// partitions. While no holder is stored, a partition without others is the first holder; one
+// with others may use no cap before a holder is stored.
 func (c *Core) SetCapHolder(holder CapHolder, others int) {
 	c.capShares.others = others
 	first := holder.First || holder.Loaded && !holder.Known && others == 0
@@ -85,7 +87,8 @@
 	}
 }
 
-// CapAsked handles the question of another partition's owner for a part of a cap.
+// CapAsked handles the request of another partition's owner for a part of a cap. If this
+// owner grants any, a transfer is stored and then sent.
 func (c *Core) CapAsked(q tenant.Question) {
 	t := c.tenants
 	t.attributeCapacity()
@@ -105,10 +108,10 @@
 func (c *Core) sendCap(name string, t tenant.Transfer) {
 	key := capTransferKey{name, t.Number}
 	delay := time.Duration(0)
-	if n := c.capShares.copies[key]; n > 0 {
+	if n := c.capShares.sends[key]; n > 0 {
 		delay = min(minCapDelay<<min(n-1, 10), maxCapDelay)
 	}
-	c.capShares.copies[key]++
+	c.capShares.sends[key]++
 	c.emit(SendCap{Tenant: name, Transfer: t, Delay: delay})
 }
 
@@ -135,7 +138,7 @@
 		return
 	}
 	if f, open := fractions.Confirm(name, number); open {
-		delete(c.capShares.copies, capTransferKey{name, number})
+		delete(c.capShares.sends, capTransferKey{name, number})
 		c.writeFraction(name, f, nil)
 	}
 }
@@ -149,7 +152,7 @@
 		return
 	}
 	if !fresh {
-		// The write that takes it may be under way.
+		// The write that records the transfer may be in flight.
 		c.afterStored(func() { c.reply(reply, Reply{}) })
 		return
 	}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -213,8 +213,8 @@
 	return nil
 }
 
-// ResumeHandovers sends the handovers, and the transfers of caps, that earlier owners have stored. The Engine calls
-// it once, after the claim.
+// ResumeHandovers sends the handovers, and the transfers of caps, that earlier owners have
+// stored. The Engine calls it once, after the claim.
 func (c *Core) ResumeHandovers() {
 	for _, d := range c.departures {
 		c.sendHandover(d)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -128,7 +128,8 @@
 	failedOn   map[string]bool
 	checkpoint string
 	attempt    *attempt
-	// copy is a second run of the task beside attempt, which is not nil then; nil if there is none.
+	// copy is a second run of the task beside attempt, which is not nil then; nil if there
+	// is none.
 	copy *attempt
 	// crashes is the evidence that the task crashes its servers. That of a gang is
 	// kept at its first member.
--- a/internal/scheduler/near.go
+++ b/internal/scheduler/near.go
@@ -12,11 +12,12 @@
 // could start away from there waits for a slot in that rack while that pays. It reserves
 // nothing meanwhile: the far slot goes to others, and so does a near one if they come first.
 
-// maxNearServers bounds the full near servers that a question to the policy service names in
-// addition.
+// maxNearServers bounds the near servers without free capacity that a policy request names
+// in addition.
 const maxNearServers = 8
 
-// placeOf returns the rack near which the step's tasks run faster; empty if there is none.
+// placeOf returns the label of the rack in which the step's tasks run faster; empty if there
+// is none.
 func (st *step) placeOf() string {
 	if st.spec.Rack != "" {
 		return st.spec.Rack
@@ -113,7 +114,8 @@
 }
 
 // nearSlotsOf returns when slots for the step's tasks are expected near its place, the first
-// one at the front. It is computed once in a row for each step.
+// one at the front. Consecutive
+// calls for the same step compute it once.
 func (p *placementPass) nearSlotsOf(st *step) []time.Duration {
 	if p.nearFor == st && p.nearAt.Equal(p.core.now) {
 		return p.nearSlots
@@ -180,8 +182,8 @@
 	c.log.Log(events.NearWaitEnded, "step", st.id().StepName(), "waited", waited.Milliseconds(), "server", s.info.ID, "near", result == "near")
 }
 
-// withNear adds servers near the step's place without free capacity to those that a question
-// names: the step waits only for servers that it may use.
+// withNear adds servers near the step's place without free capacity to those that a policy
+// request names: the step waits only for servers that it may use.
 func (p *placementPass) withNear(st *step, open []*server) []*server {
 	place := st.placeOf()
 	if p.core.bounds.RemoteFactor <= 1 || place == "" {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -6,25 +6,28 @@
 	"time"
 )
 
-// longRunningPatience is how long the tasks of a long-running step that have run wait in
-// the order of their queue. Then the step comes before all others: a long-running task must
+// longRunningMaxWait is how long a long-running step, with tasks that have run before, waits
+// in the normal placement order. Then it comes before all others: a long-running task must
 // run again within 6 s, however full the service is, and capacity for it may become free
 // only when a run ends.
-const longRunningPatience = 2 * time.Second
+const longRunningMaxWait = 2 * time.Second
 
-// placementOrder is the sort key of a step: first long-running tasks that have waited too
-// long since their last run, then what its tenant sent within its rate, then the queue's
-// priority, then steps that can still meet their target before late ones, then tenants that
-// use less than their share, then the earliest target.
+// placementOrder is the sort key of a step. Smaller values come first, in the order of the
+// fields: long-running tasks that have waited too long since their last run, submissions
+// within their tenant's rate, the queue's priority, steps that can still meet their target,
+// tenants that use less than their share, the earliest target, and the submission's ID.
 type placementOrder struct {
 	// notOverdue is 0 for a step whose long-running tasks have waited too long, else 1.
 	notOverdue int
-	excess     int
-	priority   int
-	late       int
-	overShare  int
-	target     time.Time
-	id         string
+	// excess is 1 for a submission beyond its tenant's rate.
+	excess   int
+	priority int
+	// late is 1 if the target has passed.
+	late int
+	// overShare is 1 if the tenant uses its share of the capacity or more.
+	overShare int
+	target    time.Time
+	id        string
 }
 
 // compare returns a negative number if a comes before b.
@@ -36,17 +39,17 @@
 }
 
 func (c *Core) placementOrderOf(st *step) placementOrder {
-	u := c.orderOf(st.job())
+	order := c.orderOf(st.job())
 	if st.overdue(c.now) {
-		u.notOverdue = 0
+		order.notOverdue = 0
 	}
-	return u
+	return order
 }
 
 // overdue reports whether long-running tasks of the step that have run before, here or under
-// an earlier owner, have waited for longer than longRunningPatience.
+// an earlier owner, have waited for longer than longRunningMaxWait.
 func (s *step) overdue(now time.Time) bool {
-	if !s.spec.LongRunning || now.Sub(s.waitingSince) <= longRunningPatience {
+	if !s.spec.LongRunning || now.Sub(s.waitingSince) <= longRunningMaxWait {
 		return false
 	}
 	for i := range s.tasks {
@@ -58,20 +61,21 @@
 }
 
 func (c *Core) orderOf(j *job) placementOrder {
-	u := placementOrder{notOverdue: 1, priority: j.queue.Priority, target: j.orderTarget(), id: j.sub.ID}
-	// A submission with long-running tasks has no end that could be late. Behind all that is
-	// in time it would never start again while fresh work comes.
+	order := placementOrder{notOverdue: 1, priority: j.queue.Priority, target: j.orderTarget(), id: j.sub.ID}
+	// A submission with long-running tasks has no end that could be late. If it came after all
+	// steps that are in time, it would not start again while new submissions arrive.
 	if c.now.After(j.targetTime()) && !j.sub.Timed() && !j.longRunning() {
-		u.late = 1
+		order.late = 1
 	}
-	u.excess, u.overShare = c.tenants.orderOf(j)
-	if u.excess > 0 {
-		// Late excess would come behind all that arrives, and would not start while it does.
-		// Excess that returns does not overtake what was accepted meanwhile, which would
-		// then start later than its admission promised.
-		u.late, u.target = 0, j.targetTime()
+	order.excess, order.overShare = c.tenants.orderOf(j)
+	if order.excess > 0 {
+		// If late excess came after excess that is in time, it would not start while new
+		// excess arrives. A submission that was refused before is ordered by its present
+		// arrival, since those accepted meanwhile would otherwise start later than their
+		// admission predicted.
+		order.late, order.target = 0, j.targetTime()
 	}
-	return u
+	return order
 }
 
 // sortQueued sorts the queue in placement order. It reports whether the order of its steps
--- a/internal/scheduler/passcount.go
+++ b/internal/scheduler/passcount.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// slowPass is the length from which each pass is logged.
+	// Passes that take slowPass or longer are all logged.
 	slowPass = time.Millisecond
 	// passLogInterval is the least time between the log lines of other passes, of which
 	// there are hundreds a second.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -43,7 +43,8 @@
 )
 
 // runPlacement examines the queued steps that something has changed for, in placement
-// order, and places what fits. If the pass ends before all are examined, the next one goes on.
+// order, and places what fits. If the pass ends before all are examined, the next one
+// continues.
 func (c *Core) runPlacement() {
 	if c.config == nil || !c.mayStartTasks() {
 		return
--- a/internal/scheduler/prefer.go
+++ b/internal/scheduler/prefer.go
@@ -1,8 +1,9 @@
 package scheduler
 
-// best returns the server to place a task on: one where the task has not
-// failed, then one in the rack of the step's data, then one without capacity
-// held for a gang, then one of a suitable speed, then the fullest.
+// best returns the server to place a task on, or nil if none has capacity. It prefers
+// servers on which the task has not failed, then those in the rack of the step's data or
+// group, then those without capacity held for a gang, then those of a suitable speed, then
+// the one with the least free CPU.
 func (p *placementPass) best(t *task, servers []*server) *server {
 	var best *server
 	p.count.servers += len(servers)
@@ -17,6 +18,7 @@
 	return best
 }
 
+// preferred reports whether server a comes before server b for the task.
 func (p *placementPass) preferred(t *task, a, b *server) bool {
 	if an, bn := t.failedOn[a.info.ID], t.failedOn[b.info.ID]; an != bn {
 		return bn
@@ -28,7 +30,7 @@
 			return an
 		}
 	}
-	if an, bn := p.heldInLastPass(a), p.heldInLastPass(b); an != bn {
+	if an, bn := p.hasHeldCapacity(a), p.hasHeldCapacity(b); an != bn {
 		return bn
 	}
 	if order := p.compareSpeed(st, a, b); order != 0 {
@@ -37,5 +39,5 @@
 	return a.free.CPU < b.free.CPU
 }
 
-// heldInLastPass reports whether capacity of s is held for a gang.
-func (p *placementPass) heldInLastPass(s *server) bool { return p.core.heldForGangs[s].CPU > 0 }
+// hasHeldCapacity reports whether capacity of s is held for a gang.
+func (p *placementPass) hasHeldCapacity(s *server) bool { return p.core.heldForGangs[s].CPU > 0 }
--- a/internal/scheduler/shards.go
+++ b/internal/scheduler/shards.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// askTimeout limits the wait for the answers of other shards' owners.
+	// askTimeout limits the wait for the answers of the owners of other shards and
+	// partitions.
 	askTimeout = 700 * time.Millisecond
 	// handoverTimeout limits one attempt of a handover, which the other owner stores.
 	handoverTimeout = 1500 * time.Millisecond
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -9,19 +9,19 @@
 	"github.com/currantwinch/currantwinch/placement/speed"
 )
 
-// speedInterval is the time between two reviews of the servers' speeds. A server that turns
-// slow is known by then from the ages of its runs.
+// speedInterval is the time between two reviews of the servers' speeds. A review detects a
+// server that became slow from the ages of its runs.
 const speedInterval = 250 * time.Millisecond
 
-// minDifferentShare: the servers of a service are not alike if one in so many is faster or
-// slower than the usual one. Fewer may be so by chance.
-const minDifferentShare = 10
+// minDifferentPart: the servers of a service count as unequal if at least one in so many is
+// faster or slower than the usual one. Fewer may differ by chance.
+const minDifferentPart = 10
 
 // serviceSpeeds is what is known of the speeds of a service's servers. It is learned again
 // by each owner, and nothing of it is stored.
 type serviceSpeeds struct {
-	// servers counts the servers, slow those of them that have turned slow, and different
-	// the others that are not of class 0.
+	// servers counts the servers, slow those of a slow class, and different the others that
+	// are not of class 0.
 	servers, slow, different int
 	// unequal is set if the servers are not alike.
 	unequal bool
@@ -39,7 +39,7 @@
 	return s
 }
 
-// observeObjective notes how urgent a job is of which a task starts.
+// observeObjective adds the objective of a job of which a task starts.
 func (c *Core) observeObjective(j *job) {
 	c.speedsOf(j.sub.Service).objectives.Observe(j.sub.Queue, j.targetTime().Sub(j.accepted), c.now)
 }
@@ -148,7 +148,7 @@
 		c.classify(s, class)
 		if known := c.speedsOf(s.info.Service); class != 0 && !s.slow() {
 			known.different++
-			known.unequal = known.different >= max(known.servers/minDifferentShare, 1)
+			known.unequal = known.different >= max(known.servers/minDifferentPart, 1)
 		}
 	}
 }
@@ -165,7 +165,7 @@
 	}
 }
 
-// slow reports whether work goes round the server.
+// slow reports whether placement avoids the server for its speed.
 func (s *server) slow() bool { return speed.Slow(s.speedClass) }
 
 // speedChoice is the order in which a step prefers servers by their speeds.
@@ -175,7 +175,8 @@
 	active bool
 }
 
-// speedChoiceOf returns the choice of a step. It is computed once in a row for each step.
+// speedChoiceOf returns the choice of a step. Consecutive calls
+// for the same step compute it once.
 func (p *placementPass) speedChoiceOf(st *step) speedChoice {
 	if p.choiceFor == st && p.choiceAt.Equal(p.core.now) {
 		return p.choice
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -9,9 +9,8 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// spanInterval is how long no start must have been held back by a tenant's cap, or nothing
-// sent beyond its rate, before that counts as over. Placement examines waiting steps more
-// often.
+// spanInterval: a span ends if for this long no start was held back by the tenant's cap, or
+// nothing was sent beyond its rate. Placement examines waiting steps more often than that.
 const spanInterval = time.Second
 
 // tenants applies the caps, shares and rates of the tenants to the submissions of a Core.
@@ -54,7 +53,8 @@
 	count int
 }
 
-// extend notes that the span of a tenant lasts until now. It reports whether it begins.
+// extend prolongs the span of a tenant until now, or begins one. It reports whether one
+// began.
 func extend(spans map[string]*span, name string, now time.Time) bool {
 	s := spans[name]
 	if s == nil {
--- a/internal/scheduler/tenantshare.go
+++ b/internal/scheduler/tenantshare.go
@@ -10,9 +10,9 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// sharesInterval is the least time between two looks at the servers and the queue to
-// renew the total capacity and which tenants have work waiting. Both change slowly, and a
-// look costs as much as their number.
+// sharesInterval is the least time between two scans of the servers and the queue for the
+// total capacity and the tenants with queued steps. Both change slowly, and the cost of a
+// scan grows with their number.
 const sharesInterval = 100 * time.Millisecond
 
 // arrived marks a new submission that its tenant sends beyond its rate.
@@ -75,8 +75,8 @@
 	return budget
 }
 
-// excessPriority is above the priority of all queues. It is that of excess in the count of
-// open tasks.
+// excessPriority is the priority of excess in the count of open tasks. It is numerically
+// above that of all queues, so that excess comes last.
 const excessPriority = 1 << 20
 
 // openPriority returns the priority by which the tasks of a job count as open.
--- a/internal/tenure/manager.go
+++ b/internal/tenure/manager.go
@@ -143,8 +143,8 @@
 		}
 	}
 	if t.stopped || !t.o.Member.LeaseValid() {
-		// This daemon stops, or another one may hold the partitions by now. Running schedulers
-		// continue until they are fenced, but no new one is started.
+		// This daemon stops, or another one may hold the partitions by now. Running
+		// schedulers continue until they are fenced, but no new one is started.
 		return
 	}
 	for _, id := range held {
--- a/routing/tenant.go
+++ b/routing/tenant.go
@@ -10,7 +10,7 @@
 type Tenant struct {
 	Name string
 	// Weight is the tenant's share relative to the other tenants when all capacity is
-	// in use, and the submissions a second that it is entitled to.
+	// in use, and also its rate limit in submissions a second.
 	Weight float64
 	// Cap bounds what the tenant may have running on all backend servers together. A
 	// resource that is 0 has no bound.
@@ -31,8 +31,8 @@
 	Keys map[KeyDigest]string
 }
 
-// Authenticate returns the tenant of a key, or false if no tenant has it. Its time
-// depends on the digest alone, and so tells nothing about the keys in force.
+// Authenticate returns the tenant of a key, or false if no tenant has it. Its time depends on
+// the digest alone, and so discloses nothing about the keys in force.
 func (t *Tenancy) Authenticate(key string) (Tenant, bool) {
 	name, ok := t.Keys[DigestOf(key)]
 	if !ok {
--- a/shard/capholder.go
+++ b/shard/capholder.go
@@ -27,8 +27,8 @@
 	return 0, false, loaded
 }
 
-// StoreCapHolder stores a partition as the first holder of all caps unless there is one. Of
-// two daemons one fails; the outcome shows in CapHolder.
+// StoreCapHolder stores a partition as the first holder of all caps unless one is stored. If
+// two daemons try at the same time, one gets an error; CapHolder returns the outcome.
 func (k *Manager) StoreCapHolder(ctx context.Context, part int) error {
 	k.mu.Lock()
 	end, loaded := k.endOffset, k.loaded
@@ -49,8 +49,9 @@
 	return errors.Wrap(err, "store the first holder of the caps")
 }
 
-// applyCapHolder applies a record if it is that of the first holder. The first one counts.
-func (k *Manager) applyCapHolder(r partition.Record) (is bool, err error) {
+// applyCapHolder applies a record if it is that of the first holder, and reports whether it
+// is. A second record that names another partition is an error.
+func (k *Manager) applyCapHolder(r partition.Record) (applied bool, err error) {
 	if r.Key != capHolderKey {
 		return false, nil
 	}
