Gangs of a tenant in two partitions no longer block each other

Cause: a cap is divided by the demands of the owners that need more than they hold. Change: a question says what the largest waiting gang needs. A gang that its part does not hold gets all that is not in use, that of the lower partition first; a gang that is larger than the cap counts for nothing.

--- a/internal/scheduler/caps.go
+++ b/internal/scheduler/caps.go
@@ -125,6 +125,7 @@
 	if err := e.awaitClaim(ctx); err != nil {
 		return err
 	}
+	q.Precedes = q.From < e.o.Partition.Part
 	if !e.events.Push(ctx, capAskedEvent{q}) {
 		return verdict.Wrap(ctx.Err(), verdict.NotRun, ReasonTimeout)
 	}
--- a/internal/scheduler/fractions.go
+++ b/internal/scheduler/fractions.go
@@ -70,14 +70,20 @@
 	}
 	x.askedAt = c.now
 	x.demand = make(map[string]workload.Resources)
+	gangs := make(map[string]workload.Resources)
 	for _, st := range c.queued {
 		if name := st.job().sub.Tenant; name != "" && st.job().ending == "" {
-			x.demand[name] = x.demand[name].Plus(st.spec.Reserved().Scaled(st.unplacedTasks()))
+			need := st.spec.Reserved().Scaled(st.unplacedTasks())
+			x.demand[name] = x.demand[name].Plus(need)
+			if st.spec.Gang {
+				gangs[name] = gangs[name].Max(need)
+			}
 		}
 	}
 	t.attributeCapacity()
 	for _, name := range t.ledger.Names() {
 		t.ledger.Observe(name, x.demand[name], c.now)
+		t.ledger.SetGang(name, gangs[name])
 		if x.demand[name] == (workload.Resources{}) {
 			continue
 		}
--- a/tenant/exchange.go
+++ b/tenant/exchange.go
@@ -36,6 +36,11 @@
 	Held   int64 `json:"held"`
 	Demand int64 `json:"demand"`
 	Amount int64 `json:"amount"`
+	// Gang is the use with which its largest waiting gang would run.
+	Gang int64 `json:"gang"`
+	// Precedes is set by the owner that is asked if the partition that asks has the lower
+	// number.
+	Precedes bool `json:"-"`
 }
 
 func most(a, b quota.Amounts) quota.Amounts {
@@ -71,14 +76,31 @@
 	if demand <= held {
 		return Question{}, false
 	}
-	return Question{Tenant: name, Held: held, Demand: demand, Amount: demand - held}, true
+	return Question{Tenant: name, Held: held, Demand: demand, Amount: demand - held, Gang: l.gangUse(a, limit)}, true
+}
+
+// SetGang notes what the largest waiting gang of a tenant needs; nothing if none waits.
+func (l *Ledger) SetGang(name string, need workload.Resources) {
+	if a, _, capped := l.limitOf(name); capped {
+		a.gang = amountsOf(need)
+	}
+}
+
+// gangUse returns the use with which the largest waiting gang would run, in millionths of the
+// cap; 0 if none waits, or if it is larger than the cap and waits for a higher one.
+func (l *Ledger) gangUse(a *account, limit quota.Amounts) int64 {
+	if a.gang == (quota.Amounts{}) || fractionFor(a.gang, limit) > Whole {
+		return 0
+	}
+	return min(fractionFor(a.used.Plus(l.unattributed).Plus(a.gang), limit), Whole)
 }
 
 // Grant returns how much this owner gives to one that asks, in millionths of the cap: what
 // it neither uses nor needs soon, or 0. If both need more than they hold, the sum of what
 // they hold is divided in proportion to their demands. An owner that holds more than its
 // part then starts nothing above that part for a second, and gives what its runs free as
-// they end.
+// they end. A gang that the part of its partition does not hold gets precedence, that of the
+// lower partition if both have one.
 func (l *Ledger) Grant(q Question, queued workload.Resources, now time.Time) int64 {
 	a, limit, capped := l.limitOf(q.Tenant)
 	if !capped || q.Amount <= 0 {
@@ -93,8 +115,16 @@
 	}
 	keep := max(soon, used)
 	if soon > held-q.Amount && q.Demand > 0 {
-		both := float64(held + max(q.Held, 0))
-		part := int64(both * float64(soon) / float64(soon+q.Demand))
+		both := held + max(q.Held, 0)
+		part := int64(float64(both) * float64(soon) / float64(soon+q.Demand))
+		// A gang starts whole: one that its part does not hold would never start.
+		askerBlocked, ownBlocked := q.Gang > both-part, l.gangUse(a, limit) > part
+		switch {
+		case askerBlocked && (q.Precedes || !ownBlocked):
+			part = 0
+		case ownBlocked:
+			return 0
+		}
 		if part < keep {
 			keep = max(part, used)
 			a.ceiling, a.ceilingUntil = max(part, 1), now.Add(ceilingTime)
--- a/tenant/ledger.go
+++ b/tenant/ledger.go
@@ -37,7 +37,9 @@
 	over         bool
 	// peak is the largest recent demand. Above ceiling, unless it is 0, nothing starts until
 	// ceilingUntil: another owner needs that part of the cap.
-	peak         peak
+	peak peak
+	// gang is what the largest waiting gang needs.
+	gang         quota.Amounts
 	ceiling      int64
 	ceilingUntil time.Time
 }
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -43,6 +43,11 @@
 	return Resources{r.CPU - o.CPU, r.MemoryMB - o.MemoryMB, r.GPU - o.GPU}
 }
 
+// Max returns the larger amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.MemoryMB, o.MemoryMB), max(r.GPU, o.GPU)}
+}
+
 // Scaled returns n times r.
 func (r Resources) Scaled(n int) Resources {
 	return Resources{r.CPU * int64(n), r.MemoryMB * int64(n), r.GPU * int64(n)}
