--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -128,7 +128,8 @@
 	failedOn   map[string]bool
 	checkpoint string
 	attempt    *attempt
-	// copy is a second run of the task beside attempt, which is not nil then; nil if there is none.
+	// copy is a second run of the task beside attempt, which is not nil then; nil if there
+	// is none.
 	copy *attempt
 	// crashes is the evidence that the task crashes its servers. That of a gang is
 	// kept at its first member.
@@ -269,7 +270,7 @@
 // runTimes is the measured mean run time of a queue's tasks, and their usual work.
 type runTimes struct {
 	mean  time.Duration
-	usual speed.Usual
+	usual speed.UsualWork
 }
 
 // runTimeWeight is the weight of the newest run in the moving average.
--- a/tenant/exchange.go
+++ b/tenant/exchange.go
@@ -8,15 +8,15 @@
 )
 
 const (
-	// peakWindow is the time over which the largest demand of a tenant counts as what it
-	// needs soon. It lasts for one to two windows.
+	// peakWindow is the length of one window of peak. The largest demand of a tenant counts as
+	// what it needs soon for one to two windows.
 	peakWindow = time.Second
-	// ceilingTime is how long an owner keeps below the part that another one may get, so
-	// that its runs end and leave room for a transfer. An owner that still wants it asks
-	// twice in that time.
+	// ceilingTime is how long an owner starts nothing above the fraction that it keeps after
+	// a division of the cap, so that capacity for a transfer becomes free as its runs end.
+	// The owner that needs the transfer asks twice in that time.
 	ceilingTime = time.Second
-	// minTransfer is the least amount that is transferred unless less was asked for. Each
-	// transfer costs three writes.
+	// minTransfer is the smallest amount, in millionths of the cap, that is transferred unless
+	// less was asked for. Each transfer costs three writes.
 	minTransfer = Whole / 1000
 )
 
@@ -36,13 +36,19 @@
 	Held   int64 `json:"held"`
 	Demand int64 `json:"demand"`
 	Amount int64 `json:"amount"`
+	// Gang is the use with which its largest waiting gang would run.
+	Gang int64 `json:"gang"`
+	// Precedes is set by the owner that is asked if the partition that asks has the lower
+	// number.
+	Precedes bool `json:"-"`
 }
 
 func most(a, b quota.Amounts) quota.Amounts {
 	return quota.Amounts{max(a[0], b[0]), max(a[1], b[1]), max(a[2], b[2])}
 }
 
-// Observe notes what the waiting work of a tenant would use, beside what it uses.
+// Observe updates the recent peak of a tenant's demand: what it uses, plus what its queued
+// tasks would reserve.
 func (l *Ledger) Observe(name string, queued workload.Resources, now time.Time) {
 	a, _, capped := l.limitOf(name)
 	if !capped {
@@ -57,8 +63,9 @@
 	}
 }
 
-// Ask returns the question to other owners of one whose work needs more of a tenant's cap
-// than it holds. It returns false if nothing is to be asked.
+// Ask returns the request to the owners of other partitions for a part of a tenant's cap, if
+// the tenant's runs and queued tasks here need more than this owner holds, and otherwise
+// false. The caller sets From.
 func (l *Ledger) Ask(name string, queued workload.Resources) (Question, bool) {
 	a, limit, capped := l.limitOf(name)
 	if !capped {
@@ -69,13 +76,31 @@
 	if demand <= held {
 		return Question{}, false
 	}
-	return Question{Tenant: name, Held: held, Demand: demand, Amount: demand - held}, true
+	return Question{Tenant: name, Held: held, Demand: demand, Amount: demand - held, Gang: l.gangUse(a, limit)}, true
 }
 
-// Grant returns how much this owner gives to one that asks: what it does not use and does
-// not need soon. If both need more than they have, the cap is divided by their demands; the
-// one that has too much starts nothing above its part for a while, and gives what its runs
-// leave as they end.
+// SetGang notes what the largest waiting gang of a tenant needs; nothing if none waits.
+func (l *Ledger) SetGang(name string, need workload.Resources) {
+	if a, _, capped := l.limitOf(name); capped {
+		a.gang = amountsOf(need)
+	}
+}
+
+// gangUse returns the use with which the largest waiting gang would run, in millionths of the
+// cap; 0 if none waits, or if it is larger than the cap and waits for a higher one.
+func (l *Ledger) gangUse(a *account, limit quota.Amounts) int64 {
+	if a.gang == (quota.Amounts{}) || fractionFor(a.gang, limit) > Whole {
+		return 0
+	}
+	return min(fractionFor(a.used.Plus(l.unattributed).Plus(a.gang), limit), Whole)
+}
+
+// Grant returns how much this owner gives to one that asks, in millionths of the cap: what
+// it neither uses nor needs soon, or 0. If both need more than they hold, the sum of what
+// they hold is divided in proportion to their demands. An owner that holds more than its
+// part then starts nothing above that part for a second, and gives what its runs free as
+// they end. A gang that the part of its partition does not hold gets precedence, that of the
+// lower partition if both have one.
 func (l *Ledger) Grant(q Question, queued workload.Resources, now time.Time) int64 {
 	a, limit, capped := l.limitOf(q.Tenant)
 	if !capped || q.Amount <= 0 {
@@ -90,8 +115,16 @@
 	}
 	keep := max(soon, used)
 	if soon > held-q.Amount && q.Demand > 0 {
-		both := float64(held + max(q.Held, 0))
-		part := int64(both * float64(soon) / float64(soon+q.Demand))
+		both := held + max(q.Held, 0)
+		part := int64(float64(both) * float64(soon) / float64(soon+q.Demand))
+		// A gang starts whole: one that its part does not hold would never start.
+		askerBlocked, ownBlocked := q.Gang > both-part, l.gangUse(a, limit) > part
+		switch {
+		case askerBlocked && (q.Precedes || !ownBlocked):
+			part = 0
+		case ownBlocked:
+			return 0
+		}
 		if part < keep {
 			keep = max(part, used)
 			a.ceiling, a.ceilingUntil = max(part, 1), now.Add(ceilingTime)
