Wording of the planned stop, the search for owners, holds and freed capacity

Cause: 'ends the time of calls', 'is looked at', 'as long as it may' and references to a given time without its name made a reader look for the subject.

Change: comments only. Tested: go build ./..., go vet of the five packages.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -27,7 +27,7 @@
 }
 
 // home returns the home of a queue that leads to a service now. It stores the home of a
-// queue to which nothing was submitted before. The search began at the given time.
+// queue to which nothing was submitted before. The search for an owner began at began.
 func (e *Router) home(ctx context.Context, began time.Time, queue, service string) (string, error) {
 	for {
 		if home, ok := e.o.Homes.Home(queue); ok {
@@ -126,7 +126,7 @@
 }
 
 // callShardOwner routes a call about one submission to the owner of its shard. The search for
-// it began at the given time.
+// the owner began at began.
 func (e *Router) callShardOwner(ctx context.Context, began time.Time, method string, c call) (scheduler.Reply, error) {
 	layout, ok := e.layoutSince(ctx, began, c.Service)
 	if !ok {
@@ -142,7 +142,7 @@
 	return e.layoutSince(ctx, e.o.Now(), service)
 }
 
-// layoutSince does the same for a search that began at the given time.
+// layoutSince does the same as awaitLayout for a search that began at began.
 func (e *Router) layoutSince(ctx context.Context, began time.Time, service string) (shard.Layout, bool) {
 	for {
 		layout, ok := e.o.Layout(service)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -29,12 +29,12 @@
 	// refuses what waits for a store that hangs (0.7 s, on a tick of 0.1 s) and
 	// ownerReplyMargin, or callers would not learn that the submission did not run.
 	ownerTimeout = time.Second
-	// ownerReplyMargin is the part of a caller's wait for an owner that is left for
-	// the owner's answer to arrive. An owner that cannot read a call until then says
-	// that it did not, which the caller could not tell from a lost answer.
+	// ownerReplyMargin is the part of a caller's wait for an owner that is reserved for the
+	// owner's answer to arrive. An owner that has not read a call by the beginning of that
+	// part answers so. A later answer could not be told from a lost one.
 	ownerReplyMargin = 100 * time.Millisecond
-	// minCallTime is the least time that must be left for a call to an owner. A call
-	// that is sent later gets no answer in time, and the submission may run.
+	// minCallTime is the least time that must be left for a call to an owner. A call that is
+	// sent later gets no answer in time, and its submission may have run.
 	minCallTime = 50 * time.Millisecond
 	// handleTimeout limits a call by another daemon.
 	handleTimeout = 2 * time.Second
@@ -135,7 +135,7 @@
 // submission that is refused after a call without an answer may have run: that call may
 // still wait at its daemon, and be accepted after the refusal.
 //
-// The search began at the given time and lasts ownerSearchTimeout at most. The verdict of an
+// The search began at began and lasts ownerSearchTimeout at most. The verdict of an
 // error is NotRun if no owner has read the call, and none will.
 func (e *Router) callOwner(ctx context.Context, began time.Time, method string, c call) (scheduler.Reply, error) {
 	if _, here := e.o.Tenures.Engine(c.partition()); !here && e.o.Isolated() {
@@ -177,9 +177,10 @@
 	return deadline.Sub(e.o.Now())
 }
 
-// lookUpOwners starts a lookup of the owners, unless one is under way, and waits for it for
-// ownerSearchInterval. The store may take seconds for it, or hang. The owner may be back
-// meanwhile, or this daemon may be the owner, so that a caller does not wait for the answer.
+// lookUpOwners starts a lookup of the owners, unless one is in progress, and waits for it for
+// at most ownerSearchInterval. The store may take seconds to answer, or hang. Meanwhile the
+// owner may respond again, or this daemon may become the owner, so that the call is tried
+// again without the store's answer.
 func (e *Router) lookUpOwners(ctx context.Context) {
 	done := e.lookups.DoChan("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownerSearchTimeout)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,18 +44,19 @@
 	storePollInterval = 50 * time.Millisecond
 	// leaveTimeout limits the release of partitions at a planned stop.
 	leaveTimeout = time.Second
-	// answerTime is left at the end of a planned stop for the calls that are still
-	// being answered: their time ends, so that each gets a verdict.
+	// answerTime is reserved near the end of a planned stop for callers' calls that are in
+	// progress: their contexts are cancelled, so that each gets a verdict.
 	answerTime = 300 * time.Millisecond
-	// endTime is left after that for connections and duties to end.
+	// endTime is reserved after answerTime for connections and duties to end.
 	endTime = 300 * time.Millisecond
 	// dumpTimeout limits the collection of a state dump.
 	dumpTimeout = time.Second
 	// peerSocketBytes is the size of the buffers of an accepted connection of a daemon. A
 	// round trip of 50 ms leaves it 10 Mbit/s.
 	peerSocketBytes = 64 << 10
-	// peerBacklog lets the daemons of a large deployment reconnect together after a restart:
-	// a connection that finds no room is tried again by its sender after a second.
+	// peerBacklog is the least number of connections of daemons that may wait to be accepted.
+	// The daemons of a large deployment reconnect together after a restart, and a connection
+	// beyond the backlog is retried only after a second.
 	peerBacklog = 128
 )
 
@@ -89,7 +90,7 @@
 	policyClients *entry.PolicyClients
 
 	callers, ready *http.Server
-	// endCalls ends the time of all calls of callers.
+	// endCalls cancels the contexts of all callers' calls.
 	endCalls context.CancelFunc
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -385,6 +386,7 @@
 	h.o.Events.Log(events.CallFailed, "call", f.Call, "id", f.ID, "queue", f.Queue, "status", f.Status, "reason", f.Reason, "took", f.Took.Milliseconds())
 }
 
+// knownMethods are the HTTP methods that have a metric of their own.
 var knownMethods = []string{http.MethodGet, http.MethodPost, http.MethodDelete, http.MethodPut, http.MethodHead, http.MethodPatch, http.MethodOptions}
 
 // Start starts all parts of the daemon.
@@ -402,8 +404,8 @@
 // Err returns the error of the duty that failed.
 func (h *Host) Err() error { return h.duties.Err() }
 
-// awaitStore waits while no daemon can reach the store, until the given time. No other daemon
-// could take over the partitions then, so this one serves them for as long as it may.
+// awaitStore waits while no daemon can reach the store, but not beyond the time last. No other
+// daemon could take over the partitions meanwhile, so this one continues to serve them.
 func (h *Host) awaitStore(ctx context.Context, last time.Time) {
 	for h.store.StoreUnreachable() && h.base.Now().Before(last) {
 		if !duty.Sleep(ctx, storePollInterval) {
@@ -412,9 +414,9 @@
 	}
 }
 
-// drain releases the partitions and completes the accepted requests. Its steps fit into the
-// time that ctx allows, whatever the store does: it waits for the store only as long as
-// is left for all others to take their longest time.
+// drain releases the partitions and completes the accepted requests before the deadline of
+// ctx, whatever the store does: it waits for the store only for as long as the time limits of
+// all later steps allow.
 func (h *Host) drain(ctx context.Context) error {
 	h.stopping.Store(true)
 	defer h.endCalls()
@@ -441,8 +443,9 @@
 	return errors.Wrap(err, "complete accepted calls")
 }
 
-// completeCalls accepts no more calls, and waits for those that are being answered. Shortly
-// before the deadline of ctx it ends their time, so that they are answered at once.
+// completeCalls accepts no more calls, and waits for those in progress. It cancels their
+// contexts answerTime and endTime before the deadline of ctx, so that they are answered at
+// once.
 func (h *Host) completeCalls(ctx context.Context) error {
 	if deadline, bounded := ctx.Deadline(); bounded {
 		timer := time.AfterFunc(deadline.Sub(h.base.Now())-answerTime-endTime, h.endCalls)
@@ -453,7 +456,7 @@
 	}
 	err := h.callers.Shutdown(ctx)
 	if err != nil && h.InFlight() == 0 {
-		// Shutdown looks for the end of calls every half second.
+		// Shutdown polls for the end of calls, up to 0.5 s apart, and may have missed it.
 		return h.callers.Close()
 	}
 	return err
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -37,8 +37,8 @@
 	queue  chan []byte
 	once   sync.Once
 	done   chan struct{}
-	// intake bounds the messages of an accepted connection; nil means no bounds. queued is
-	// what waits to be written.
+	// intake bounds the messages of an accepted connection; nil means no bounds. queued holds
+	// the bytes of its messages that wait to be written.
 	intake *Intake
 	queued *intake.Entry
 	// greeted reports whether the other end has said who it is.
--- a/internal/scheduler/freed.go
+++ b/internal/scheduler/freed.go
@@ -48,8 +48,9 @@
 	}
 }
 
-// noticeFreed finds the servers that have more free capacity than the steps that wait for
-// some have seen, whatever freed it: the end of a run, a trial or a backoff, a new server.
+// noticeFreed finds the servers with more free capacity than when the waiting steps were last
+// examined for them, whatever the cause: the end of a run, of a trial or of a backoff, or a
+// new server.
 func (c *Core) noticeFreed() {
 	if c.serversChanged {
 		c.sortServers()
@@ -78,7 +79,8 @@
 	}
 }
 
-// capacityFreed lets the steps that wait for capacity be examined for a server.
+// capacityFreed records that a server has more free capacity, so that the steps that wait for
+// capacity are examined for it.
 func (c *Core) capacityFreed(s *server) {
 	c.freedSeq++
 	s.freedAt = c.freedSeq
@@ -129,7 +131,7 @@
 			return false
 		}
 		if st.nearTasks > 0 && c.far(st, s) {
-			// Whether it still pays to wait is looked at again soon.
+			// Such a step is examined again after a delay (see noteDelay).
 			return false
 		}
 		if st.spec.Gang && c.now.Before(st.entry.gangAfter) {
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -17,7 +17,7 @@
 	reserved bool
 	// plannedAt is when the members were assigned to the servers.
 	plannedAt time.Time
-	// renewed is set if the last look at the gang has planned it again.
+	// renewed is set if the last examination of the gang has planned it again.
 	renewed bool
 }
 
@@ -28,8 +28,8 @@
 	reserved bool
 }
 
-// freeFor returns the server's free capacity but for what is held for steps that come
-// before st.
+// freeFor returns the server's free capacity minus what is held for steps that come before
+// st, or reserved for other steps.
 func (s *server) freeFor(st *step) workload.Resources {
 	free := s.free
 	for _, h := range s.holds {
@@ -66,8 +66,8 @@
 	}
 }
 
-// dropHold ends what is held for a gang. Placement passes alone do so, and then examine
-// the steps that this helps.
+// dropHold releases the capacity held for a gang. Only placement passes call it, since they
+// then examine the steps that may use that capacity.
 func (c *Core) dropHold(st *step) {
 	h := st.held
 	if h == nil {
@@ -87,8 +87,8 @@
 	c.holdRoom = holdsPerRelease
 }
 
-// holdsPerRelease is how many gangs that wait for it try to hold capacity once some is
-// not held any more.
+// holdsPerRelease is how many waiting gangs may try to hold capacity after a hold was
+// released.
 const holdsPerRelease = 2
 
 // holdersMoved lets the steps be examined again that may come before a gang now, on the
--- a/internal/scheduler/pacer.go
+++ b/internal/scheduler/pacer.go
@@ -25,8 +25,8 @@
 // mayPlace reports whether a pass may start now.
 func (p *pacer) mayPlace() bool { return !p.now().Before(p.next) }
 
-// roundDone records whether a pass was made. It arms the timer if a pass is pending
-// still: it had to wait, or the one that was made has not examined all that it should.
+// roundDone records whether a pass was made. It arms the timer if a pass is still pending:
+// it had to wait, or the last one ended before it had examined all steps.
 func (p *pacer) roundDone(made, pending bool) {
 	now := p.now()
 	if made {
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -66,7 +66,7 @@
 	st.siblings.Observe(s.number, took, v)
 }
 
-// numberStep gives a step whose tasks have run its number.
+// numberStep assigns a number to a step that has none yet.
 func (c *Core) numberStep(st *step) {
 	if st.number == 0 {
 		c.lastStepNumber++
