Wording of admission, backlog and policy decisions in internal/scheduler

Change: lowerPriorityWeight, startedAtMS, comments. No behaviour changes.

Tested: go build ./..., go vet ./internal/scheduler.

--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -22,7 +22,8 @@
 	// firstMessageBytes is the initial size of a message's buffer.
 	firstMessageBytes = 4 << 10
 	// minMessageRate, in bytes a second, limits the whole time of a message, beside the time
-	// of a stall. It is a third of what the slowest link, 10 Mbit/s, gives to each of several connections.
+	// of a stall. It is a third of what the slowest link, 10 Mbit/s, gives to each of several
+	// connections.
 	minMessageRate = 64 << 10
 )
 
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -23,10 +23,10 @@
 	// there is capacity for it. Callers see such a wait as work that was
 	// accepted and forgotten.
 	maxSendWait = 5 * time.Second
-	// lessPressingWeight is the weight of the tasks of less pressing queues in
-	// that wait. They give way to a new submission, but must not be passed over
-	// for as long as new ones come.
-	lessPressingWeight = 0.5
+	// lowerPriorityWeight is the weight, in that wait, of the tasks of queues with a lower
+	// priority than the new submission's. They start after it, but a steady stream of new
+	// submissions must not starve them.
+	lowerPriorityWeight = 0.5
 	// minQueueRetryAfter and maxQueueRetryAfter bound the retry delay that
 	// callers get while the queue is too long.
 	minQueueRetryAfter = time.Second
@@ -78,7 +78,7 @@
 			continue
 		}
 		if priority > c.openPriority(j) {
-			weight = lessPressingWeight
+			weight = lowerPriorityWeight
 		}
 		open += weight * float64(tasks)
 	}
@@ -89,7 +89,7 @@
 	return admission.Decide(admission.Request{}, state, options, c.now)
 }
 
-// sendingHeldUp reports whether starts had to wait for the sender of late.
+// sendingHeldUp reports whether starts had to wait for the sender within startRateInterval.
 func (c *Core) sendingHeldUp() bool { return c.now.Sub(c.startsHeldAt) <= startRateInterval }
 
 // holdStarts records that starts wait for the sender.
--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -82,13 +82,14 @@
 	a.decisions[s.instanceNumber] = d
 }
 
+// serverInstance identifies one instance of a server.
 type serverInstance struct {
-	id   string
-	born int64
+	id          string
+	startedAtMS int64
 }
 
-// numberInstance numbers the instance that the server's entry describes, under which
-// steps keep what was decided about it.
+// numberInstance assigns a number to the instance that the server's entry describes. Steps
+// keep the policy service's decisions under that number.
 func (c *Core) numberInstance(s *server) {
 	key := serverInstance{s.info.ID, s.info.StartedAtMS}
 	n, ok := c.instanceNumbers[key]
--- a/internal/scheduler/backlog.go
+++ b/internal/scheduler/backlog.go
@@ -23,9 +23,9 @@
 	return backlog{tasks: n, cpuTime: time.Duration(float64(n) * cores(st.spec.Reserved().CPU) * float64(st.expectedRunTime()))}
 }
 
-// backlogIndex answers what is placed before a submission without a look at every queued
-// step. It is renewed for the first submission after a placement pass, which has sorted the
-// queue, and is as old as that pass, but for the steps that were queued since.
+// backlogIndex finds the work that is placed before a submission without a scan of the whole
+// queue. It is rebuilt for the first submission after the queue was sorted, and also counts
+// the steps that were queued since.
 type backlogIndex struct {
 	// stale is set if the queue was sorted since the index was renewed.
 	stale    bool
@@ -34,8 +34,8 @@
 	recent []*step
 }
 
-// backlogKey names a queue of steps: those of a service, or of a tenant in a service whose
-// cap holds back its starts.
+// backlogKey names a queue of steps: those of a service, or those in a service of a tenant
+// whose cap holds back its starts.
 type backlogKey struct{ service, tenant string }
 
 // serviceBacklog holds the queued steps of a service in placement order.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -181,7 +181,7 @@
 	// freedSeq counts such releases.
 	freed    []*server
 	freedSeq uint64
-	// instanceNumbers holds the numbers of the servers' instances.
+	// instanceNumbers holds the numbers of all server instances that this owner has seen.
 	instanceNumbers map[serverInstance]int
 	// pools holds the servers by service. It is renewed once serversChanged is set.
 	pools          map[string]*serverPool
