Unexport intake.LargestBody, which no other package uses

Change: largestBody; the test uses the new name, its assertions are unchanged.

Tested: go build ./..., go vet and go test -count=1 of internal/intake.

--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -11,7 +11,7 @@
 // start adds a request that takes n bytes, of which received have come.
 func start(t *testing.T, b *Budget, n, received int64, interrupted *string, name string) *Entry {
 	t.Helper()
-	e := b.Begin(LargestBody, func() { *interrupted += name })
+	e := b.Begin(largestBody, func() { *interrupted += name })
 	if err := e.Take(n); err != nil {
 		t.Fatalf("%s: %v", name, err)
 	}
@@ -63,13 +63,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := NewBudget(400*kilobyte, time.Now)
 		var interrupted string
-		first := start(t, b, 300*kilobyte, LargestBody, &interrupted, "arrived")
+		first := start(t, b, 300*kilobyte, largestBody, &interrupted, "arrived")
 		if err := first.Arrived(); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(10 * time.Second)
 		var refusal *Refusal
-		second := b.Begin(LargestBody, func() {})
+		second := b.Begin(largestBody, func() {})
 		if err := second.Take(200 * kilobyte); !errors.As(err, &refusal) || refusal.Reason != ReasonFull {
 			t.Errorf("%v, want %s", err, ReasonFull)
 		}
@@ -176,11 +176,11 @@
 // as must the longest message between daemons; and a VM without known limits gets more
 // than the largest.
 func TestLimitsFor_HoldTheLargestRequest(t *testing.T) {
-	worst := bytes.Repeat([]byte("0,"), LargestBody/2)
+	worst := bytes.Repeat([]byte("0,"), largestBody/2)
 	var last Limits
 	for _, memory := range []int64{72, 144, 184, 284, 536, 0} {
 		l := LimitsFor(memory, 0, Limits{})
-		need := LargestBody + 1 + DecodedBytes(worst, 256) + 256*1024
+		need := largestBody + 1 + DecodedBytes(worst, 256) + 256*1024
 		if room := l.BodyBytes - l.BodyBytes/smallPart; need > room {
 			t.Errorf("%d MB: a body needs %d bytes, and %d are free for one", memory, need, room)
 		}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -32,8 +32,8 @@
 	unknownMemory      = 1024 * megabyte
 	unknownDescriptors = 16384
 
-	// LargestBody is the largest legal body: the configuration's max_body_bytes.
-	LargestBody = 262144
+	// largestBody is the largest legal body: the configuration's max_body_bytes.
+	largestBody = 262144
 	// minBodyBytes holds one largest body while it is decoded (see DecodedBytes), with the
 	// part that is kept for small requests.
 	minBodyBytes = 4 * megabyte
