Loads of tests are named for what they are

Change: mixedSpeedKinds, rackLocalKinds, server16Cores and server32Cores; comments say which work the loads hold.

--- a/internal/scheduler/copies_test.go
+++ b/internal/scheduler/copies_test.go
@@ -462,11 +462,11 @@
 	inTime, runs := [2]int{}, [2]int{}
 	for i := range inTime {
 		for seed := range uint64(2) {
-			kinds := postprocKinds()
+			kinds := mixedSpeedKinds()
 			for k := range kinds {
 				kinds[k].speculative = i == 1
 			}
-			w := newUnevenWorld(t, seed, 70, 20, postprocServer, kinds, 0)
+			w := newUnevenWorld(t, seed, 70, 20, server16Cores, kinds, 0)
 			w.run(30*time.Second, 20*time.Second)
 			for _, name := range []string{"short", "middle", "long"} {
 				t.Logf("seed %d, speculative %t: %s: %s; %d copies", seed, i == 1, name, w.results[name], w.copies)
--- a/internal/scheduler/near_test.go
+++ b/internal/scheduler/near_test.go
@@ -9,10 +9,9 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// flamedeskKinds are the kinds of work of section 1's first deployment of the work plan, at
-// a fifth of its size: 72 servers of 32 cores in racks of 12. The given part of the steps
-// names the rack of its data.
-func flamedeskKinds(near float64) []workKind {
+// rackLocalKinds are long, middle and short work for 72 servers of 32 cores in racks of 12.
+// The given part of the steps names the rack of its data.
+func rackLocalKinds(near float64) []workKind {
 	return []workKind{
 		{queue: routing.Queue{Name: "long", Priority: 1, TargetLatency: 1200 * time.Millisecond}, perSecond: 0.786, steps: 1.2, tasks: 20, runTime: 3400 * time.Millisecond, cpu: 9000, near: near},
 		{queue: routing.Queue{Name: "middle", Priority: 2, TargetLatency: 3 * time.Second}, perSecond: 2.24, steps: 1.5, tasks: 25, runTime: 2300 * time.Millisecond, cpu: 3500, near: near},
@@ -20,7 +19,7 @@
 	}
 }
 
-var flamedeskServer = workload.Resources{CPU: 32000, MemoryMB: 64000}
+var server32Cores = workload.Resources{CPU: 32000, MemoryMB: 64000}
 
 // Tasks that start away from their data for want of a moment's wait take twice as long, and
 // so does the capacity that they hold. With waits fewer run far, and no more work is late.
@@ -29,7 +28,7 @@
 		var far, inTime [2]int
 		for seed := range uint64(3) {
 			for i, factor := range []float64{0, 2} {
-				w := newUnevenWorld(t, seed, 72, 12, flamedeskServer, flamedeskKinds(part), factor)
+				w := newUnevenWorld(t, seed, 72, 12, server32Cores, rackLocalKinds(part), factor)
 				w.remoteFactor = 2
 				w.run(40*time.Second, 20*time.Second)
 				for _, name := range []string{"short", "middle", "long"} {
@@ -59,7 +58,7 @@
 			factors = []float64{0, 1}
 		}
 		for _, factor := range factors {
-			w := newUnevenWorld(t, 5, 36, 12, flamedeskServer, flamedeskKinds(part), factor)
+			w := newUnevenWorld(t, 5, 36, 12, server32Cores, rackLocalKinds(part), factor)
 			for k := range w.kinds {
 				w.kinds[k].perSecond /= 2
 			}
--- a/internal/scheduler/peakload_test.go
+++ b/internal/scheduler/peakload_test.go
@@ -18,7 +18,7 @@
 	run   time.Duration
 }
 
-// The middle and the short work of the shifted flamedesk sheet.
+// Wide work of two seconds, and narrow work that has to start at once.
 var (
 	middleWork = kindOfWork{routing.Queue{Name: "middle", Service: testService, Priority: 2, Stretch: 1.5, TargetLatency: 3 * time.Second, MaxFailedRuns: 2}, 25, 3500, 2300 * time.Millisecond}
 	shortWork  = kindOfWork{routing.Queue{Name: "short", Service: testService, Priority: 0, Stretch: 1.5, TargetLatency: 400 * time.Millisecond, MaxFailedRuns: 2}, 3, 5000, 680 * time.Millisecond}
--- a/internal/scheduler/peakworld_test.go
+++ b/internal/scheduler/peakworld_test.go
@@ -14,7 +14,7 @@
 	"github.com/currantwinch/currantwinch/workload"
 )
 
-// peakKind is one of the three kinds of work of the malabar sheet.
+// peakKind is one of three kinds of work: long gangs, wide middle work, narrow short work.
 type peakKind struct {
 	name             string
 	perSecond        float64
@@ -52,7 +52,7 @@
 	event: 40 * time.Microsecond, pass: 60 * time.Microsecond, step: 2 * time.Microsecond, server: 200 * time.Nanosecond, placed: 100 * time.Microsecond,
 }
 
-// peakWorld drives a Core through the load of the malabar sheet in virtual time, without
+// peakWorld drives a Core through the load of the three kinds in virtual time, without
 // a network: policy answers, run ends and gangs, and the Engine's order of events and passes.
 type peakWorld struct {
 	h        *harness
@@ -203,7 +203,7 @@
 	return fmt.Sprintf("t%02d", 3+w.rng.IntN(peakTenants-3))
 }
 
-// fill queues n submissions in the proportions of the sheet.
+// fill queues n submissions, of each kind in proportion to its rate.
 func (w *peakWorld) fill(n int) {
 	total := 0.0
 	for _, k := range peakKinds {
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -18,7 +18,7 @@
 	for seed := range uint64(2) {
 		var worlds [2]*unevenWorld
 		for i := range worlds {
-			w := newUnevenWorld(t, seed, 70, 20, postprocServer, postprocKinds(), 0)
+			w := newUnevenWorld(t, seed, 70, 20, server16Cores, mixedSpeedKinds(), 0)
 			w.speedOf, w.startTime = mixedSpeeds, 351*time.Millisecond
 			if i == 0 {
 				w.withoutSpeeds()
@@ -49,7 +49,7 @@
 func TestSpeeds_TellsSmallDifferences(t *testing.T) {
 	speeds := []float64{0.8, 1, 1.25}
 	for seed := range uint64(2) {
-		w := newUnevenWorld(t, seed, 70, 20, postprocServer, postprocKinds(), 0)
+		w := newUnevenWorld(t, seed, 70, 20, server16Cores, mixedSpeedKinds(), 0)
 		w.speedOf = func(server int, _ time.Duration) float64 { return speeds[server%3] }
 		w.run(80*time.Second, 0)
 		known, wrong := 0, 0
@@ -74,7 +74,7 @@
 func TestSpeeds_AlikeServersAreUsedAsBefore(t *testing.T) {
 	var placed [2][]placedRun
 	for i := range placed {
-		w := newUnevenWorld(t, 1, 40, 20, postprocServer, postprocKinds(), 0)
+		w := newUnevenWorld(t, 1, 40, 20, server16Cores, mixedSpeedKinds(), 0)
 		for k := range w.kinds {
 			w.kinds[k].perSecond /= 2
 		}
@@ -102,7 +102,7 @@
 // A server that turns slow for a while must get little work meanwhile, and work again
 // afterwards.
 func TestSpeeds_WorkGoesRoundASlowServerAndComesBack(t *testing.T) {
-	w := newUnevenWorld(t, 2, 20, 20, postprocServer, postprocKinds(), 0)
+	w := newUnevenWorld(t, 2, 20, 20, server16Cores, mixedSpeedKinds(), 0)
 	for k := range w.kinds {
 		w.kinds[k].perSecond /= 3.5
 	}
--- a/internal/scheduler/uneven_bench_test.go
+++ b/internal/scheduler/uneven_bench_test.go
@@ -9,7 +9,7 @@
 
 // BenchmarkReviewSpeeds measures the review of 350 servers with 10 runs each.
 func BenchmarkReviewSpeeds(b *testing.B) {
-	w := newUnevenWorld(&testing.T{}, 1, 350, 20, workload.Resources{CPU: 32000, MemoryMB: 64000}, postprocKinds(), 0)
+	w := newUnevenWorld(&testing.T{}, 1, 350, 20, workload.Resources{CPU: 32000, MemoryMB: 64000}, mixedSpeedKinds(), 0)
 	for k := range w.kinds {
 		w.kinds[k].perSecond *= 8
 		w.kinds[k].speculative = true
--- a/internal/scheduler/unevenworld_test.go
+++ b/internal/scheduler/unevenworld_test.go
@@ -353,9 +353,9 @@
 	return last
 }
 
-// postprocKinds are the kinds of work of section 1's third deployment, at a fifth of its
-// size: 70 servers of 16 cores, of speeds 0.7, 0.7 and 1.7.
-func postprocKinds() []workKind {
+// mixedSpeedKinds are long, middle and short work for 70 servers of 16 cores with
+// mixedSpeeds. Three of 100 tasks are stragglers.
+func mixedSpeedKinds() []workKind {
 	return []workKind{
 		{queue: routing.Queue{Name: "long", Priority: 1, TargetLatency: 1200 * time.Millisecond}, perSecond: 0.83, steps: 1.2, tasks: 16, runTime: 5300 * time.Millisecond, cpu: 4500, stragglerShare: 0.03},
 		{queue: routing.Queue{Name: "middle", Priority: 2, TargetLatency: 3 * time.Second}, perSecond: 1.73, steps: 1.5, tasks: 25, runTime: 2300 * time.Millisecond, cpu: 1700, stragglerShare: 0.03},
@@ -363,6 +363,6 @@
 	}
 }
 
-var postprocServer = workload.Resources{CPU: 16000, MemoryMB: 32000}
+var server16Cores = workload.Resources{CPU: 16000, MemoryMB: 32000}
 
 func mixedSpeeds(server int, _ time.Duration) float64 { return [...]float64{0.7, 0.7, 1.7}[server%3] }
