A call of another daemon counts with its method's name, until it is decoded

Cause: TestPeers_WithstandUntrustedClients/answers_that_are_not_read held 72.5 MB resident and 2.7 MB in sockets beside three busy processes, where 72 MB is the bound. The clients call methods with names of 100 kB. A call took no more of the budget than its parameters, of which it has none; a message left the budget before it was decoded; and each answer repeated the name, so that handlers that wait for the processor held the name four times, 256 of them for each connection. Ruled out: the heap's soft limit (36 MB), which the collector cannot keep while that lives. Change: the name counts, the message counts until it is decoded, an error repeats 64 bytes of the name. Reading a message is one function for each of its steps. Load and bound of the test are as they were.

--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -76,75 +76,118 @@
 	return name
 }
 
-// readMessage reads a message of n bytes into a buffer that grows with what has come. On
-// an accepted connection, it ends the connection if the message makes no progress, or is
-// the slowest when the budget is full.
-func (s *stream) readMessage(n int) (data []byte, err error) {
-	var e *intake.Entry
-	if s.intake != nil {
-		e = s.intake.Received.Begin(int64(n), func() { _ = s.conn.SetReadDeadline(time.Now().Add(-time.Hour)) })
-		defer func() {
-			e.End()
-			if err != nil {
-				s.intake.Report.MessageRefused(s.conn.RemoteAddr().String(), err)
-			} else {
-				err = s.conn.SetReadDeadline(time.Time{})
-			}
-		}()
+// messageRead is a message that is being read on an accepted connection, within the budget
+// of received messages. A nil messageRead has no bounds.
+type messageRead struct {
+	stream *stream
+	entry  *intake.Entry
+	// end is when the whole message must have come.
+	end time.Time
+}
+
+// beginRead begins a message of n bytes; it returns nil on a connection without bounds. The
+// caller must call finish.
+func (s *stream) beginRead(n int) *messageRead {
+	if s.intake == nil {
+		return nil
+	}
+	return &messageRead{
+		stream: s,
+		entry:  s.intake.Received.Begin(int64(n), func() { _ = s.conn.SetReadDeadline(time.Now().Add(-time.Hour)) }),
+		end:    time.Now().Add(s.intake.StallTimeout + time.Duration(n)*time.Second/minMessageRate),
+	}
+}
+
+// finish gives the bytes of the message back to the budget, and reports err if the message
+// was not read.
+func (m *messageRead) finish(err error) error {
+	if m == nil {
+		return err
+	}
+	m.entry.End()
+	if err != nil {
+		m.stream.intake.Report.MessageRefused(m.stream.conn.RemoteAddr().String(), err)
+		return err
+	}
+	return m.stream.conn.SetReadDeadline(time.Time{})
+}
+
+// grow returns a buffer of the given size with the data of another one, in place of which
+// it is held in the budget. The time that it waits for that does not count.
+func (m *messageRead) grow(data []byte, size int) ([]byte, error) {
+	if m != nil {
+		began := time.Now()
+		if err := m.entry.Take(int64(size)); err != nil {
+			return nil, err
+		}
+		m.end = m.end.Add(time.Since(began))
+	}
+	grown := make([]byte, len(data), size)
+	copy(grown, data)
+	if m != nil {
+		m.entry.Release(int64(cap(data)))
+	}
+	return grown, nil
+}
+
+// setDeadline limits the next read: by the time without progress, and by the end of the
+// whole message.
+func (m *messageRead) setDeadline() error {
+	if m == nil {
+		return nil
+	}
+	deadline := time.Now().Add(m.stream.intake.StallTimeout)
+	if m.end.Before(deadline) {
+		deadline = m.end
+	}
+	return m.entry.Do(func() { _ = m.stream.conn.SetReadDeadline(deadline) })
+}
+
+// arrived counts bytes that have come.
+func (m *messageRead) arrived(n int) error {
+	if m == nil {
+		return nil
+	}
+	return m.entry.Add(n)
+}
+
+// complete ends the time limits of a message that has come whole. It fails if the message
+// has just been refused for want of memory.
+func (m *messageRead) complete() error {
+	if m == nil {
+		return nil
 	}
-	end := time.Now().Add(s.stallTimeout() + time.Duration(n)*time.Second/minMessageRate)
+	return m.entry.Arrived()
+}
+
+// readMessage reads a message of n bytes into a buffer that grows with what has come, so that a length
+// that is only announced takes no memory.
+func (s *stream) readMessage(m *messageRead, n int) ([]byte, error) {
+	var data []byte
 	for len(data) < n {
 		if len(data) == cap(data) {
-			before := cap(data)
-			size := min(n, max(firstMessageBytes, 2*before))
-			if e != nil {
-				began := time.Now()
-				if err := e.Take(int64(size)); err != nil {
-					return nil, err
-				}
-				end = end.Add(time.Since(began))
+			grown, err := m.grow(data, min(n, max(firstMessageBytes, 2*cap(data))))
+			if err != nil {
+				return nil, err
 			}
-			grown := make([]byte, len(data), size)
-			copy(grown, data)
 			data = grown
-			if e != nil && before > 0 {
-				e.Release(int64(before))
-			}
 		}
-		if e != nil {
-			deadline := time.Now().Add(s.stallTimeout())
-			if end.Before(deadline) {
-				deadline = end
-			}
-			if err := e.Do(func() { _ = s.conn.SetReadDeadline(deadline) }); err != nil {
-				return nil, err
-			}
+		if err := m.setDeadline(); err != nil {
+			return nil, err
 		}
 		got, err := s.reader.Read(data[len(data):cap(data)])
 		data = data[:len(data)+got]
-		if e != nil {
-			if err := e.Add(got); err != nil {
-				return nil, err
-			}
+		if refused := m.arrived(got); refused != nil {
+			return nil, refused
 		}
 		if err != nil && len(data) < n {
 			return nil, err
 		}
 	}
-	if e != nil {
-		return data, e.Arrived()
-	}
-	return data, nil
-}
-
-func (s *stream) stallTimeout() time.Duration {
-	if s.intake == nil {
-		return 0
-	}
-	return s.intake.StallTimeout
+	return data, m.complete()
 }
 
-// holdCall takes the bytes of a call's parameters from the budget until release is called. It
+// holdCall takes the bytes of a call's method and parameters from the budget until release is called. It
 // reports false if the budget does not have them.
 func (s *stream) holdCall(n int) (release func(), ok bool) {
 	if s.intake == nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -267,7 +267,7 @@
 		return
 	}
 	params := rawParams(r)
-	release, ok := l.stream.holdCall(len(params))
+	release, ok := l.stream.holdCall(len(params) + len(r.Method))
 	if !ok {
 		<-l.handlerSlots
 		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonBusy, "messages take all of their memory"))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -23,6 +23,9 @@
 const (
 	// maxMessageBytes limits the size of one message in either direction.
 	maxMessageBytes = 4 << 20
+	// maxMethodInError limits what an error repeats of a method's name in bytes, since the
+	// other end chooses how long that is.
+	maxMethodInError = 64
 	// maxPendingCalls limits the calls that wait for responses of one connection.
 	maxPendingCalls = 256
 	// maxConcurrentHandlers limits the calls of one connection handled concurrently.
@@ -226,7 +229,7 @@
 func (p *Peers) handle(ctx context.Context, from, method string, params json.RawMessage) (any, error) {
 	h, ok := p.handlers[method]
 	if !ok {
-		return nil, verdict.New(verdict.NotRun, ReasonUnknownMethod, "method %q", method)
+		return nil, verdict.New(verdict.NotRun, ReasonUnknownMethod, "method %q", method[:min(len(method), maxMethodInError)])
 	}
 	return h(ctx, from, params)
 }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -95,11 +95,17 @@
 	if n > maxMessageBytes || n > maxHelloBytes && !s.greeted() {
 		return errTooLarge
 	}
-	data, err := s.readMessage(int(n))
+	m := s.beginRead(int(n))
+	data, err := s.readMessage(m, int(n))
 	if err != nil {
+		return m.finish(err)
+	}
+	// The message counts until it is decoded, since both forms are in memory then.
+	undecodable := json.Unmarshal(data, v)
+	if err := m.finish(nil); err != nil {
 		return err
 	}
-	return json.Unmarshal(data, v)
+	return undecodable
 }
 
 // WriteObject queues one message for writing. If it returns an error, the message
