Numbers of server instances are assigned again

Cause: each instance that an owner saw kept a number for good, and each waiting step a list of decisions as long as the largest number: both grew with every restart of a server under one owner. Change: the number of an instance that is gone goes to the next one, and no step keeps a decision under it.

--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -82,24 +82,6 @@
 	a.decisions[s.instanceNumber] = d
 }
 
-// serverInstance identifies one instance of a server.
-type serverInstance struct {
-	id          string
-	startedAtMS int64
-}
-
-// numberInstance assigns a number to the instance that the server's entry describes. Steps
-// keep the policy service's decisions under that number.
-func (c *Core) numberInstance(s *server) {
-	key := serverInstance{s.info.ID, s.info.StartedAtMS}
-	n, ok := c.instanceNumbers[key]
-	if !ok {
-		n = len(c.instanceNumbers)
-		c.instanceNumbers[key] = n
-	}
-	s.instanceNumber = n
-}
-
 // allowRate is the moving average of the fraction of servers that a queue's
 // policy allows.
 type allowRate struct{ rate float64 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -181,8 +181,8 @@
 	// freedSeq counts such releases.
 	freed    []*server
 	freedSeq uint64
-	// instanceNumbers holds the numbers of all server instances that this owner has seen.
-	instanceNumbers map[serverInstance]int
+	// numbers are the numbers of the servers' instances.
+	numbers instanceNumbers
 	// pools holds the servers by service. It is renewed once serversChanged is set.
 	pools          map[string]*serverPool
 	serversChanged bool
@@ -246,7 +246,7 @@
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
 		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
-		heldForGangs: make(map[*server]workload.Resources), capWaiting: make(map[string]*capQueue), serversChanged: true, instanceNumbers: make(map[serverInstance]int),
+		heldForGangs: make(map[*server]workload.Resources), capWaiting: make(map[string]*capQueue), serversChanged: true,
 		startRoom: math.MaxInt, openTasks: make(map[int]int), arrivals: admission.NewArrivals(maxArrivals, arrivalRetention),
 	}
 	c.memory.limit = bounds.MemoryBytes
--- a/internal/scheduler/server.go
+++ b/internal/scheduler/server.go
@@ -56,6 +56,8 @@
 	holds []serverHold
 	// instanceNumber is the Core's number of the instance that info describes.
 	instanceNumber int
+	// numbered is the instance that has that number; zero if none has.
+	numbered serverInstance
 	// departsAt is the earliest time at which a draining server may shut down;
 	// zero if it gave none.
 	departsAt time.Time
--- a/internal/scheduler/serverlist.go
+++ b/internal/scheduler/serverlist.go
@@ -85,6 +85,7 @@
 		c.markLost(a, lossServerLeft)
 	}
 	delete(c.servers, s.info.ID)
+	c.releaseNumber(s)
 	c.serversChanged = true
 	delete(c.exposed, s.info.ID)
 	if s.stored {
