What a cap holds back follows the work that waits

Cause: the list of tenants with waiting work was renewed by placement passes that sort the queue alone. A tenant at its cap whose work waited was not shown as held back once no pass had sorted for a second, and could count as held back after its work was cancelled. Change: the tick renews the list as well; spans end in one function, and the room that a gang keeps is decided apart from what may start. Result: TestCore_CapHoldsNothingBackOnceNothingWaits fails before, at its first check: a submission that waits for the cap does not count after 2 s. Tests of tenants, caps, shares and gangs pass.

--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -66,6 +66,20 @@
 	return false
 }
 
+// length returns the time from the first to the last event of the span.
+func (s *span) length() time.Duration { return s.last.Sub(s.since) }
+
+// endSpans removes the spans to which nothing was added for spanInterval, and calls ended
+// for each.
+func endSpans(spans map[string]*span, now time.Time, ended func(name string, s *span)) {
+	for name, s := range spans {
+		if now.Sub(s.last) >= spanInterval {
+			delete(spans, name)
+			ended(name, s)
+		}
+	}
+}
+
 func newTenants(c *Core) *tenants {
 	return &tenants{
 		core: c, ledger: tenant.NewLedger(c.bounds.ShareWindow), gangs: make(map[string]*step), held: make(map[string]*span),
@@ -73,8 +87,8 @@
 	}
 }
 
-// allows returns how many of n tasks of a step may start now under its tenant's cap. Of a
-// gang it is all of them or none.
+// allows returns how many of n tasks of a step may start now under its tenant's cap, and
+// records that the cap holds the others back. Of a gang it is all of them or none.
 func (t *tenants) allows(st *step, n int) int {
 	name := st.job().sub.Tenant
 	if n <= 0 || name == "" || !t.ledger.Active() {
@@ -83,25 +97,33 @@
 	t.attributeCapacity()
 	if t.yieldsToGang(name, st) {
 		st.entry.cappedNow = true
-		t.noteHeld(name, st.id().StepName())
+		t.recordHeld(name, st.id().StepName())
 		return 0
 	}
 	allowed := t.ledger.Allows(name, st.spec.Reserved(), n)
-	if allowed == n {
-		if t.gangs[name] == st {
-			delete(t.gangs, name)
-		}
-		return n
+	if allowed < n {
+		st.entry.cappedNow = true
+		t.recordHeld(name, st.id().StepName())
 	}
-	st.entry.cappedNow = true
-	t.noteHeld(name, st.id().StepName())
 	if !st.spec.Gang {
 		return allowed
 	}
-	if t.ledger.MostAtOnce(name, st.spec.Reserved(), n) == n {
+	t.reserveForGang(name, st, n, allowed)
+	if allowed < n {
+		return 0
+	}
+	return n
+}
+
+// reserveForGang leaves the room under a tenant's cap to a gang of n members, of which the
+// cap allows fewer now. It ends once the cap allows them all.
+func (t *tenants) reserveForGang(name string, st *step, n, allowed int) {
+	switch {
+	case allowed < n && t.ledger.MostAtOnce(name, st.spec.Reserved(), n) == n:
 		t.gangs[name] = st
+	case allowed == n && t.gangs[name] == st:
+		delete(t.gangs, name)
 	}
-	return 0
 }
 
 // allowsCopy reports whether a second run of a task of the step may start under its tenant's
@@ -186,8 +208,8 @@
 	return Reply{}, false
 }
 
-// noteHeld notes that a tenant's cap holds back a start.
-func (t *tenants) noteHeld(name, step string) {
+// recordHeld records that a tenant's cap holds back a start.
+func (t *tenants) recordHeld(name, step string) {
 	if !extend(t.held, name, t.core.now) {
 		return
 	}
@@ -196,27 +218,27 @@
 		"cpu", used.CPU, "memoryMB", used.MemoryMB, "gpu", used.GPU, "unattributedCPU", t.ledger.Unattributed().CPU)
 }
 
-// tick ends the holds and the excess of tenants to which nothing was added for
-// spanInterval.
+// tick does what depends on time alone: spans that are over end, and the metrics are renewed.
 func (t *tenants) tick() {
-	now := t.core.now
+	if t.ledger.Active() {
+		t.scanDemand()
+	}
+	t.extendHeld()
+	endSpans(t.held, t.core.now, func(name string, s *span) {
+		t.core.log.Log(events.TenantBelowCap, "tenant", name, "took", s.length().Milliseconds())
+	})
+	endSpans(t.excess, t.core.now, func(name string, s *span) {
+		t.core.log.Log(events.TenantWithinRate, "tenant", name, "took", s.length().Milliseconds(), "submissions", s.count)
+	})
+	t.report()
+}
+
+// extendHeld extends the spans of the tenants at their caps that have work waiting:
+// placement does not ask whether it may start while no server has room.
+func (t *tenants) extendHeld() {
 	for name := range t.waiting {
-		// Placement does not ask while no server has room.
 		if t.ledger.AtCap(name) {
-			t.noteHeld(name, "")
-		}
-	}
-	for name, s := range t.held {
-		if now.Sub(s.last) >= spanInterval {
-			delete(t.held, name)
-			t.core.log.Log(events.TenantBelowCap, "tenant", name, "took", s.last.Sub(s.since).Milliseconds())
-		}
-	}
-	for name, s := range t.excess {
-		if now.Sub(s.last) >= spanInterval {
-			delete(t.excess, name)
-			t.core.log.Log(events.TenantWithinRate, "tenant", name, "took", s.last.Sub(s.since).Milliseconds(), "submissions", s.count)
+			t.recordHeld(name, "")
 		}
 	}
-	t.report()
 }
--- a/internal/scheduler/tenants_test.go
+++ b/internal/scheduler/tenants_test.go
@@ -324,3 +324,28 @@
 		}
 	}
 }
+
+// What a cap holds back followed placement passes and not the work that waits: a tenant was
+// shown as free while its work waited, or as held back after that was cancelled.
+func TestCore_CapHoldsNothingBackOnceNothingWaits(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	h.setTenants(capped("a", 4000))
+	h.submitAs("a", id1, stepOf(1, 4000))
+	h.confirmStart(h.takeStarts()[0])
+	h.submitAs("a", id2, stepOf(1, 4000))
+	h.advance(2 * spanInterval)
+	if h.core.tenants.held["a"] == nil {
+		t.Fatal("the cap holds nothing back, want the second submission")
+	}
+	h.core.startRoom = 0
+	h.do(func(c *Core) { c.Cancel(id2, func(Reply) {}) })
+	for range 40 {
+		h.now, h.wall = h.now.Add(50*time.Millisecond), h.wall+50
+		h.core.SetTime(h.now, h.wall)
+		h.core.Tick()
+	}
+	if h.core.tenants.held["a"] != nil {
+		t.Error("the cap still counts as holding work back 2 s after that was cancelled")
+	}
+}
--- a/internal/scheduler/tenantshare.go
+++ b/internal/scheduler/tenantshare.go
@@ -87,24 +87,33 @@
 	return j.queue.Priority
 }
 
-// refreshShares renews which tenants use more than their share.
-func (t *tenants) refreshShares() {
-	if !t.ledger.Active() {
+// scanDemand renews the capacity in service and the tenants with queued steps, at intervals
+// of sharesInterval.
+func (t *tenants) scanDemand() {
+	if t.core.now.Sub(t.sharesAt) < sharesInterval {
 		return
 	}
-	if t.core.now.Sub(t.sharesAt) >= sharesInterval {
-		t.sharesAt = t.core.now
-		t.total = workload.Resources{}
-		for _, s := range t.core.servers {
-			if s.listed {
-				t.total = t.total.Plus(s.info.Capacity)
-			}
+	t.sharesAt = t.core.now
+	t.total = workload.Resources{}
+	for _, s := range t.core.servers {
+		if s.listed {
+			t.total = t.total.Plus(s.info.Capacity)
 		}
-		clear(t.waiting)
-		for _, st := range t.core.queued {
+	}
+	clear(t.waiting)
+	for _, st := range t.core.queued {
+		if st.job().ending == "" && st.unplacedTasks() > 0 {
 			t.waiting[st.job().sub.Tenant] = true
 		}
 	}
+}
+
+// refreshShares renews which tenants use more than their share.
+func (t *tenants) refreshShares() {
+	if !t.ledger.Active() {
+		return
+	}
+	t.scanDemand()
 	t.ledger.RefreshShares(t.total, func(name string) bool { return t.waiting[name] })
 }
 
