A budget's limit, its eviction and its grant are functions of their own

Cause: Budget.take chose the limit, searched for the slowest request, made it give way and granted the bytes in one loop. Change: limitFor, evictSlowest and take; the order of the checks is the same.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -202,48 +202,52 @@
 // take gives n bytes to e if they are free. If not, it makes as many requests give way as
 // are needed. With early set, bytes of requests that are giving way count as free.
 func (b *Budget) take(e *Entry, n int64, early bool) bool {
-	limit := b.limit
-	if e.held+n > smallBytes {
-		limit -= limit / smallPart
-	}
+	limit := b.limitFor(e, n)
 	// No request is evicted for one that can never fit.
 	if e.held+n > limit {
 		return false
 	}
 	for {
 		free := limit - b.used
-		if n <= free {
+		freeSoon := free + b.evictedBytes
+		if n <= free || early && n <= freeSoon {
 			b.used += n
 			e.held += n
 			return true
 		}
-		freeSoon := free + b.evictedBytes
-		if n <= freeSoon {
-			if early {
-				b.used += n
-				e.held += n
-			}
-			return early
-		}
-		now := b.now()
-		if now.Before(b.searchAfter) {
-			return false
-		}
-		victim := b.slowest(now)
-		if victim == nil {
-			b.searchAfter = now.Add(searchInterval)
-			return false
-		}
-		victim.evicted = true
-		b.evictedBytes += victim.held
-		victim.interrupt()
-		b.signal()
-		if victim == e {
+		if n <= freeSoon || !b.evictSlowest() || e.evicted {
 			return false
 		}
 	}
 }
 
+// limitFor returns how much of the budget may be in use with n more bytes of e. A part is
+// kept for small requests.
+func (b *Budget) limitFor(e *Entry, n int64) int64 {
+	if e.held+n > smallBytes {
+		return b.limit - b.limit/smallPart
+	}
+	return b.limit
+}
+
+// evictSlowest makes the slowest request give way. It reports false if none has to.
+func (b *Budget) evictSlowest() bool {
+	now := b.now()
+	if now.Before(b.searchAfter) {
+		return false
+	}
+	victim := b.slowest(now)
+	if victim == nil {
+		b.searchAfter = now.Add(searchInterval)
+		return false
+	}
+	victim.evicted = true
+	b.evictedBytes += victim.held
+	victim.interrupt()
+	b.signal()
+	return true
+}
+
 // slowest returns the request that gives way next, or nil if all are fast: the one whose
 // rest takes the longest at its present rate. If all that arrive wait for this budget, it
 // is the one that holds the most, so that the others can go on.
