The index of queued steps is a package of its own

Change: internal/waitindex, over any item; splitting a block, finding it and inserting are functions of their own. Its test goes with it, the same changes and comparisons.

--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -271,7 +271,7 @@
 	for _, server := range asked {
 		a.pending[server] = max(a.pending[server]-1, 0)
 	}
-	c.index.wake(st)
+	c.wake(st)
 	if err != nil {
 		c.log.Log(events.PolicyRequestFailed, "step", id.StepName(), "servers", len(asked), "error", err.Error())
 		a.retryAt = c.now.Add(policyRetryDelay)
--- a/internal/scheduler/capwait.go
+++ b/internal/scheduler/capwait.go
@@ -37,7 +37,7 @@
 		q = &capQueue{}
 		c.capWaiting[name] = q
 	}
-	at, _ := slices.BinarySearchFunc(q.steps, st, (*step).compareOrder)
+	at, _ := slices.BinarySearchFunc(q.steps, st, (*step).Compare)
 	q.steps = slices.Insert(q.steps, at, st)
 }
 
@@ -73,7 +73,7 @@
 			q.steps = slices.Delete(q.steps, i, i+1)
 			if waits {
 				q.woken++
-				c.index.wake(st)
+				c.wake(st)
 				break
 			}
 			i--
@@ -93,6 +93,6 @@
 			}
 			return !st.queued
 		})
-		slices.SortFunc(q.steps, (*step).compareOrder)
+		slices.SortFunc(q.steps, (*step).Compare)
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -7,6 +7,7 @@
 	"github.com/currantwinch/currantwinch/admission"
 	"github.com/currantwinch/currantwinch/crashloop"
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/waitindex"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/workload"
@@ -168,7 +169,7 @@
 	holdRoom     int
 	// index holds the queued steps in placement order, as sorted at sortedAt; wakeCursor
 	// is the block that was woken last without a cause.
-	index      queueIndex
+	index      waitindex.Index[*step]
 	sortedAt   time.Time
 	wakeCursor int
 	// delayed are the steps that are examined again at their wakeAt.
@@ -418,7 +419,7 @@
 func (c *Core) Configure(config *routing.Configuration) {
 	c.config = config
 	c.tenants.ledger.Configure(config.Tenancy, c.now)
-	c.index.wakeAll()
+	c.wakeAll()
 	c.placementNeeded = true
 	for _, j := range c.jobs {
 		if q, ok := config.Queue(j.sub.Queue); ok {
--- a/internal/scheduler/freed.go
+++ b/internal/scheduler/freed.go
@@ -106,10 +106,10 @@
 			continue
 		}
 		if gang != nil {
-			c.index.wake(gang)
+			c.wake(gang)
 		}
 		if st != nil {
-			c.index.wake(st)
+			c.wake(st)
 		}
 		kept = append(kept, s)
 		seen++
@@ -125,7 +125,7 @@
 	if c.servers[s.info.ID] != s || s.trial != nil || !s.usable(c.now) {
 		return nil
 	}
-	return c.index.firstFor(s.free, func(st *step) bool {
+	st, _ := c.index.FirstFitting(wakeOnCapacity, s.free, func(st *step) bool {
 		need := st.spec.Reserved()
 		if st.entry.examinedAt >= s.freedAt || !need.Fits(s.free) {
 			return false
@@ -152,6 +152,7 @@
 		_, ok := c.ticketFor(st, s)
 		return ok
 	})
+	return st
 }
 
 // gangFor returns the first gang that holds capacity on s and whose members all fit now,
@@ -160,7 +161,7 @@
 	var first *step
 	for _, h := range s.holds {
 		st := h.step
-		if st.entry.examinedAt >= s.freedAt || first != nil && first.compareOrder(st) < 0 || !p.membersFit(st) {
+		if st.entry.examinedAt >= s.freedAt || first != nil && first.Compare(st) < 0 || !p.membersFit(st) {
 			continue
 		}
 		first = st
--- a/internal/scheduler/holds.go
+++ b/internal/scheduler/holds.go
@@ -33,7 +33,7 @@
 func (s *server) freeFor(st *step) workload.Resources {
 	free := s.free
 	for _, h := range s.holds {
-		if h.step != st && (h.reserved || h.step.compareOrder(st) < 0) {
+		if h.step != st && (h.reserved || h.step.Compare(st) < 0) {
 			free = free.Minus(h.amount)
 		}
 	}
@@ -115,9 +115,9 @@
 			c.dropHold(st)
 		case st.held.reserved && st.reserved == nil:
 			c.dropHold(st)
-			c.index.wake(st)
+			c.wake(st)
 		case !st.held.reserved && c.now.Sub(st.held.plannedAt) >= replan:
-			c.index.wake(st)
+			c.wake(st)
 		}
 	}
 }
@@ -127,7 +127,7 @@
 func (c *Core) heldBefore(st *step) int64 {
 	var sum int64
 	for _, o := range c.holders {
-		if o != st && !o.held.reserved && o.held.service == st.job().sub.Service && o.compareOrder(st) < 0 {
+		if o != st && !o.held.reserved && o.held.service == st.job().sub.Service && o.Compare(st) < 0 {
 			sum += o.held.cpu
 		}
 	}
@@ -157,17 +157,17 @@
 				continue
 			}
 			sum += o.held.cpu
-			if o != st && (last == nil || o.compareOrder(last) > 0) {
+			if o != st && (last == nil || o.Compare(last) > 0) {
 				last = o
 			}
 		}
-		if sum <= limit || last == nil || last.compareOrder(st) < 0 {
+		if sum <= limit || last == nil || last.Compare(st) < 0 {
 			return
 		}
 		room := c.holdRoom
 		c.dropHold(last)
 		// The room is taken by this step already.
 		c.holdRoom = room
-		c.index.setWaits(last, wakeOnHold)
+		c.index.Wait(last, wakeOnHold)
 	}
 }
--- a/internal/scheduler/near.go
+++ b/internal/scheduler/near.go
@@ -95,7 +95,7 @@
 			return true
 		}
 		o.inNearSteps = true
-		if o != st && o.placeOf() == place && o.compareOrder(st) < 0 {
+		if o != st && o.placeOf() == place && o.Compare(st) < 0 {
 			n += o.nearTasks
 		}
 		return false
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -85,9 +85,9 @@
 	for _, st := range c.queued {
 		st.entry.order = c.placementOrderOf(st)
 	}
-	if slices.IsSortedFunc(c.queued, (*step).compareOrder) {
+	if slices.IsSortedFunc(c.queued, (*step).Compare) {
 		return false
 	}
-	slices.SortFunc(c.queued, (*step).compareOrder)
+	slices.SortFunc(c.queued, (*step).Compare)
 	return true
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -91,7 +91,7 @@
 	if c.sortQueued() {
 		c.holdersMoved()
 	}
-	c.index.rebuild(c.queued)
+	c.index.Rebuild(c.queued)
 	c.sortCapQueues()
 	c.backlog.queueSorted()
 }
@@ -102,7 +102,7 @@
 	for _, st := range c.queued {
 		if st.job().ending != "" || st.unplacedTasks() == 0 {
 			st.queued = false
-			st.entry.block = nil
+			st.entry.place.Leave()
 			continue
 		}
 		kept = append(kept, st)
@@ -140,25 +140,26 @@
 	return stepWork*p.count.steps + serverWork*p.count.servers + startWork*placed
 }
 
-var (
-	wakeReasonsAlways = []wakeReason{wakeNow}
-	wakeReasonsClient = []wakeReason{wakeNow, wakeOnClient}
-	wakeReasonsHold   = []wakeReason{wakeOnHold}
-)
-
 // next returns the next step to examine, or nil.
 func (p *placementPass) next() *step {
 	c := p.core
-	for c.holdRoom > 0 {
-		c.holdRoom--
-		if st := c.index.first(wakeReasonsHold); st != nil {
-			c.index.setWaits(st, wakeNow)
-		}
-	}
+	c.offerHoldRoom()
 	if c.openRequests < c.maxOpenRequests() {
-		return c.index.first(wakeReasonsClient)
+		st, _ := c.index.First(wakeNow, wakeOnClient)
+		return st
+	}
+	st, _ := c.index.First(wakeNow)
+	return st
+}
+
+// offerHoldRoom wakes as many gangs that wait to hold capacity as may try in place of what
+// was released.
+func (c *Core) offerHoldRoom() {
+	for ; c.holdRoom > 0; c.holdRoom-- {
+		if st, ok := c.index.First(wakeOnHold); ok {
+			c.index.Wait(st, wakeNow)
+		}
 	}
-	return c.index.first(wakeReasonsAlways)
 }
 
 // examine places what fits of a step and notes what it waits for after that.
@@ -166,7 +167,7 @@
 	c := p.core
 	p.count.steps++
 	st.entry.wantsClient, st.entry.cappedNow = false, false
-	c.index.setWaits(st)
+	c.index.Wait(st)
 	if st.job().ending != "" || st.unplacedTasks() == 0 {
 		c.dropHold(st)
 		return
@@ -198,7 +199,7 @@
 		return
 	}
 	if c.startRoom <= 0 {
-		c.index.setWaits(st, wakeNow)
+		c.index.Wait(st, wakeNow)
 		return
 	}
 	if st.entry.cappedNow && c.heldByCap(st) {
@@ -211,18 +212,18 @@
 	switch {
 	case !c.mayStart(st):
 		if st.entry.wantsClient {
-			c.index.setWaits(st, wakeOnClient)
+			c.index.Wait(st, wakeOnClient)
 		}
 	case st.entry.wantsClient && (len(a.tickets) == 0 || st.spec.Gang):
-		c.index.setWaits(st, wakeOnClient)
+		c.index.Wait(st, wakeOnClient)
 	case st.entry.wantsClient:
-		c.index.setWaits(st, wakeOnClient, wakeOnCapacity)
+		c.index.Wait(st, wakeOnClient, wakeOnCapacity)
 	case unanswered:
 	case st.holdRefused:
-		c.index.setWaits(st, wakeOnHold)
+		c.index.Wait(st, wakeOnHold)
 	case st.held == nil:
 		st.entry.gangAfter = c.now.Add(gangInterval(len(c.queued) / gangQueuePart))
-		c.index.setWaits(st, wakeOnCapacity)
+		c.index.Wait(st, wakeOnCapacity)
 	}
 }
 
@@ -279,7 +280,7 @@
 			continue
 		}
 		st.entry.delayed = false
-		c.index.wake(st)
+		c.wake(st)
 	}
 	clear(c.delayed[len(kept):])
 	c.delayed = kept
@@ -289,22 +290,12 @@
 func (c *Core) wakeJob(j *job) {
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			c.index.wake(st)
+			c.wake(st)
 		}
 	}
 	c.placementNeeded = true
 }
 
-// wakeNextBlock lets the next pass examine some steps, others each time: a step that has
-// missed what it waits for does not wait for ever.
-func (c *Core) wakeNextBlock() {
-	if len(c.index.blocks) == 0 {
-		return
-	}
-	c.wakeCursor = (c.wakeCursor + 1) % len(c.index.blocks)
-	c.index.wakeWaiting(c.index.blocks[c.wakeCursor])
-}
-
 // worthTrying is a cheap check of whether a scan of all servers can help the
 // step: a gang may hold capacity below the limit; a single task needs a server with
 // enough free capacity and either a ticket or a request that may be sent.
--- a/internal/scheduler/placepass_test.go
+++ b/internal/scheduler/placepass_test.go
@@ -1,9 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
-	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -57,7 +54,7 @@
 			}
 			for _, st := range c.queued {
 				if !st.spec.Gang {
-					c.index.wake(st)
+					c.wake(st)
 				}
 			}
 			c.placementNeeded = true
@@ -130,50 +127,3 @@
 		t.Errorf("%d passes, %d tasks started, want several passes that fill 100 servers", passes, started)
 	}
 }
-
-// The index finds the steps that wait for something without a look at the queue. It must agree
-// with a look at all of them after any sequence of changes.
-func TestQueueIndex_AgreesWithTheQueue(t *testing.T) {
-	random := rand.New(rand.NewPCG(3, 4))
-	start := time.Unix(1_700_000_000, 0)
-	var x queueIndex
-	var steps []*step
-	for i := range 4000 {
-		switch n := random.IntN(10); {
-		case n < 4 || len(steps) == 0:
-			sub := &workload.Submission{ID: fmt.Sprintf("%016x", random.Uint32()), Queue: testQueue, Service: testService, Steps: []workload.Step{oneTask(1000 + random.Int64N(9000))}}
-			st := newJob(sub, start).build(0).steps[0]
-			st.entry.order = placementOrder{priority: random.IntN(3), target: start.Add(time.Duration(random.IntN(1000))), id: sub.ID}
-			x.insert(st)
-			steps = append(steps, st)
-		case n < 7:
-			x.setWaits(steps[random.IntN(len(steps))], wakeReason(random.IntN(int(wakeReasons))))
-		case n < 9:
-			x.wake(steps[random.IntN(len(steps))])
-		case random.IntN(40) == 0:
-			slices.SortFunc(steps, (*step).compareOrder)
-			x.rebuild(steps)
-		}
-		if i%20 > 0 {
-			continue
-		}
-		slices.SortFunc(steps, (*step).compareOrder)
-		for r := range wakeReasons {
-			if got, want := x.first([]wakeReason{r}), firstOf(steps, func(st *step) bool { return st.entry.waits>>r&1 > 0 }); got != want {
-				t.Fatalf("change %d, reason %d: got %v, want %v", i, r, got, want)
-			}
-		}
-		free := workload.Resources{CPU: random.Int64N(10_000), MemoryMB: 1000}
-		fits := func(st *step) bool { return st.spec.Reserved().Fits(free) }
-		if got, want := x.firstFor(free, fits), firstOf(steps, func(st *step) bool { return st.entry.waits>>wakeOnCapacity&1 > 0 && fits(st) }); got != want {
-			t.Fatalf("change %d, %d free: got %v, want %v", i, free.CPU, got, want)
-		}
-	}
-}
-
-func firstOf(steps []*step, accept func(*step) bool) *step {
-	if i := slices.IndexFunc(steps, accept); i >= 0 {
-		return steps[i]
-	}
-	return nil
-}
--- a/internal/scheduler/recovery.go
+++ b/internal/scheduler/recovery.go
@@ -16,7 +16,7 @@
 	c.recovered = true
 	c.noteGivenUpServers()
 	c.exposeInherited()
-	c.index.wakeAll()
+	c.wakeAll()
 	c.placementNeeded = true
 	c.log.Log(events.OwnerRecovered, "epoch", c.epoch, "took", c.now.Sub(c.started).Milliseconds(), "servers", len(c.servers), "jobs", len(c.jobs))
 }
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -214,7 +214,7 @@
 		if s.waitingSince.IsZero() {
 			s.waitingSince = c.now
 		}
-		c.index.wake(s)
+		c.wake(s)
 		c.placementNeeded = true
 		return
 	}
@@ -228,9 +228,10 @@
 		s.waitingSince = c.now
 	}
 	s.queued = true
-	s.entry = queueEntry{order: c.placementOrderOf(s), waits: 1 << wakeNow, delayed: s.entry.delayed, capWaiting: s.entry.capWaiting}
+	s.entry = queueEntry{order: c.placementOrderOf(s), delayed: s.entry.delayed, capWaiting: s.entry.capWaiting}
+	s.entry.place.Add(wakeNow)
 	c.queued = append(c.queued, s)
-	c.index.insert(s)
+	c.index.Insert(s)
 	c.backlog.recent = append(c.backlog.recent, s)
 	c.placementNeeded = true
 }
