A placement pass, a try of a step and what it then waits for are apart

Cause: runPlacement prepared, ran and counted a pass; examine placed a step, ended its hold and chose what it waits for; noteWaits and noteDelay chose and recorded.

--- a/internal/scheduler/freed.go
+++ b/internal/scheduler/freed.go
@@ -131,7 +131,7 @@
 			return false
 		}
 		if st.nearTasks > 0 && c.far(st, s) {
-			// Such a step is examined again after a delay (see noteDelay).
+			// Such a step is examined again after a delay (see nextExamination).
 			return false
 		}
 		if st.spec.Gang && c.now.Before(st.entry.gangAfter) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/currantwinch/currantwinch/internal/waitindex"
 	"github.com/currantwinch/currantwinch/placement/speed"
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -51,37 +52,45 @@
 	}
 	// The pass is measured by the real clock; no decision depends on it.
 	began := time.Now()
-	if len(c.queued) <= alwaysSorted || c.now.Sub(c.sortedAt) >= min(time.Duration(len(c.queued))*sortTimePerStep, maxSortInterval) {
+	if c.sortDue() {
 		c.sortQueue()
 	}
-	p := &placementPass{core: c, maxFree: make(map[string]workload.Resources)}
 	c.noticeFreed()
 	c.wakeDelayed()
 	c.checkHolds()
 	c.startsHeld = false
-	placed := c.placement.starts
-	end := passDone
+	p := &placementPass{core: c, maxFree: make(map[string]workload.Resources), placedBefore: c.placement.starts}
+	end := p.run()
+	p.count.placed = p.placed()
+	c.placement.passEnded(c, p.count, end, time.Since(began))
+}
+
+// sortDue reports whether the queue is sorted before the next pass.
+func (c *Core) sortDue() bool {
+	interval := min(time.Duration(len(c.queued))*sortTimePerStep, maxSortInterval)
+	return len(c.queued) <= alwaysSorted || c.now.Sub(c.sortedAt) >= interval
+}
+
+// run examines steps until none is left that something has changed for, no more starts can
+// be sent, or the pass has taken long enough.
+func (p *placementPass) run() passEnd {
+	c := p.core
 	for {
 		p.wakeForFreed()
 		c.wakeForCaps()
 		st := p.next()
-		if st == nil {
-			break
-		}
-		if c.startRoom <= 0 {
+		switch {
+		case st == nil:
+			return passDone
+		case c.startRoom <= 0:
 			c.holdStarts()
-			end = passStartRoom
-			break
-		}
-		if p.work(c.placement.starts-placed) > maxPassWork {
+			return passStartRoom
+		case p.work() > maxPassWork:
 			c.placementNeeded = true
-			end = passBudget
-			break
+			return passBudget
 		}
 		p.examine(st)
 	}
-	p.count.placed = c.placement.starts - placed
-	c.placement.passEnded(c, p.count, end, time.Since(began))
 }
 
 // sortQueue drops the steps without tasks to place from the queue and sorts it.
@@ -133,11 +142,16 @@
 	nearFor    *step
 	nearAt     time.Time
 	count      passCount
+	// placedBefore counts the tasks that were placed before the pass.
+	placedBefore int
 }
 
+// placed returns how many tasks the pass has placed so far.
+func (p *placementPass) placed() int { return p.core.placement.starts - p.placedBefore }
+
 // work returns the work of the pass so far.
-func (p *placementPass) work(placed int) int {
-	return stepWork*p.count.steps + serverWork*p.count.servers + startWork*placed
+func (p *placementPass) work() int {
+	return stepWork*p.count.steps + serverWork*p.count.servers + startWork*p.placed()
 }
 
 // next returns the next step to examine, or nil.
@@ -162,77 +176,97 @@
 	}
 }
 
-// examine places what fits of a step and notes what it waits for after that.
+// examine places what fits of a step, and then sets what it waits for.
 func (p *placementPass) examine(st *step) {
 	c := p.core
 	p.count.steps++
-	st.entry.wantsClient, st.entry.cappedNow = false, false
 	c.index.Wait(st)
+	if st.job().ending == "" && st.unplacedTasks() > 0 {
+		p.tryStep(st)
+	}
 	if st.job().ending != "" || st.unplacedTasks() == 0 {
 		c.dropHold(st)
 		return
 	}
+	p.setWaits(st)
+	// What the step itself has released does not help it.
+	st.entry.examinedAt = c.freedSeq
+}
+
+// tryStep places what fits of a step, or requests tickets for it. A gang that no longer plans
+// on what is held for it holds nothing afterwards.
+func (p *placementPass) tryStep(st *step) {
+	c := p.core
+	st.entry.wantsClient, st.entry.cappedNow = false, false
 	st.holdRefused, st.nearTasks = false, 0
 	if st.held != nil {
 		st.held.renewed = false
 	}
-	if p.worthTrying(st) && !c.onlyLacksClient(st) {
-		if c.mayStart(st) {
-			p.place(st)
-		} else {
-			p.requestAhead(st)
-		}
+	switch {
+	case !p.worthTrying(st) || c.onlyLacksClient(st):
+	case c.mayStart(st):
+		p.place(st)
+	default:
+		p.requestAhead(st)
 	}
 	if st.held != nil && !st.held.renewed && st.reserved == nil {
 		c.dropHold(st)
 	}
-	p.noteWaits(st)
-	// What the step itself has released does not help it.
-	st.entry.examinedAt = c.freedSeq
 }
 
-// noteWaits notes what an examined step waits for.
-func (p *placementPass) noteWaits(st *step) {
+// setWaits sets what an examined step with tasks to place waits for.
+func (p *placementPass) setWaits(st *step) {
 	c := p.core
-	if st.unplacedTasks() == 0 {
-		c.dropHold(st)
-		return
-	}
-	if c.startRoom <= 0 {
+	switch {
+	case c.startRoom <= 0:
 		c.index.Wait(st, wakeNow)
-		return
-	}
-	if st.entry.cappedNow && c.heldByCap(st) {
+	case st.entry.cappedNow && c.heldByCap(st):
 		c.waitForCap(st)
-		return
+	default:
+		c.examineAgainAt(st, c.nextExamination(st))
+		if reasons := c.waitReasons(st); len(reasons) > 0 {
+			c.index.Wait(st, reasons...)
+		}
+		st.entry.gangAfter = c.now.Add(gangInterval(len(c.queued) / gangQueuePart))
 	}
-	c.noteDelay(st)
+}
+
+// waitReasons returns what lets a step be examined again, beside the answers to its requests.
+func (c *Core) waitReasons(st *step) []waitindex.Reason {
 	a := &st.authorization
 	unanswered := st.job().queue.Policy != nil && a.openRequests > 0 && len(a.tickets) == 0
 	switch {
+	case st.entry.wantsClient && (!c.mayStart(st) || len(a.tickets) == 0 || st.spec.Gang):
+		return reasonsClient
 	case !c.mayStart(st):
-		if st.entry.wantsClient {
-			c.index.Wait(st, wakeOnClient)
-		}
-	case st.entry.wantsClient && (len(a.tickets) == 0 || st.spec.Gang):
-		c.index.Wait(st, wakeOnClient)
+		return nil
 	case st.entry.wantsClient:
-		c.index.Wait(st, wakeOnClient, wakeOnCapacity)
+		return reasonsClientOrCapacity
 	case unanswered:
+		return nil
 	case st.holdRefused:
-		c.index.Wait(st, wakeOnHold)
+		return reasonsHold
 	case st.held == nil:
-		st.entry.gangAfter = c.now.Add(gangInterval(len(c.queued) / gangQueuePart))
-		c.index.Wait(st, wakeOnCapacity)
+		return reasonsCapacity
 	}
+	return nil
 }
 
-// noteDelay sets when a step is examined again although no event reports that it should be.
-func (c *Core) noteDelay(st *step) {
-	var at time.Time
+// The results of waitReasons, which is called for each step that a pass examines.
+var (
+	reasonsClient           = []waitindex.Reason{wakeOnClient}
+	reasonsClientOrCapacity = []waitindex.Reason{wakeOnClient, wakeOnCapacity}
+	reasonsHold             = []waitindex.Reason{wakeOnHold}
+	reasonsCapacity         = []waitindex.Reason{wakeOnCapacity}
+)
+
+// nextExamination returns when a step is examined again although no event reports that it
+// should be; zero if that is not needed.
+func (c *Core) nextExamination(st *step) time.Time {
+	var next time.Time
 	by := func(t time.Time) {
-		if t.After(c.now) && (at.IsZero() || t.Before(at)) {
-			at = t
+		if t.After(c.now) && (next.IsZero() || t.Before(next)) {
+			next = t
 		}
 	}
 	by(st.authorization.retryAt)
@@ -246,18 +280,21 @@
 			by(c.now.Add(retryInterval))
 		}
 	}
-	if st.job().stored && !c.mayStart(st) {
+	if st.nearTasks > 0 || st.job().stored && !c.mayStart(st) {
 		by(c.now.Add(retryInterval))
 	}
 	if c.speedsOf(st.job().sub.Service).slow > 0 {
 		by(st.readyAt.Add(speed.SlowWait(st.work())))
 	}
-	if st.nearTasks > 0 {
-		by(c.now.Add(retryInterval))
-	}
 	if st.spec.Gang && st.held == nil && !st.holdRefused && !st.entry.wantsClient {
 		by(c.now.Add(gangInterval(len(c.delayed) + 1)))
 	}
+	return next
+}
+
+// examineAgainAt lets a step be examined at the given time at the latest. A zero time sets
+// nothing.
+func (c *Core) examineAgainAt(st *step, at time.Time) {
 	if at.IsZero() {
 		return
 	}
