--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -206,13 +206,13 @@
 	if s == a.server || s.info.Service != st.job().sub.Service || !s.stored || !s.usable(c.now) || s.slow() || !s.hasLabel(st.spec.Label) || a.task.failedOn[s.info.ID] {
 		return false
 	}
-	return fitCount(st, s, c.freeFor(nil, s)) > 0
+	return fitCount(st, s, c.freeBesideHolds(nil, s)) > 0
 }
 
 // waitedFor reports whether steps that wait for capacity, on all of which placement has been
 // tried, may use the capacity that a copy would take of a server's free capacity.
 func (c *Core) waitedFor(s *server, need workload.Resources) bool {
-	free := c.freeFor(nil, s)
+	free := c.freeBesideHolds(nil, s)
 	for _, st := range c.copyWaiting {
 		if st.job().sub.Service != s.info.Service || !s.hasLabel(st.spec.Label) || st.authorization.decisionOn(s) == denied {
 			continue
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -88,7 +88,7 @@
 				later += n.slots(s.info.Capacity)
 			}
 			if s.stored && s.trial == nil && s.usable(c.now) {
-				now += n.slots(c.freeFor(st, s))
+				now += n.slots(c.freeBesideHolds(st, s))
 			}
 		}
 		worst = min(worst, n.fit(now, later))
@@ -96,9 +96,10 @@
 	return worst
 }
 
-// freeFor returns the free capacity of a server for a step, which is nil if it belongs to
-// another shard. What is held for gangs may be held for that very step.
-func (c *Core) freeFor(st *step, s *server) workload.Resources {
+// freeBesideHolds returns the free capacity of a server beside all that is held for gangs,
+// whatever their order. For a gang of this shard it is all that is free, since what is held
+// may be held for that very gang. St is nil for a step of another shard.
+func (c *Core) freeBesideHolds(st *step, s *server) workload.Resources {
 	if st != nil && st.spec.Gang {
 		return s.free
 	}
