--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -120,9 +120,8 @@
 	}
 }
 
-// checkAcceptable decides whether a submission is refused for a reason that has
-// nothing to do with its size. A refused submission never runs, and its caller is
-// told when to retry.
+// checkAcceptable decides whether a submission is refused whatever else this owner holds. A
+// refused submission never runs, and its caller is told when to retry, if that can help.
 func (c *Core) checkAcceptable(sub *workload.Submission, storeDelay time.Duration) (Reply, bool) {
 	if c.config == nil {
 		return Reply{Outcome: OutcomeRefused, Reason: "no_configuration", RetryAfterMS: 1000}, true
@@ -133,7 +132,7 @@
 	if storeDelay > maxStoreDelay {
 		return storeUnavailable(storeDelay), true
 	}
-	return Reply{}, false
+	return c.tenants.refuseGang(sub)
 }
 
 // storeUnavailable returns the reply to a submission while nothing can be stored.
--- a/internal/scheduler/near.go
+++ b/internal/scheduler/near.go
@@ -90,19 +90,22 @@
 // that come before it.
 func (c *Core) nearTasksBefore(st *step) int {
 	n, place := 0, st.placeOf()
-	c.nearSteps = slices.DeleteFunc(c.nearSteps, func(o *step) bool {
-		if o.inNearSteps = o.queued && o.nearTasks > 0; !o.inNearSteps && o != st {
-			return true
-		}
-		o.inNearSteps = true
-		if o != st && o.placeOf() == place && o.Compare(st) < 0 {
+	for _, o := range c.nearSteps {
+		if o != st && o.queued && o.placeOf() == place && o.Compare(st) < 0 {
 			n += o.nearTasks
 		}
-		return false
-	})
+	}
 	return n
 }
 
+// dropNearSteps removes the steps of which no task waits for a near slot any more.
+func (c *Core) dropNearSteps() {
+	c.nearSteps = slices.DeleteFunc(c.nearSteps, func(st *step) bool {
+		st.inNearSteps = st.queued && st.nearTasks > 0
+		return !st.inNearSteps
+	})
+}
+
 // timeLeft returns the part of the time to the job's target that the step may take.
 func (p *placementPass) timeLeft(st *step) time.Duration {
 	j, work := st.job(), st.work()
@@ -114,8 +117,7 @@
 }
 
 // nearSlotsOf returns when slots for the step's tasks are expected near its place, the first
-// one at the front. Consecutive
-// calls for the same step compute it once.
+// one at the front. Consecutive calls for the same step compute it once.
 func (p *placementPass) nearSlotsOf(st *step) []time.Duration {
 	if p.nearFor == st && p.nearAt.Equal(p.core.now) {
 		return p.nearSlots
--- a/internal/scheduler/stepqueue.go
+++ b/internal/scheduler/stepqueue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/waitindex"
+	"github.com/currantwinch/currantwinch/placement/speed"
 	"github.com/currantwinch/currantwinch/workload"
 )
 
@@ -79,3 +80,76 @@
 		}
 	}
 }
+
+// nextExamination returns when a step is examined again although no event reports that it
+// should be; zero if that is not needed.
+func (c *Core) nextExamination(st *step) time.Time {
+	var next time.Time
+	by := func(t time.Time) {
+		if t.After(c.now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	by(st.authorization.retryAt)
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if !t.needsPlacement() {
+			continue
+		}
+		by(t.retryAt)
+		if t.crashes.Suspect() {
+			by(c.now.Add(retryInterval))
+		}
+	}
+	if st.nearTasks > 0 || st.job().stored && !c.mayStart(st) {
+		by(c.now.Add(retryInterval))
+	}
+	if c.speedsOf(st.job().sub.Service).slow > 0 {
+		by(st.readyAt.Add(speed.SlowWait(st.work())))
+	}
+	if st.spec.Gang && st.held == nil && !st.holdRefused && !st.entry.wantsClient {
+		by(c.now.Add(gangInterval(len(c.delayed) + 1)))
+	}
+	return next
+}
+
+// examineAgainAt lets a step be examined at the given time at the latest. A zero time sets
+// nothing.
+func (c *Core) examineAgainAt(st *step, at time.Time) {
+	if at.IsZero() {
+		return
+	}
+	st.wakeAt = at
+	if !st.entry.delayed {
+		st.entry.delayed = true
+		c.delayed = append(c.delayed, st)
+	}
+}
+
+// gangInterval returns how often each of n gangs is planned.
+func gangInterval(n int) time.Duration { return min(time.Duration(n)*gangTime, maxGangInterval) }
+
+// wakeDelayed wakes the delayed steps whose time has come.
+func (c *Core) wakeDelayed() {
+	kept := c.delayed[:0]
+	for _, st := range c.delayed {
+		if st.queued && c.now.Before(st.wakeAt) {
+			kept = append(kept, st)
+			continue
+		}
+		st.entry.delayed = false
+		c.wake(st)
+	}
+	clear(c.delayed[len(kept):])
+	c.delayed = kept
+}
+
+// wakeJob lets the next pass examine all steps of a job.
+func (c *Core) wakeJob(j *job) {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			c.wake(st)
+		}
+	}
+	c.placementNeeded = true
+}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -20,38 +20,13 @@
 // pending write has waited longer than maxStoreDelay, storeDelay being that wait,
 // or if it could not begin early enough to be of use.
 func (c *Core) Submit(sub *workload.Submission, storeDelay time.Duration, reply func(Reply)) {
-	if owner, known := c.tenantOf(sub.ID); known && !workload.VisibleTo(owner, sub.Tenant) {
-		c.refuse(sub, Reply{Outcome: OutcomeConflict, Reason: "id_taken"}, reply)
-		return
-	}
-	if _, ended := c.finalStates[sub.ID]; ended {
-		c.reply(reply, Reply{})
-		return
-	}
-	if f, elsewhere := c.forwarded(sub.ID); elsewhere && f.Number > transferNumber(sub) {
-		if c.forwards[sub.ID].Pending {
-			c.replyForwarded(sub.ID, reply)
-			return
-		}
-		c.reply(reply, Reply{})
-		return
-	}
-	if j := c.jobs[sub.ID]; j != nil {
-		if j.stored {
-			c.reply(reply, Reply{})
-			return
-		}
-		j.waiters = append(j.waiters, reply)
+	if c.replyToRepeat(sub, reply) {
 		return
 	}
 	if r, refused := c.checkAcceptable(sub, storeDelay); refused {
 		c.refuse(sub, r, reply)
 		return
 	}
-	if r, refused := c.tenants.refuseGang(sub); refused {
-		c.refuse(sub, r, reply)
-		return
-	}
 	if c.passOn(sub, reply) {
 		return
 	}
@@ -60,15 +35,11 @@
 	}
 	c.tenants.arrived(sub)
 	accepted := recordOf(keyAccepted, sub.ID, sub)
-	if n := recordBytes(accepted); c.bounds.MaxRecordBytes > 0 && n > c.bounds.MaxRecordBytes {
-		c.refuse(sub, tooLarge(fmt.Sprintf("a record of %d bytes, at most %d", n, c.bounds.MaxRecordBytes)), reply)
-		return
-	}
 	j := newJob(sub, c.now)
 	j.recordBytes = recordBytes(accepted)
 	j.firstArrival = c.arrivals.First(sub.ID, c.now)
 	c.assignQueue(j)
-	if r, refused := c.checkMemory(j); refused {
+	if r, refused := c.checkSize(j); refused {
 		c.refuse(sub, r, reply)
 		return
 	}
@@ -76,15 +47,62 @@
 		c.refuse(sub, r, reply)
 		return
 	}
+	j.waiters = []func(Reply){reply}
+	c.accept(j, accepted)
+}
+
+// replyToRepeat replies to a submission under an ID that is known here. It reports false if
+// the ID is not, or comes back with a later handover.
+func (c *Core) replyToRepeat(sub *workload.Submission, reply func(Reply)) bool {
+	if owner, known := c.tenantOf(sub.ID); known && !workload.VisibleTo(owner, sub.Tenant) {
+		c.refuse(sub, Reply{Outcome: OutcomeConflict, Reason: "id_taken"}, reply)
+		return true
+	}
+	if _, ended := c.finalStates[sub.ID]; ended {
+		c.reply(reply, Reply{})
+		return true
+	}
+	if f, elsewhere := c.forwarded(sub.ID); elsewhere && f.Number > transferNumber(sub) {
+		if c.forwards[sub.ID].Pending {
+			c.replyForwarded(sub.ID, reply)
+		} else {
+			c.reply(reply, Reply{})
+		}
+		return true
+	}
+	j := c.jobs[sub.ID]
+	switch {
+	case j == nil:
+		return false
+	case j.stored:
+		c.reply(reply, Reply{})
+	default:
+		j.waiters = append(j.waiters, reply)
+	}
+	return true
+}
+
+// checkSize decides whether a submission is refused since the log, or this owner's memory, has
+// no room for it.
+func (c *Core) checkSize(j *job) (Reply, bool) {
+	if most := c.bounds.MaxRecordBytes; most > 0 && j.recordBytes > most {
+		return tooLarge(fmt.Sprintf("a record of %d bytes, at most %d", j.recordBytes, most)), true
+	}
+	return c.checkMemory(j)
+}
+
+// accept stores a new submission under its record, and queues its steps. They start once it
+// is stored.
+func (c *Core) accept(j *job, accepted partition.Record) {
 	c.memory.accepted(j)
 	c.tenants.accepted(j)
-	j.waiters = []func(Reply){reply}
-	c.jobs[sub.ID] = j
+	id := j.sub.ID
+	c.jobs[id] = j
 	records := []partition.Record{accepted}
-	if _, back := c.forwards[sub.ID]; back {
+	if _, back := c.forwards[id]; back {
 		// It was passed on from here, and has come back.
-		delete(c.forwards, sub.ID)
-		records = append(records, tombstone(keyForward, sub.ID))
+		delete(c.forwards, id)
+		records = append(records, tombstone(keyForward, id))
 	}
 	c.writeOr(records, func() {
 		if !j.withdrawn {
