--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -28,10 +28,12 @@
 	addresses map[string]string
 	// ready is the readiness address of the daemon started last.
 	ready string
+	// events receives the events of the daemons that are started.
+	events *events.Logger
 }
 
 func newDeployment(t *testing.T, servers int) *deployment {
-	s := &deployment{t: t, store: standin.NewStore(4), addresses: make(map[string]string)}
+	s := &deployment{t: t, store: standin.NewStore(4), addresses: make(map[string]string), events: events.Discard()}
 	s.address = s.serve(s.store)
 	for i := range servers {
 		server := standin.NewServer(fmt.Sprintf("i-%d", i), 30*time.Millisecond)
@@ -70,7 +72,7 @@
 		s.t.Fatal(err)
 	}
 	s.ready = settings.ReadinessAddress
-	h, err := host.New(host.Options{Settings: settings, Events: events.Discard()})
+	h, err := host.New(host.Options{Settings: settings, Events: s.events})
 	if err != nil {
 		s.t.Fatal(err)
 	}
