Delay scheduling is named by data locality: local and remote

Result: tests of placement/delay, internal/events, docs, and those of internal/scheduler of Locality, Placement, Speeds and Copies pass.

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -286,10 +286,10 @@
 		Fields:  []string{"task", "run", "server", "copy"},
 		Meaning: "One of two runs of a task ended done, the second one if copy is true; the other is being stopped.",
 	}
-	NearWaitEnded = Event{
-		Number: 6123, Level: slog.LevelInfo, Name: "near_wait_ended",
-		Fields:  []string{"step", "waited", "server", "near"},
-		Meaning: "Tasks of a step could have started away from their data or their group, and waited for a slot near it. The first of them starts now, away from it if near is false. The field waited is in milliseconds.",
+	LocalityWaitEnded = Event{
+		Number: 6123, Level: slog.LevelInfo, Name: "locality_wait_ended",
+		Fields:  []string{"step", "waited", "server", "local"},
+		Meaning: "Tasks of a step could have started outside the rack of their data or their group, and waited for a slot in it. The first of them starts now, in that rack if local is true. The field waited is in milliseconds.",
 	}
 	SettingsReloaded = Event{
 		Number: 6041, Level: slog.LevelInfo, Name: "settings_reloaded",
@@ -307,5 +307,5 @@
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
-	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged, CopyStarted, CopyDecided, NearWaitEnded,
+	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged, CopyStarted, CopyDecided, LocalityWaitEnded,
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -37,10 +37,10 @@
 	s.reserve(a)
 	t.step.job().stuckSince = time.Time{}
 	c.observeObjective(t.step.job())
-	c.noteNearWait(t.step, s)
+	c.endLocalityWait(t.step, s)
 	c.noteGroupRack(t.step, s)
-	if c.far(t.step, s) {
-		c.metric.farStarts.Inc()
+	if c.remote(t.step, s) {
+		c.metric.remoteStarts.Inc()
 	}
 	c.sendStart(a)
 	c.startRoom--
--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -203,26 +203,26 @@
 }
 
 // requestCandidate is a server that a request may name, with its free CPU, whether it is
-// away from the step's place and whether capacity of it is held for a gang.
+// remote for the step and whether capacity of it is held for a gang.
 type requestCandidate struct {
-	server    *server
-	far, held bool
-	cpu       int64
+	server       *server
+	remote, held bool
+	cpu          int64
 }
 
 // chooseServers picks servers until their expected capacity covers the need,
-// those near its place first, then those without capacity held for gangs, then those of
+// the local ones first, then those without capacity held for gangs, then those of
 // a suitable speed. It reports whether the need is covered.
 func (p *placementPass) chooseServers(st *step, need int, rate float64, known, unknown []*server) (ids []string, enough bool) {
 	want := capacityFactor * float64(need)
 	pick := func(servers []*server, chance float64) {
 		byFreeCPU := make([]requestCandidate, len(servers))
 		for i, s := range servers {
-			byFreeCPU[i] = requestCandidate{s, p.core.far(st, s), p.hasHeldCapacity(s), s.free.CPU}
+			byFreeCPU[i] = requestCandidate{s, p.core.remote(st, s), p.hasHeldCapacity(s), s.free.CPU}
 		}
 		slices.SortFunc(byFreeCPU, func(x, y requestCandidate) int {
-			if x.far != y.far {
-				return compareBool(x.far, y.far)
+			if x.remote != y.remote {
+				return compareBool(x.remote, y.remote)
 			}
 			if x.held != y.held {
 				return compareBool(x.held, y.held)
--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -129,7 +129,7 @@
 	if a.server.slow() {
 		expected /= a.server.speed.Speed(c.now)
 	}
-	if c.far(st, a.server) {
+	if c.remote(st, a.server) {
 		expected *= c.bounds.RemoteFactor
 	}
 	return straggler{attempt: a, work: work, run: speculation.Run{
@@ -193,7 +193,7 @@
 // copyTime returns how long a copy is expected to take on a server.
 func (c *Core) copyTime(s straggler, to *server) time.Duration {
 	took := float64(s.work) / to.speed.Speed(c.now)
-	if c.far(s.attempt.task.step, to) {
+	if c.remote(s.attempt.task.step, to) {
 		took *= c.bounds.RemoteFactor
 	}
 	return copyStartTime + time.Duration(took)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -36,8 +36,8 @@
 	ReuseAfter time.Duration
 	// MemoryBytes is the budget for what is held of submissions; 0 means none.
 	MemoryBytes int64
-	// RemoteFactor is the ratio of a task's run time away from its data or its group to that
-	// near them; at most 1 if that makes no difference.
+	// RemoteFactor is the ratio of a task's run time outside the rack of its data or its group
+	// to that in it; at most 1 if that makes no difference.
 	RemoteFactor float64
 	// MaxRecordBytes is the longest record that the log accepts, with its key; 0
 	// if that is not known.
@@ -176,8 +176,8 @@
 	delayed []*step
 	// capWaiting holds, by tenant, the steps that wait until its cap allows more.
 	capWaiting map[string]*capQueue
-	// nearSteps are the steps of which tasks wait for slots near their place.
-	nearSteps []*step
+	// localityWaits are the steps of which tasks wait for local slots.
+	localityWaits []*step
 	// freed are the servers with freed capacity that steps were not examined for yet, and
 	// freedSeq counts such releases.
 	freed    []*server
--- a/internal/scheduler/freed.go
+++ b/internal/scheduler/freed.go
@@ -130,7 +130,7 @@
 		if st.entry.examinedAt >= s.freedAt || !need.Fits(s.free) {
 			return false
 		}
-		if st.nearTasks > 0 && c.far(st, s) {
+		if st.localityTasks > 0 && c.remote(st, s) {
 			// Such a step is examined again after a delay (see nextExamination).
 			return false
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -105,12 +105,12 @@
 	siblings *speed.Siblings
 	// groupRack is the rack of the step's first run, if its tasks should run in one rack.
 	groupRack string
-	// nearWaitSince is since when tasks wait for slots near their place; zero if none do.
-	nearWaitSince time.Time
-	// nearTasks counts them as of the last look at the step, and inNearSteps is set while
-	// the step is in the Core's nearSteps.
-	nearTasks   int
-	inNearSteps bool
+	// localityWaitSince is since when tasks wait for local slots; zero if none do.
+	localityWaitSince time.Time
+	// localityTasks counts them as of the last look at the step, and inLocalityWaits is set
+	// while the step is in the Core's localityWaits.
+	localityTasks   int
+	inLocalityWaits bool
 	// attemptsPerServer counts the step's attempts on each server.
 	attemptsPerServer map[*server]int
 }
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -26,9 +26,9 @@
 	// it is gangTime for each, since a plan looks at all servers.
 	maxGangInterval = 400 * time.Millisecond
 	gangTime        = time.Millisecond
-	// gangQueuePart: a gang that holds nothing is examined for single servers as often as
+	// queuedStepsPerGang: a gang that holds nothing is examined for single servers as often as
 	// if one step in so many were such a gang.
-	gangQueuePart = 8
+	queuedStepsPerGang = 8
 	// maxPassWork bounds a pass, so that polls and answers are handled in between. It is
 	// in units of about a nanosecond on one core: a tenth of a core takes 20 ms for it.
 	maxPassWork = 2_000_000
@@ -57,7 +57,7 @@
 	c.noticeFreed()
 	c.wakeDelayed()
 	c.checkHolds()
-	c.dropNearSteps()
+	c.dropLocalityWaits()
 	c.startsHeld = false
 	p := &placementPass{core: c, maxFree: make(map[string]workload.Resources), placedBefore: c.placement.starts}
 	end := p.run()
@@ -135,13 +135,13 @@
 	choice    speedChoice
 	choiceFor *step
 	choiceAt  time.Time
-	// nearSlots are the slots expected near the place of the step nearFor at the time nearAt,
-	// and nearBefore counts the tasks of steps before it that wait for them.
-	nearSlots  []time.Duration
-	nearBefore int
-	nearFor    *step
-	nearAt     time.Time
-	count      passCount
+	// localSlots are the local slots expected for the step localSlotsFor at the time
+	// localSlotsAt, and localSlotsTaken counts the tasks of earlier steps that wait for them.
+	localSlots      []time.Duration
+	localSlotsTaken int
+	localSlotsFor   *step
+	localSlotsAt    time.Time
+	count           passCount
 	// placedBefore counts the tasks that were placed before the pass.
 	placedBefore int
 }
@@ -198,7 +198,7 @@
 func (p *placementPass) tryStep(st *step) {
 	c := p.core
 	st.entry.wantsClient, st.entry.cappedNow = false, false
-	st.holdRefused, st.nearTasks = false, 0
+	st.holdRefused, st.localityTasks = false, 0
 	if st.held != nil {
 		st.held.renewed = false
 	}
@@ -227,7 +227,7 @@
 		if reasons := c.waitReasons(st); len(reasons) > 0 {
 			c.index.Wait(st, reasons...)
 		}
-		st.entry.gangAfter = c.now.Add(gangInterval(len(c.queued) / gangQueuePart))
+		st.entry.gangAfter = c.now.Add(gangInterval(len(c.queued) / queuedStepsPerGang))
 	}
 }
 
@@ -412,7 +412,8 @@
 		if s == nil {
 			break
 		}
-		if p.waitsForNear(t, s) {
+		if p.shouldWaitForLocalSlot(t, s) {
+			c.waitForLocalSlot(st)
 			need--
 			continue
 		}
@@ -421,6 +422,6 @@
 		need--
 	}
 	if need > 0 && st.job().queue.Policy != nil {
-		p.requestTickets(st, need, p.withNear(st, open))
+		p.requestTickets(st, need, p.addLocalServers(st, open))
 	}
 }
--- a/internal/scheduler/prefer.go
+++ b/internal/scheduler/serverpreference.go
@@ -24,8 +24,8 @@
 		return bn
 	}
 	st := t.step
-	if place := st.placeOf(); place != "" {
-		an, bn := a.hasLabel(place), b.hasLabel(place)
+	if rack := st.preferredRack(); rack != "" {
+		an, bn := a.hasLabel(rack), b.hasLabel(rack)
 		if an != bn {
 			return an
 		}
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -53,7 +53,7 @@
 	}
 	st := a.task.step
 	c.numberStep(st)
-	if c.far(st, a.server) {
+	if c.remote(st, a.server) {
 		took = time.Duration(float64(took) / c.bounds.RemoteFactor)
 	}
 	s := a.server
@@ -156,7 +156,7 @@
 // classify sets the class of a server.
 func (c *Core) classify(s *server, class int) {
 	if speed.Slow(class) != s.slow() {
-		c.metric.serversSlow.Inc()
+		c.metric.serverSpeedChanges.Inc()
 		c.log.Log(events.ServerSpeedChanged, "server", s.info.ID, "slow", speed.Slow(class), "class", class, "attempts", len(s.attempts))
 	}
 	s.speedClass = class
--- a/internal/scheduler/stepqueue.go
+++ b/internal/scheduler/stepqueue.go
@@ -101,7 +101,7 @@
 			by(c.now.Add(retryInterval))
 		}
 	}
-	if st.nearTasks > 0 || st.job().stored && !c.mayStart(st) {
+	if st.localityTasks > 0 || st.job().stored && !c.mayStart(st) {
 		by(c.now.Add(retryInterval))
 	}
 	if c.speedsOf(st.job().sub.Service).slow > 0 {
--- a/placement/delay/delay.go
+++ b/placement/delay/delay.go
@@ -1,5 +1,6 @@
-// Package delay decides how long a task waits for a free slot near its data or its group,
-// where it runs faster than elsewhere (delay scheduling). It holds no state and no clock.
+// Package delay decides how long a task waits for a free slot in the rack of its data or its
+// group, where it runs faster than elsewhere (delay scheduling). Slots, servers and runs there
+// are local, all others remote. It holds no state and no clock.
 package delay
 
 import (
@@ -8,7 +9,7 @@
 )
 
 const (
-	// confidence is the fraction of the time lost by running far that the expected wait may
+	// confidence is the fraction of the time lost by a remote run that the expected wait may
 	// take: the ends of runs are not known exactly, and other tasks may take the slot.
 	confidence = 0.6
 	// maxWait is the longest wait. A submission with nothing running for 3 s beside free
@@ -20,45 +21,45 @@
 	overdueWait   = 0.25
 )
 
-// Task is a task that could start now on a far server: one away from its data or its group.
+// Task is a task that could start now on a remote server.
 type Task struct {
-	// Near is its expected run time on a near server, and Factor the ratio of its run time on
-	// a far server to that.
-	Near   time.Duration
-	Factor float64
-	// Waited is how long it has waited for a near slot, and Left the time until its target,
+	// LocalTime is its expected run time on a local server, and RemoteFactor the ratio of its
+	// run time on a remote server to that.
+	LocalTime    time.Duration
+	RemoteFactor float64
+	// Waited is how long it has waited for a local slot, and Left the time until its target,
 	// negative if that has passed.
 	Waited, Left time.Duration
 }
 
 // Limit returns the longest total time that the task may wait, counted from the start of
-// its wait: at most what it loses by running far, and at most what its target allows. If a
-// far run can still meet the target, it must be able to after the wait; if only a near run
-// can, a near run must.
+// its wait: at most what it loses by a remote run, and at most what its target allows. If a
+// remote run can still meet the target, it must be able to after the wait; if only a local run
+// can, a local run must.
 func (t Task) Limit() time.Duration {
-	if t.Factor <= 1 || t.Near <= 0 {
+	if t.RemoteFactor <= 1 || t.LocalTime <= 0 {
 		return 0
 	}
-	far := time.Duration(t.Factor * float64(t.Near))
-	limit := min(far-t.Near, maxWait)
+	remoteTime := time.Duration(t.RemoteFactor * float64(t.LocalTime))
+	limit := min(remoteTime-t.LocalTime, maxWait)
 	left := t.Left + t.Waited
 	switch {
-	case left > far:
-		limit = min(limit, left-far)
-	case left > t.Near:
-		limit = min(limit, left-t.Near)
+	case left > remoteTime:
+		limit = min(limit, left-remoteTime)
+	case left > t.LocalTime:
+		limit = min(limit, left-t.LocalTime)
 	}
 	return limit
 }
 
-// Waits reports whether the task waits for a near slot that is expected after the given
+// Waits reports whether the task waits for a local slot that is expected after the given
 // time.
-func (t Task) Waits(untilNear time.Duration) bool {
-	lost := time.Duration((t.Factor - 1) * float64(t.Near))
-	return t.Waited+untilNear < t.Limit() && float64(untilNear) < confidence*float64(lost)
+func (t Task) Waits(untilLocal time.Duration) bool {
+	lost := time.Duration((t.RemoteFactor - 1) * float64(t.LocalTime))
+	return t.Waited+untilLocal < t.Limit() && float64(untilLocal) < confidence*float64(lost)
 }
 
-// Run is a run on a near server.
+// Run is a run on a local server.
 type Run struct {
 	// Age is the time since its start, and Expected its expected run time; 0 if unknown.
 	Age, Expected time.Duration
--- a/placement/delay/delay_test.go
+++ b/placement/delay/delay_test.go
@@ -8,7 +8,7 @@
 )
 
 // A task that waits for longer than it gains, or past its objective, is served worse than
-// by any far slot.
+// on any remote slot.
 func TestTask_Waits(t *testing.T) {
 	const ms = time.Millisecond
 	for _, c := range []struct {
@@ -17,17 +17,17 @@
 		until time.Duration
 		want  bool
 	}{
-		{"the wait pays", delay.Task{Near: time.Second, Factor: 2, Left: 5 * time.Second}, 300 * ms, true},
-		{"the wait is longer than the gain", delay.Task{Near: time.Second, Factor: 2, Left: 5 * time.Second}, 1100 * ms, false},
-		{"the wait is about as long as the gain", delay.Task{Near: time.Second, Factor: 2, Left: 5 * time.Second}, 800 * ms, false},
-		{"it has waited for as long as it gains", delay.Task{Near: time.Second, Factor: 2, Left: 5 * time.Second, Waited: 900 * ms}, 300 * ms, false},
-		{"a far run is only in time if it starts now", delay.Task{Near: time.Second, Factor: 2, Left: 2100 * ms}, 300 * ms, false},
-		{"only a near run can be in time", delay.Task{Near: time.Second, Factor: 2, Left: 1500 * ms}, 300 * ms, true},
-		{"a near run would be late after the wait", delay.Task{Near: time.Second, Factor: 2, Left: 1200 * ms}, 300 * ms, false},
-		{"late in any case", delay.Task{Near: time.Second, Factor: 2, Left: -time.Second}, 300 * ms, true},
-		{"near is no faster", delay.Task{Near: time.Second, Factor: 1, Left: 5 * time.Second}, 0, false},
-		{"no factor is set", delay.Task{Near: time.Second, Left: 5 * time.Second}, 0, false},
-		{"long tasks wait no longer than counts as lost", delay.Task{Near: time.Minute, Factor: 3, Left: time.Hour}, 1600 * ms, false},
+		{"the wait pays", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: 5 * time.Second}, 300 * ms, true},
+		{"the wait is longer than the gain", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: 5 * time.Second}, 1100 * ms, false},
+		{"the wait is about as long as the gain", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: 5 * time.Second}, 800 * ms, false},
+		{"it has waited for as long as it gains", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: 5 * time.Second, Waited: 900 * ms}, 300 * ms, false},
+		{"a remote run is only in time if it starts now", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: 2100 * ms}, 300 * ms, false},
+		{"only a local run can be in time", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: 1500 * ms}, 300 * ms, true},
+		{"a local run would be late after the wait", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: 1200 * ms}, 300 * ms, false},
+		{"late in any case", delay.Task{LocalTime: time.Second, RemoteFactor: 2, Left: -time.Second}, 300 * ms, true},
+		{"a local run is no faster", delay.Task{LocalTime: time.Second, RemoteFactor: 1, Left: 5 * time.Second}, 0, false},
+		{"no factor is set", delay.Task{LocalTime: time.Second, Left: 5 * time.Second}, 0, false},
+		{"long tasks wait no longer than counts as lost", delay.Task{LocalTime: time.Minute, RemoteFactor: 3, Left: time.Hour}, 1600 * ms, false},
 	} {
 		if got := c.task.Waits(c.until); got != c.want {
 			t.Errorf("%s: %t, want %t", c.name, got, c.want)
--- a/placement/delay/example_test.go
+++ b/placement/delay/example_test.go
@@ -8,7 +8,7 @@
 )
 
 func ExampleTask_Waits() {
-	task := delay.Task{Near: 2 * time.Second, Factor: 2, Left: 10 * time.Second}
+	task := delay.Task{LocalTime: 2 * time.Second, RemoteFactor: 2, Left: 10 * time.Second}
 	fmt.Println(task.Waits(500*time.Millisecond), task.Waits(5*time.Second))
 	// Output: true false
 }
