Waits for local slots are counted for each service

Cause: the tasks that wait in front of a step were counted over all services with servers in the same rack, but the slots are those of the step's own service. A task whose slot was free of competition started remotely.

Change: only tasks of steps of the same service are counted.

Result: TestLocality_OtherServicesWaitForOtherSlots fails before (started on remote) and passes now, with the other tests of Locality.

--- a/internal/scheduler/locality.go
+++ b/internal/scheduler/locality.go
@@ -87,12 +87,12 @@
 	}
 }
 
-// waitingTasksBefore counts the tasks of earlier steps that wait for slots in the rack that a
-// step prefers.
+// waitingTasksBefore counts the tasks of earlier steps that wait for the same local slots as
+// those of a step: slots of the same service in the same rack.
 func (c *Core) waitingTasksBefore(st *step) int {
-	n, rack := 0, st.preferredRack()
+	n, service, rack := 0, st.job().sub.Service, st.preferredRack()
 	for _, o := range c.localityWaits {
-		if o != st && o.queued && o.preferredRack() == rack && o.Compare(st) < 0 {
+		if o != st && o.queued && o.job().sub.Service == service && o.preferredRack() == rack && o.Compare(st) < 0 {
 			n += o.localityTasks
 		}
 	}
--- a/internal/scheduler/locality_test.go
+++ b/internal/scheduler/locality_test.go
@@ -182,3 +182,32 @@
 		t.Errorf("rack %q of the group, want the rack of its runs", rack)
 	}
 }
+
+// Tasks of one service must not be counted against the local slots of another one in the same
+// rack: a task that could have waited for a free local slot would run remotely.
+func TestLocality_OtherServicesWaitForOtherSlots(t *testing.T) {
+	h := localityHarness(t, 2, 300*time.Millisecond)
+	other := h.config.Queues[0]
+	other.Name, other.Service, other.Priority = "other", "other", -1
+	h.config = &routing.Configuration{
+		Version: 2, Services: map[string]routing.Service{testService: {Name: testService}, "other": {Name: "other"}}, Queues: append(h.config.Queues, other),
+	}
+	for i, rack := range []string{"local", "remote"} {
+		h.servers = append(h.servers, ServerInfo{
+			ID: "other-" + rack, Service: "other", Address: []string{"10.0.1.1:80", "10.0.1.2:80"}[i], Capacity: workload.Resources{CPU: 32000, MemoryMB: 64000},
+			Labels: []string{"a", rack}, StartedAtMS: 1000,
+		})
+	}
+	h.do(func(c *Core) { c.Configure(h.config); c.SetServers(h.servers) })
+	h.answerAllPolls()
+	h.occupy("other-local", 32000, 700*time.Millisecond)
+	sub := &workload.Submission{ID: id1, Queue: "other", Service: "other", Spec: "x", Steps: []workload.Step{localTask(2 * time.Second)}, Accepted: h.wall}
+	h.do(func(c *Core) { c.Submit(sub, 0, func(Reply) {}) })
+	if starts := h.takeStarts(); len(starts) != 0 {
+		t.Fatalf("the other service's task started on %s, want a wait for its local slot", starts[0].To.ID)
+	}
+	h.submit(id2, localTask(2*time.Second))
+	if starts := h.takeStarts(); len(starts) != 0 {
+		t.Errorf("started on %s while no other task waits for the service's local slot, want a wait", starts[0].To.ID)
+	}
+}
