Copies: budgets, search and start are functions of their own

Cause: stragglers listed runs and computed budgets, startCopy chose a server, asked for tickets and started; Pays, waitedFor and mayHoldCopy did not name what they decide, and a hold is a gang's reservation in this package.

Change: copyBudgets, stragglers, chooseCopyServer and startCopy; neededByWaitingStep, canRunCopy and speculation.Run.CopyEndsFirst. Comments give reasons. No change of behaviour.

Result: tests of placement/speculation, and those of internal/scheduler of Copies and Speeds, pass.

--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -16,16 +16,19 @@
 // the task, and the other is stopped.
 
 const (
-	// copyInterval is the time between two searches for stragglers.
+	// copyInterval is the time between two searches for stragglers, each of which looks at
+	// all runs.
 	copyInterval = 100 * time.Millisecond
 	// copyStartTime is the assumed time from the order to start a copy until it runs.
 	copyStartTime = 20 * time.Millisecond
 	// maxWaitingSteps is the number of steps with tasks to place beyond which no copy
 	// starts, since the service is full.
 	maxWaitingSteps = 64
-	// maxSearches bounds the stragglers for which all servers are examined every copyInterval.
+	// maxSearches bounds the stragglers for which all servers are examined every copyInterval,
+	// so that the work does not grow with the number of stragglers.
 	maxSearches = 8
-	// maxCopyServers bounds the servers that a policy request for a copy names.
+	// maxCopyServers bounds the servers that a policy request for a copy names, since each
+	// adds to the time until the answer.
 	maxCopyServers = 4
 )
 
@@ -47,18 +50,25 @@
 	if c.findWaitingSteps(); len(c.copyWaiting) > maxWaitingSteps {
 		return
 	}
-	candidates, budget := c.stragglers()
+	candidates, budgets := c.stragglers(), c.copyBudgets()
 	speculation.Order(candidates, func(s straggler) speculation.Run { return s.run })
 	searches := 0
 	for _, s := range candidates {
-		b := budget[s.attempt.server.info.Service]
 		if c.startRoom <= 0 || searches == maxSearches {
 			return
 		}
-		if b.Allows(s.run.CPU) && c.tenants.allowsCopy(s.attempt.task.step) {
-			searches++
-			c.startCopy(s, b)
+		budget := budgets[s.attempt.server.info.Service]
+		if !budget.Allows(s.run.CPU) || !c.tenants.allowsCopy(s.attempt.task.step) {
+			continue
+		}
+		searches++
+		to, undecided := c.chooseCopyServer(s)
+		if to == nil {
+			c.requestCopyTickets(s, undecided)
+			continue
 		}
+		budget.Take(s.run.CPU)
+		c.startCopy(s, to)
 	}
 }
 
@@ -76,10 +86,8 @@
 	}
 }
 
-// stragglers lists the runs that may have a copy and are overdue, and the budget for copies
-// of each service.
-func (c *Core) stragglers() ([]straggler, map[string]*speculation.Budget) {
-	var out []straggler
+// copyBudgets returns the budget for copies of each service.
+func (c *Core) copyBudgets() map[string]*speculation.Budget {
 	budgets := make(map[string]*speculation.Budget)
 	for _, s := range c.servers {
 		b := budgets[s.info.Service]
@@ -92,10 +100,21 @@
 			if a.task.copy == a {
 				b.Copies += a.need.CPU
 			}
+		}
+	}
+	return budgets
+}
+
+// stragglers lists the runs that may have a copy and are overdue, by task ID so that the order
+// of equally overdue ones does not depend on that of the servers in memory.
+func (c *Core) stragglers() []straggler {
+	var out []straggler
+	for _, s := range c.servers {
+		for _, a := range s.attempts {
 			if !c.mayCopy(a) {
 				continue
 			}
-			if s := c.stragglerOf(a); s.run.Pays(copyStartTime) {
+			if s := c.stragglerOf(a); s.run.CopyEndsFirst(copyStartTime) {
 				out = append(out, s)
 			}
 		}
@@ -103,12 +122,12 @@
 	slices.SortFunc(out, func(x, y straggler) int {
 		return cmp.Compare(x.attempt.task.id().String(), y.attempt.task.id().String())
 	})
-	return out, budgets
+	return out
 }
 
-// mayCopy reports whether the task of a run may have a copy. A task none of whose further
-// runs may fail has no copy, since a failed copy would end its submission. A task that may
-// crash its servers has none, since two runs would crash two servers.
+// mayCopy reports whether the task of a run may have a copy. A task on its last allowed failure
+// gets no copy, since a failed copy would end the submission. A task that may have crashed a
+// server gets none, since two runs could crash two servers.
 func (c *Core) mayCopy(a *attempt) bool {
 	t, st := a.task, a.task.step
 	if most := st.job().queue.MaxFailedRuns; most > 0 && len(t.failedRuns)+1 >= most {
@@ -137,19 +156,18 @@
 	}}
 }
 
-// startCopy starts a copy of a straggler on the server where it ends first, if that pays. It
-// asks the policy service about servers if none is known to be allowed.
-func (c *Core) startCopy(s straggler, budget *speculation.Budget) {
+// chooseCopyServer returns the allowed server on which a copy of a straggler ends first, if it
+// ends before the straggler does; or nil. It also returns servers on which a copy could end
+// before the straggler but for which no decision of the policy service is valid.
+func (c *Core) chooseCopyServer(s straggler) (best *server, undecided []string) {
 	st := s.attempt.task.step
-	var best *server
 	var bestTime time.Duration
-	var undecided []string
 	for _, to := range c.servers {
-		if !c.mayHoldCopy(s.attempt, to) {
+		if !c.canRunCopy(s.attempt, to) {
 			continue
 		}
-		took := c.copyTime(s, to)
-		if !s.run.Pays(took) {
+		copyTime := c.copyTime(s, to)
+		if !s.run.CopyEndsFirst(copyTime) {
 			continue
 		}
 		if _, ticketed := c.ticketFor(st, to); !ticketed {
@@ -158,26 +176,26 @@
 			}
 			continue
 		}
-		first := best == nil || cmp.Or(cmp.Compare(took, bestTime), cmp.Compare(to.free.CPU, best.free.CPU), cmp.Compare(to.info.ID, best.info.ID)) < 0
-		if first && !c.waitedFor(to, s.attempt.need) {
-			best, bestTime = to, took
+		better := best == nil || cmp.Or(cmp.Compare(copyTime, bestTime), cmp.Compare(to.free.CPU, best.free.CPU), cmp.Compare(to.info.ID, best.info.ID)) < 0
+		if better && !c.neededByWaitingStep(to, s.attempt.need) {
+			best, bestTime = to, copyTime
 		}
 	}
-	if best == nil {
-		c.requestCopyTickets(s, undecided)
-		return
-	}
-	budget.Take(s.run.CPU)
+	return best, undecided
+}
+
+// startCopy starts a copy of a straggler on a server.
+func (c *Core) startCopy(s straggler, to *server) {
 	t := s.attempt.task
-	ticket, _ := c.ticketFor(st, best)
-	c.start(t, best, t.run+1, ticket)
+	ticket, _ := c.ticketFor(t.step, to)
+	c.start(t, to, t.run+1, ticket)
 	c.metric.copiesStarted.Inc()
-	c.log.Log(events.CopyStarted, "task", t.id().String(), "run", t.copy.run, "server", best.info.ID, "slowRun", s.attempt.run, "slowServer", s.attempt.server.info.ID,
+	c.log.Log(events.CopyStarted, "task", t.id().String(), "run", t.copy.run, "server", to.info.ID, "slowRun", s.attempt.run, "slowServer", s.attempt.server.info.ID,
 		"age", s.run.Age.Milliseconds(), "expected", s.run.Expected.Milliseconds())
 }
 
-// requestCopyTickets asks whether a copy may run on the named servers, if it still pays
-// after the answer.
+// requestCopyTickets asks whether a copy may run on the named servers, if a copy that starts
+// after the answer is still expected to end before the straggler does.
 func (c *Core) requestCopyTickets(s straggler, servers []string) {
 	st := s.attempt.task.step
 	terms := st.job().queue.Policy
@@ -185,7 +203,7 @@
 		return
 	}
 	cost := terms.DecisionTime + time.Duration(len(servers))*terms.TimePerServer
-	if s.run.Pays(cost + s.work) {
+	if s.run.CopyEndsFirst(cost + s.work) {
 		c.sendRequest(st, servers)
 	}
 }
@@ -199,9 +217,10 @@
 	return copyStartTime + time.Duration(took)
 }
 
-// mayHoldCopy reports whether a copy of a run may start on a server: another one than that
-// of the run, with free capacity.
-func (c *Core) mayHoldCopy(a *attempt, s *server) bool {
+// canRunCopy reports whether a copy of a run can start on a server beside what is held for
+// gangs. That of the run itself is none, since its slowness may be the cause, nor is one on
+// which the task has failed.
+func (c *Core) canRunCopy(a *attempt, s *server) bool {
 	st := a.task.step
 	if s == a.server || s.info.Service != st.job().sub.Service || !s.stored || !s.usable(c.now) || s.slow() || !s.hasLabel(st.spec.Label) || a.task.failedOn[s.info.ID] {
 		return false
@@ -209,9 +228,11 @@
 	return fitCount(st, s, c.freeBesideHolds(nil, s)) > 0
 }
 
-// waitedFor reports whether steps that wait for capacity, on all of which placement has been
-// tried, may use the capacity that a copy would take of a server's free capacity.
-func (c *Core) waitedFor(s *server, need workload.Resources) bool {
+// neededByWaitingStep reports whether a step that waits for capacity could start fewer tasks on
+// a server after a copy that needs that much has started there. Placement, which runs before,
+// leaves capacity free for a step that waits for a policy answer, for a retry, or for room for
+// the rest of its gang.
+func (c *Core) neededByWaitingStep(s *server, need workload.Resources) bool {
 	free := c.freeBesideHolds(nil, s)
 	for _, st := range c.copyWaiting {
 		if st.job().sub.Service != s.info.Service || !s.hasLabel(st.spec.Label) || st.authorization.decisionOn(s) == denied {
@@ -257,8 +278,8 @@
 	}
 }
 
-// adoptCopy records a second run of a task that an earlier owner started as a copy, and
-// reports false if it is none: in a task that has one run it is to be stopped.
+// adoptCopy records a second run of a task that an earlier owner started as a copy. It reports
+// false if the task may not have a second run; the caller then stops this one.
 func (c *Core) adoptCopy(a *attempt) bool {
 	t := a.task
 	if t.attempt == nil || t.copy != nil || t.done || !t.step.spec.Speculative || t.step.spec.Gang || t.step.spec.LongRunning || t.crashes.Suspect() ||
--- a/placement/speculation/speculation.go
+++ b/placement/speculation/speculation.go
@@ -1,6 +1,6 @@
 // Package speculation decides when to start a second copy of a running task. It holds no
-// state and no clock. A copy pays if the run is expected to last longer than a new run on
-// another server. Copies together may use only a small fraction of the capacity in use.
+// state and no clock. A copy is started if it is expected to end before the run does. Copies
+// together may use only a small fraction of the capacity in use.
 package speculation
 
 import (
@@ -50,9 +50,9 @@
 	return max(r.Expected-r.Age, 0)
 }
 
-// Pays reports whether a copy is expected to end before the run does. Elsewhere is the time
-// that the copy takes on another server, including its start.
-func (r Run) Pays(elsewhere time.Duration) bool { return r.Remaining() > elsewhere }
+// CopyEndsFirst reports whether a copy that takes copyTime, including its start, is expected
+// to end before the run does.
+func (r Run) CopyEndsFirst(copyTime time.Duration) bool { return r.Remaining() > copyTime }
 
 // Budget limits the CPU of copies, in thousandths of a core.
 type Budget struct {
--- a/placement/speculation/speculation_test.go
+++ b/placement/speculation/speculation_test.go
@@ -9,7 +9,7 @@
 
 // A copy of a run that is about to end wastes capacity, and one of a straggler that comes
 // late gains nothing.
-func TestRun_Pays(t *testing.T) {
+func TestRun_CopyEndsFirst(t *testing.T) {
 	for _, c := range []struct {
 		name      string
 		run       speculation.Run
@@ -26,7 +26,7 @@
 		{"long overdue although that is a guess", speculation.Run{Age: 4 * time.Second, Expected: time.Second, Uncertainty: 9}, time.Second, true},
 		{"nothing is known", speculation.Run{Age: time.Hour}, time.Second, false},
 	} {
-		if got := c.run.Pays(c.elsewhere); got != c.want {
+		if got := c.run.CopyEndsFirst(c.elsewhere); got != c.want {
 			t.Errorf("%s: %t, want %t", c.name, got, c.want)
 		}
 	}
