Usual times are learned where tasks declare none

Cause: a run of which no time was expected was left out altogether. In a queue whose tasks declare no time nothing is expected before eight runs were observed, so that none ever was: no straggler was found there, and no slow server.

Change: such a run counts for the usual time of its queue and for the other tasks of its step; only the speed of its server is left as it is.

Result: TestSpeeds_UsualTimeIsLearnedWithoutDeclaredTimes fails before (0 s expected after 12 runs of 2 s) and passes now, with the other tests of Speeds and Copies.

--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -45,19 +45,20 @@
 }
 
 // observeSpeed learns from a run that ended done, by the time from its start order to its
-// listed end.
+// listed end. A run of which no time is expected says nothing about its server, but it counts
+// for the expected times of later runs.
 func (c *Core) observeSpeed(a *attempt) {
-	work, took := a.work(), c.now.Sub(a.sentAt)
-	if work <= 0 || a.startResults > 1 {
+	if !a.measuresSpeed() || a.startResults > 1 {
 		return
 	}
-	st := a.task.step
-	c.numberStep(st)
-	if c.remote(st, a.server) {
+	st, s, took := a.task.step, a.server, c.now.Sub(a.sentAt)
+	if c.remote(st, s) {
 		took = time.Duration(float64(took) / c.bounds.RemoteFactor)
 	}
-	s := a.server
-	s.speed.Observe(st.number, work, took, c.now)
+	if expected := a.work(); expected > 0 {
+		c.numberStep(st)
+		s.speed.Observe(st.number, expected, took, c.now)
+	}
 	v := s.speed.Speed(c.now)
 	st.job().runs.usual.Observe(st.spec.Estimate, took, v)
 	if st.siblings == nil {
@@ -74,14 +75,21 @@
 	}
 }
 
-// work returns the expected time of the run on the usual server; 0 if its time says nothing
-// about its server: that of a gang's member depends on the others, that of an adopted run
-// is not known, and a run from a checkpoint is shorter.
+// measuresSpeed reports whether the time of the run depends on its task and on its server's
+// speed alone: that of a gang's member depends on the others, that of an adopted run is not
+// known, and a run from a checkpoint is shorter.
+func (a *attempt) measuresSpeed() bool {
+	spec := a.task.step.spec
+	return !a.adopted && !spec.Gang && !spec.LongRunning && !spec.RackSensitive && !spec.BestEffortCPU && a.task.checkpoint == ""
+}
+
+// work returns the expected time of the run on the usual server; 0 if none is known or if the
+// run does not measure its server's speed.
 func (a *attempt) work() time.Duration {
-	st := a.task.step
-	if a.adopted || st.spec.Gang || st.spec.LongRunning || st.spec.RackSensitive || st.spec.BestEffortCPU || a.task.checkpoint != "" {
+	if !a.measuresSpeed() {
 		return 0
 	}
+	st := a.task.step
 	if work, ok := st.siblings.Work(a.server.number); ok {
 		return work
 	}
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -162,6 +163,30 @@
 	}
 }
 
+// The run times of a queue whose tasks declare none must be learned all the same: otherwise
+// nothing is expected of its tasks, no straggler among them is found, and no server that turns
+// slow under them.
+func TestSpeeds_UsualTimeIsLearnedWithoutDeclaredTimes(t *testing.T) {
+	h := newHarness(t, 1)
+	h.answerAllPolls()
+	step := oneTask(1000)
+	step.Estimate = 0
+	for i := range uint64(12) {
+		h.submit(fmt.Sprintf("%016x", i+1), step)
+		starts := h.takeStarts()
+		if len(starts) != 1 {
+			t.Fatalf("%d starts, want 1", len(starts))
+		}
+		h.confirmStart(starts[0])
+		h.pass(2 * time.Second)
+		h.answerPoll("s0", PollResponse{Ended: []RunEnd{endOf(starts[0], i+1, workload.EndDone)}})
+	}
+	h.submit(id1, step)
+	if got := h.firstTask(id1).step.work(); got < 1900*time.Millisecond || got > 2100*time.Millisecond {
+		t.Errorf("%v expected of a task after 12 runs of 2 s, want 2 s", got)
+	}
+}
+
 // One member on a slower server makes a gang hold all others for as long.
 func TestSpeeds_GangGetsServersOfSimilarSpeed(t *testing.T) {
 	h := newHarness(t, 4)
