Speeds: observing running times and classifying servers are two functions

Cause: reviewSpeeds did both; a parameter that is a session's number was called server, with 0 for all servers; minDifferentPart was a divisor; "for a moment" did not say for how long a step avoids slow servers.

Change: observeRunningTimes and classifyServers; session, anySession and minDifferentDivisor; the wait is described by speed.SlowWait. No change of behaviour.

Result: the tests of Speeds, Copies and Locality in internal/scheduler pass.

--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -13,9 +13,14 @@
 // server that became slow from the ages of its runs.
 const speedInterval = 250 * time.Millisecond
 
-// minDifferentPart: the servers of a service count as unequal if at least one in so many is
-// faster or slower than the usual one. Fewer may differ by chance.
-const minDifferentPart = 10
+// minDifferentDivisor: the servers of a service count as unequal if at least their number
+// divided by it, and at least one, are faster or slower than the usual one. Fewer may differ by
+// chance.
+const minDifferentDivisor = 10
+
+// anySession is passed to speed.Siblings.Work in place of a session's number if runs on all
+// servers count. Sessions are numbered from 1 on.
+const anySession = 0
 
 // serviceSpeeds is what is known of the speeds of a service's servers. It is learned again
 // by each owner, and nothing of it is stored.
@@ -98,7 +103,7 @@
 
 // work returns the expected run time of a task of the step on the usual server.
 func (s *step) work() time.Duration {
-	if work, ok := s.siblings.Work(0); ok {
+	if work, ok := s.siblings.Work(anySession); ok {
 		return work
 	}
 	if runs := s.job().runs; runs != nil {
@@ -107,11 +112,12 @@
 	return s.spec.Estimate
 }
 
-// expectedWork returns the expected time of a run of the step's tasks on the given server if
-// it were the usual one, and by which factor that may be wrong. It reports false if only the
-// declared time is known.
-func (s *step) expectedWork(server uint64) (work time.Duration, uncertainty float64, known bool) {
-	if work, ok := s.siblings.Work(server); ok {
+// expectedWork returns the expected time on the usual server of a run of the step's tasks, and
+// by which factor that may be wrong. The step's runs under the given session do not count, since
+// all of them took long if its server is slow. It reports false if only the declared time is
+// known.
+func (s *step) expectedWork(session uint64) (work time.Duration, uncertainty float64, known bool) {
+	if work, ok := s.siblings.Work(session); ok {
 		return work, 1, true
 	}
 	runs := s.job().runs
@@ -121,14 +127,19 @@
 	return runs.usual.CautiousWork(s.spec.Estimate), runs.usual.Uncertainty(), true
 }
 
-// reviewSpeeds takes the ages of the runs into account and determines the classes of all
-// servers.
+// reviewSpeeds updates what is known of the servers' speeds once every speedInterval.
 func (c *Core) reviewSpeeds() {
 	if c.now.Sub(c.speedsReviewedAt) < speedInterval {
 		return
 	}
 	c.speedsReviewedAt = c.now
-	byService := make(map[string][]*speed.Estimator)
+	c.observeRunningTimes()
+	c.classifyServers()
+}
+
+// observeRunningTimes takes the ages of runs in progress into account: on a server that became
+// slow the first run ends late.
+func (c *Core) observeRunningTimes() {
 	var inProgress []speed.Running
 	for _, s := range c.servers {
 		inProgress = inProgress[:0]
@@ -143,20 +154,28 @@
 		}
 		slices.SortFunc(inProgress, func(x, y speed.Running) int { return cmp.Or(cmp.Compare(y.Age, x.Age), cmp.Compare(x.Group, y.Group)) })
 		s.speed.SetOverdue(inProgress, c.now)
-		byService[s.info.Service] = append(byService[s.info.Service], &s.speed)
 	}
-	bases := make(map[string]float64, len(byService))
-	for service, estimators := range byService {
-		bases[service] = speed.Base(estimators, c.now)
+}
+
+// classifyServers determines the speed classes of all servers, each in comparison with the
+// others of its service, and whether the servers of a service are unequal.
+func (c *Core) classifyServers() {
+	estimators := make(map[string][]*speed.Estimator)
+	for _, s := range c.servers {
+		estimators[s.info.Service] = append(estimators[s.info.Service], &s.speed)
+	}
+	bases := make(map[string]float64, len(estimators))
+	for service, of := range estimators {
+		bases[service] = speed.Base(of, c.now)
 		known := c.speedsOf(service)
-		known.servers, known.slow, known.different, known.unequal = len(estimators), 0, 0, false
+		known.servers, known.slow, known.different, known.unequal = len(of), 0, 0, false
 	}
 	for _, s := range c.servers {
 		class := s.speed.Class(c.now, bases[s.info.Service])
 		c.classify(s, class)
 		if known := c.speedsOf(s.info.Service); class != 0 && !s.slow() {
 			known.different++
-			known.unequal = known.different >= max(known.servers/minDifferentPart, 1)
+			known.unequal = known.different >= max(known.servers/minDifferentDivisor, 1)
 		}
 	}
 }
@@ -183,8 +202,8 @@
 	active bool
 }
 
-// speedChoiceOf returns the choice of a step. Consecutive calls
-// for the same step compute it once.
+// speedChoiceOf returns the choice of a step. Consecutive calls for the same step compute it
+// once, since each pair of servers that is compared asks for it.
 func (p *placementPass) speedChoiceOf(st *step) speedChoice {
 	if p.choiceFor == st && p.choiceAt.Equal(p.core.now) {
 		return p.choice
@@ -210,8 +229,9 @@
 	return compareBool(a.slow(), b.slow())
 }
 
-// avoidsSlow reports whether a step waits rather than use a slow server: for a moment after
-// it became ready, if most servers are not slow.
+// avoidsSlow reports whether a step waits rather than use a slow server: if most servers are
+// not slow, and for at most the time after it became ready that a run on a usual server saves,
+// see speed.SlowWait.
 func (p *placementPass) avoidsSlow(st *step) bool {
 	known := p.core.speedsOf(st.job().sub.Service)
 	return known.slow > 0 && 2*known.slow < known.servers && p.core.now.Sub(st.readyAt) < speed.SlowWait(st.work())
