waitindex: Remove takes an item out of its block

Cause: Leave only cleared the item's reference to its block. First could still return the item and Wait no longer clear it until the next Rebuild, and an Insert into the block brought it back. Its only caller rebuilds right after it, so that the scheduler did not meet this.

Change: Index.Remove takes the item out of its block, and an empty block out of the index, since blockFor finds blocks by their first items. Place, the position of an item, is Position.

Tests of internal/scheduler of Placement, Backlog, Gang and Speeds pass.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -111,7 +111,7 @@
 	for _, st := range c.queued {
 		if st.job().ending != "" || st.unplacedTasks() == 0 {
 			st.queued = false
-			st.entry.place.Leave()
+			c.index.Remove(st)
 			continue
 		}
 		kept = append(kept, st)
--- a/internal/scheduler/stepqueue.go
+++ b/internal/scheduler/stepqueue.go
@@ -24,8 +24,8 @@
 // queueEntry is the state of a queued step.
 type queueEntry struct {
 	// order is the sort key as of the last sort.
-	order placementOrder
-	place waitindex.Place[*step]
+	order    placementOrder
+	position waitindex.Position[*step]
 	// wantsClient is set if the step had a request to send and no policy client was free.
 	wantsClient bool
 	// examinedAt is the Core's freedSeq when the step was last examined.
@@ -50,8 +50,8 @@
 // Need implements waitindex.Item.
 func (s *step) Need() workload.Resources { return s.spec.Reserved() }
 
-// Place implements waitindex.Item.
-func (s *step) Place() *waitindex.Place[*step] { return &s.entry.place }
+// Position implements waitindex.Item.
+func (s *step) Position() *waitindex.Position[*step] { return &s.entry.position }
 
 // wake lets the next pass examine a step, whatever it waits for.
 func (c *Core) wake(st *step) { c.index.WaitAlso(st, wakeNow) }
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -247,7 +247,7 @@
 	}
 	s.queued = true
 	s.entry = queueEntry{order: c.placementOrderOf(s), delayed: s.entry.delayed, capWaiting: s.entry.capWaiting}
-	s.entry.place.Add(wakeNow)
+	s.entry.position.Add(wakeNow)
 	c.queued = append(c.queued, s)
 	c.index.Insert(s)
 	c.backlog.recent = append(c.backlog.recent, s)
--- a/internal/waitindex/waitindex.go
+++ b/internal/waitindex/waitindex.go
@@ -30,13 +30,13 @@
 	Compare(other T) int
 	// Need returns the capacity without which the item cannot go on.
 	Need() workload.Resources
-	// Place returns the item's place in the index, which the item keeps.
-	Place() *Place[T]
+	// Position returns the item's position in the index, which the item keeps.
+	Position() *Position[T]
 }
 
-// Place is an item's place in an Index, and what it waits for. The zero value is that of an
-// item which is in no Index and waits for nothing.
-type Place[T any] struct {
+// Position is an item's position in an Index, and what it waits for. The zero value is that of
+// an item which is in no Index and waits for nothing.
+type Position[T any] struct {
 	block *block[T]
 	slot  int
 	// waits has a bit for each Reason.
@@ -44,13 +44,10 @@
 }
 
 // WaitsFor reports whether the item waits for a reason.
-func (p *Place[T]) WaitsFor(r Reason) bool { return p.waits>>r&1 > 0 }
+func (p *Position[T]) WaitsFor(r Reason) bool { return p.waits>>r&1 > 0 }
 
 // Add lets the item wait for a reason beside others. The item must be in no Index.
-func (p *Place[T]) Add(r Reason) { p.waits |= 1 << r }
-
-// Leave takes the item out of what its Index reports, until the next Rebuild drops it.
-func (p *Place[T]) Leave() { p.block = nil }
+func (p *Position[T]) Add(r Reason) { p.waits |= 1 << r }
 
 // Index holds items in order, as of the last Rebuild; items that came since are inserted.
 // The zero value is empty.
@@ -65,7 +62,8 @@
 	least workload.Resources
 }
 
-// Rebuild indexes sorted items anew. What they wait for is kept.
+// Rebuild indexes sorted items anew. What they wait for is kept. An item that is in the Index
+// and not among them must have been removed.
 func (x *Index[T]) Rebuild(sorted []T) {
 	n := 0
 	for len(sorted) > 0 {
@@ -88,7 +86,7 @@
 func renew[T Item[T]](b *block[T]) {
 	clear(b.waiting[:])
 	for i, item := range b.items {
-		p := item.Place()
+		p := item.Position()
 		p.block, p.slot = b, i
 		for r := range b.waiting {
 			b.waiting[r] |= uint64(p.waits>>r&1) << i
@@ -110,6 +108,25 @@
 	renew(b)
 }
 
+// Remove removes an item, which waits for nothing afterwards. It takes time in proportion to
+// the item's block, and to the number of blocks once the last item of a block is removed.
+func (x *Index[T]) Remove(item T) {
+	p := item.Position()
+	b, slot := p.block, p.slot
+	*p = Position[T]{}
+	if b == nil {
+		return
+	}
+	b.items = slices.Delete(b.items, slot, slot+1)
+	if len(b.items) > 0 {
+		renew(b)
+		return
+	}
+	// blockFor finds blocks by their first items, so that no block may be empty.
+	i := slices.Index(x.blocks, b)
+	x.blocks = slices.Delete(x.blocks, i, i+1)
+}
+
 // blockFor returns the block to which an item belongs, with room for it.
 func (x *Index[T]) blockFor(item T) *block[T] {
 	if len(x.blocks) == 0 {
@@ -142,7 +159,7 @@
 
 // Wait sets what an item waits for, in place of what it did.
 func (x *Index[T]) Wait(item T, reasons ...Reason) {
-	p := item.Place()
+	p := item.Position()
 	p.waits = 0
 	for _, r := range reasons {
 		p.waits |= 1 << r
@@ -157,7 +174,7 @@
 
 // WaitAlso lets an item wait for a reason beside what it waits for.
 func (x *Index[T]) WaitAlso(item T, r Reason) {
-	p := item.Place()
+	p := item.Position()
 	p.waits |= 1 << r
 	if p.block != nil {
 		p.block.waiting[r] |= 1 << p.slot
