Comments of placement say why, and hold no figures of one machine

Cause: comments on bounds and intervals of placement repeated names or gave times measured on one machine as facts (a two-hundredth, a nanosecond a unit).

Change: each gives its reason. No code changes.

--- a/internal/scheduler/freed.go
+++ b/internal/scheduler/freed.go
@@ -31,7 +31,8 @@
 	return nil
 }
 
-// sortServers renews the pools after a change of the list of servers.
+// sortServers renews the pools after a change of the list of servers. They are in the order of
+// the servers' IDs, so that placement does not depend on the order of a map.
 func (c *Core) sortServers() {
 	c.serversChanged = false
 	c.pools = make(map[string]*serverPool)
@@ -79,8 +80,8 @@
 	}
 }
 
-// capacityFreed records that a server has more free capacity, so that the steps that wait for
-// capacity are examined for it.
+// capacityFreed records that a server has more free capacity. Steps that were examined before
+// have not seen it, so that they are examined for it again.
 func (c *Core) capacityFreed(s *server) {
 	c.freedSeq++
 	s.freedAt = c.freedSeq
@@ -90,8 +91,9 @@
 	}
 }
 
-// wakeForFreed wakes the first step in order that waits for capacity that was freed, for
-// each of the first maxFreedPerStep servers with some.
+// wakeForFreed wakes the first step in order that may use freed capacity, for each of the first
+// maxFreedPerStep servers with some. A server is kept until no step may use what it has, since
+// the first step may leave some of it.
 func (p *placementPass) wakeForFreed() {
 	c := p.core
 	kept, seen := c.freed[:0], 0
--- a/internal/scheduler/instances.go
+++ b/internal/scheduler/instances.go
@@ -36,8 +36,8 @@
 	s.numbered, s.instanceNumber = instance, c.numbers.take()
 }
 
-// releaseNumber makes the number of a server's instance available to others. No step keeps
-// a decision under it.
+// releaseNumber makes the number of a server's instance available to others. All steps forget
+// the decision under it, which would otherwise count for the next instance with that number.
 func (c *Core) releaseNumber(s *server) {
 	if s.numbered == (serverInstance{}) {
 		return
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -9,15 +9,17 @@
 
 const (
 	// sortTimePerStep: the queue is sorted again at the earliest this long after the last
-	// time for each queued step, so that sorting, which takes about a two-hundredth of that,
-	// does not dominate behind a long queue. Steps queued meanwhile are inserted. After
-	// maxSortInterval it is sorted whatever its length, since shares and lateness change.
+	// time for each queued step. Sorting takes a small part of that time for each step, so
+	// that it does not dominate behind a long queue. Steps queued meanwhile are inserted.
+	// After maxSortInterval it is sorted whatever its length, since shares and lateness
+	// change.
 	sortTimePerStep = 50 * time.Microsecond
 	maxSortInterval = 200 * time.Millisecond
-	// alwaysSorted is the length up to which the queue is sorted for each pass.
+	// alwaysSorted is the length up to which the queue is sorted for each pass, since sorting
+	// it costs little beside the pass.
 	alwaysSorted = 64
 	// forecastTimePerServer: forecasts are renewed at the earliest this long after the last
-	// time for each server, since each looks at every run.
+	// time for each server, since computing one looks at every run on its server.
 	forecastTimePerServer = 70 * time.Microsecond
 	// retryInterval is when a step is examined again that waits for what no event reports.
 	retryInterval = 50 * time.Millisecond
@@ -26,19 +28,22 @@
 	// it is gangTime for each, since a plan looks at all servers.
 	maxGangInterval = 400 * time.Millisecond
 	gangTime        = time.Millisecond
-	// queuedStepsPerGang: a gang that holds nothing is examined for single servers as often as
-	// if one step in so many were such a gang.
+	// queuedStepsPerGang is the assumed number of queued steps for each gang that holds
+	// nothing. It determines how often such a gang is examined because capacity of a single
+	// server was freed: a plan looks at all servers, and that capacity is rarely enough.
 	queuedStepsPerGang = 8
-	// maxPassWork bounds a pass, so that polls and answers are handled in between. It is
-	// in units of about a nanosecond on one core: a tenth of a core takes 20 ms for it.
+	// maxPassWork bounds a pass, so that polls and answers are handled in between, also on a
+	// VM with a fraction of a core. Work is counted and not timed, so that no decision
+	// depends on the speed of the machine.
 	maxPassWork = 2_000_000
-	// stepWork, serverWork and startWork are the work of examining a step, of examining a
-	// server for it, and of a start with its order.
+	// stepWork, serverWork and startWork are the relative costs of examining a step, of
+	// examining a server for it, and of a start with its order.
 	stepWork   = 1000
 	serverWork = 40
 	startWork  = 10_000
 	// maxFreedPerStep bounds the servers with freed capacity for which a step is looked
-	// up before the next step is examined.
+	// up before the next step is examined: one step may use the capacity of several, so that
+	// more look-ups would often find the same step.
 	maxFreedPerStep = 8
 )
 
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -72,7 +72,8 @@
 	st.siblings.Observe(s.number, took, v)
 }
 
-// numberStep assigns a number to a step that has none yet.
+// numberStep assigns a number to a step that has none yet, under which estimators group its
+// runs.
 func (c *Core) numberStep(st *step) {
 	if st.number == 0 {
 		c.lastStepNumber++
@@ -81,8 +82,9 @@
 }
 
 // measuresSpeed reports whether the time of the run depends on its task and on its server's
-// speed alone: that of a gang's member depends on the others, that of an adopted run is not
-// known, and a run from a checkpoint is shorter.
+// speed alone: that of a gang's member depends on the others, that of a rack-sensitive task on
+// where they run, and that of a task that reserves no CPU on the load. That of an adopted run
+// is not known, a run from a checkpoint is shorter, and a long-running task has no run time.
 func (a *attempt) measuresSpeed() bool {
 	spec := a.task.step.spec
 	return !a.adopted && !spec.Gang && !spec.LongRunning && !spec.RackSensitive && !spec.BestEffortCPU && a.task.checkpoint == ""
@@ -180,7 +182,8 @@
 	}
 }
 
-// classify sets the class of a server.
+// classify sets the class of a server. Only a change between slow and not slow is counted and
+// logged, since other classes change the order of preference alone.
 func (c *Core) classify(s *server, class int) {
 	if speed.Slow(class) != s.slow() {
 		c.metric.serverSpeedChanges.Inc()
--- a/internal/scheduler/stepqueue.go
+++ b/internal/scheduler/stepqueue.go
@@ -33,7 +33,8 @@
 	// cappedNow is set if the cap of its tenant held back the step when it was examined, and
 	// capWaiting while the step is in its tenant's capQueue.
 	cappedNow, capWaiting bool
-	// gangAfter is when a gang is examined again at the earliest because of one server.
+	// gangAfter is when a gang is examined again at the earliest because of one server, since
+	// each plan looks at all servers.
 	gangAfter time.Time
 	// delayed is set while the step is in the Core's list of delayed steps.
 	delayed bool
@@ -56,7 +57,7 @@
 // wake lets the next pass examine a step, whatever it waits for.
 func (c *Core) wake(st *step) { c.index.WaitAlso(st, wakeNow) }
 
-// wakeAll lets the next passes examine all steps.
+// wakeAll lets the next passes examine all steps, after a change that may concern any of them.
 func (c *Core) wakeAll() {
 	for i := range c.index.Blocks() {
 		for _, st := range c.index.BlockItems(i) {
@@ -113,8 +114,8 @@
 	return next
 }
 
-// examineAgainAt lets a step be examined at the given time at the latest. A zero time sets
-// nothing.
+// examineAgainAt lets a step be examined at the given time at the latest. A zero time has no
+// effect.
 func (c *Core) examineAgainAt(st *step, at time.Time) {
 	if at.IsZero() {
 		return
@@ -126,7 +127,8 @@
 	}
 }
 
-// gangInterval returns how often each of n gangs is planned.
+// gangInterval returns the time between two plans of each of n gangs. It grows with their
+// number, so that planning does not dominate where many wait.
 func gangInterval(n int) time.Duration { return min(time.Duration(n)*gangTime, maxGangInterval) }
 
 // wakeDelayed wakes the delayed steps whose time has come.
