--- a/document/validate.go
+++ b/document/validate.go
@@ -7,6 +7,9 @@
 )
 
 // Limits of field values.
+// MaxBodyBytes is the longest body of a request, and of a response, that a document may allow.
+const MaxBodyBytes = 64 << 20
+
 const (
 	maxNameLength   = 63
 	maxKinds        = 64
@@ -16,7 +19,6 @@
 	maxCommand      = 64
 	maxCommandBytes = 4096
 	maxQueued       = 100_000
-	maxBodyBytes    = 64 << 20
 	maxCallerRate   = 1_000_000
 	maxWeight       = 1000
 	maxAttempts     = 100
@@ -71,8 +73,8 @@
 	v.name(path+".pool", r.Pool)
 	v.inRange(path+".kinds", int64(len(r.Kinds)), 1, maxKinds)
 	v.inRange(path+".maxQueued", int64(r.MaxQueued), 1, maxQueued)
-	v.inRange(path+".maxBodyBytes", r.MaxBodyBytes, 1, maxBodyBytes)
-	v.inRange(path+".maxAnswerBytes", r.MaxResponseBytes, 1, maxBodyBytes)
+	v.inRange(path+".maxBodyBytes", r.MaxBodyBytes, 1, MaxBodyBytes)
+	v.inRange(path+".maxAnswerBytes", r.MaxResponseBytes, 1, MaxBodyBytes)
 	v.inRange(path+".callerBurst", int64(r.CallerBurst), 0, maxCallerRate)
 	if r.CallerRate < 0 || r.CallerRate > maxCallerRate {
 		v.report(path+".callerRate", fmt.Sprint(r.CallerRate), fmt.Sprintf("0 to %d a second", maxCallerRate))
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -15,6 +15,7 @@
 	"github.com/currantwinch/currantwinch/internal/adapter/vmlisthttp"
 	"github.com/currantwinch/currantwinch/internal/adapter/workerhttp"
 	"github.com/currantwinch/currantwinch/internal/daemon"
+	"github.com/currantwinch/currantwinch/internal/intake"
 )
 
 const (
@@ -37,6 +38,8 @@
 	MaxBackendConnections int
 	Dial                  func(ctx context.Context, network, address string) (net.Conn, error)
 	Now                   func() time.Time
+	// Answers, if not nil, bounds the answers of backend servers together.
+	Answers *intake.Budget
 }
 
 // NewHTTP returns the platform's clients and a function that closes their idle
@@ -51,11 +54,15 @@
 		transports = append(transports, t)
 		return &http.Client{Transport: t}
 	}
+	backendOptions := []backendhttp.Option{backendhttp.WithClock(o.Now)}
+	if o.Answers != nil {
+		backendOptions = append(backendOptions, backendhttp.WithAnswerBudget(o.Answers))
+	}
 	p = daemon.Platform{
 		Log:      loghttp.New(o.LogURL, client()),
 		VMs:      vmlisthttp.New(o.VMListURL, client()),
 		Workers:  workerhttp.New(client()),
-		Backends: backendhttp.New(o.Dial, o.MaxBackendConnections, backendhttp.WithClock(o.Now)),
+		Backends: backendhttp.New(o.Dial, o.MaxBackendConnections, backendOptions...),
 	}
 	return p, func() {
 		for _, t := range transports {
--- a/internal/adapter/backendhttp/backendhttp.go
+++ b/internal/adapter/backendhttp/backendhttp.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -18,7 +19,9 @@
 
 	"github.com/currantwinch/currantwinch/cluster"
 	"github.com/currantwinch/currantwinch/internal/gateway"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/verdict"
+	"github.com/pkg/errors"
 )
 
 // Headers of the protocol with backend servers.
@@ -51,11 +54,16 @@
 // WithClock sets the clock that SendBefore and Deadline are compared with.
 func WithClock(now func() time.Time) Option { return func(c *Client) { c.now = now } }
 
+// WithAnswerBudget bounds the bodies of all responses together, from their first byte until the
+// gateway releases them.
+func WithAnswerBudget(b *intake.Budget) Option { return func(c *Client) { c.answers = b } }
+
 // Client implements gateway.Backends.
 type Client struct {
 	dial     DialFunc
 	maxConns int
 	now      func() time.Time
+	answers  *intake.Budget
 
 	mu         sync.Mutex
 	transports map[string]*http.Transport
@@ -67,7 +75,7 @@
 // slots, the connections of all daemons together stay within what a backend
 // server accepts.
 func New(dial func(ctx context.Context, network, addr string) (net.Conn, error), maxConnsPerBackend int, options ...Option) *Client {
-	c := &Client{dial: dial, maxConns: maxConnsPerBackend, now: time.Now, transports: make(map[string]*http.Transport)}
+	c := &Client{dial: dial, maxConns: maxConnsPerBackend, now: time.Now, answers: intake.NewBudget(math.MaxInt64, time.Now), transports: make(map[string]*http.Transport)}
 	for _, o := range options {
 		o(c)
 	}
@@ -132,7 +140,7 @@
 		return gateway.Response{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := readResponse(response, request)
+	answer, err := c.readResponse(response, request, track)
 	if err != nil {
 		// Unread bytes of this response may remain on the connection, so it must
 		// not be reused.
@@ -189,7 +197,7 @@
 
 // readResponse reads the whole response. The request has already been written, so
 // that the verdict of every error is MayHaveRun.
-func readResponse(response *http.Response, request gateway.Request) (gateway.Response, error) {
+func (c *Client) readResponse(response *http.Response, request gateway.Request, track *sendTracker) (gateway.Response, error) {
 	id := response.Header.Get(HeaderRequestID)
 	if id != request.ID {
 		return gateway.Response{}, verdict.New(verdict.MayHaveRun, gateway.ReasonResponseMismatched, "answer carries request ID %q, want %q", id, request.ID)
@@ -201,28 +209,33 @@
 	if response.ContentLength > limit {
 		return gateway.Response{}, oversized(limit)
 	}
-	body, err := readBody(response, limit)
-	if err != nil {
-		return gateway.Response{}, err
+	memory := c.answers.Begin(response.ContentLength, track.closeConn)
+	body, err := memory.ReadAll(response.Body, response.ContentLength, limit, func(time.Duration) {})
+	if err == nil {
+		err = memory.Arrived()
 	}
-	if int64(len(body)) > limit {
-		return gateway.Response{}, oversized(limit)
+	if err != nil {
+		memory.End()
+		return gateway.Response{}, unreadable(err, limit)
 	}
 	return gateway.Response{
 		ID: id, Status: response.StatusCode, Body: body,
 		ContentType: response.Header.Get("Content-Type"),
 		Leaving:     response.Header.Get(HeaderLeaving) == "true",
+		Memory:      memory,
 	}, nil
 }
 
-func readBody(response *http.Response, limit int64) ([]byte, error) {
-	if n := response.ContentLength; n >= 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(response.Body, body)
-		return body, verdict.Wrap(err, verdict.MayHaveRun, gateway.ReasonResponseTruncated)
+// unreadable returns the error of a response that could not be read.
+func unreadable(err error, limit int64) error {
+	var refusal *intake.Refusal
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		return oversized(limit)
+	case errors.As(err, &refusal), errors.Is(err, intake.ErrOverBudget):
+		return verdict.Wrap(err, verdict.MayHaveRun, gateway.ReasonResponseMemory)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	return body, verdict.Wrap(err, verdict.MayHaveRun, gateway.ReasonResponseTruncated)
+	return verdict.Wrap(err, verdict.MayHaveRun, gateway.ReasonResponseTruncated)
 }
 
 func oversized(limit int64) error {
--- a/internal/command/host.go
+++ b/internal/command/host.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// heapFraction is the fraction of the VM's memory that the heap may take before
-	// the garbage collector runs more often (GOMEMLIMIT).
-	heapFraction = 0.5
 	// heapGrowthPercent is the garbage collector's target percentage (GOGC). It is
 	// above Go's default of 100 to spend less CPU time on collections at the price
 	// of more memory.
@@ -26,7 +23,6 @@
 	// stopMargin is the part of the platform's grace period that is left for the
 	// process to exit after a graceful stop.
 	stopMargin = 500 * time.Millisecond
-	megabyte   = 1 << 20
 )
 
 type hostCommand struct {
@@ -54,10 +50,7 @@
 	log := events.NewLogger(slog.New(slog.NewJSONHandler(lines, nil))).WithRateLimit(time.Now).With("daemon", s.Name)
 	defer redirectLibraryLog(log)()
 	debug.SetGCPercent(heapGrowthPercent)
-	// A limit of 0 would make the collector run all the time.
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapFraction * float64(s.MemoryMB) * megabyte))
-	}
+	limitHeap(s.MemoryMB)
 	h, err := host.New(host.Options{Settings: s, Events: log})
 	if err != nil {
 		return err
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -17,6 +18,8 @@
 	"github.com/currantwinch/currantwinch/internal/certs"
 	"github.com/currantwinch/currantwinch/internal/daemon"
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/intake"
+	"github.com/currantwinch/currantwinch/internal/peer"
 	"github.com/currantwinch/currantwinch/internal/settings"
 	"github.com/currantwinch/currantwinch/logclient"
 	"github.com/pkg/errors"
@@ -52,6 +55,7 @@
 	log := newLogger(s.Log, e.err)
 	defer redirectLibraryLog(log)()
 	debug.SetGCPercent(s.HeapGrowthPercent)
+	limitHeap(s.Limits.MemoryMB)
 	d, err := build(s, log)
 	if err != nil {
 		return err
@@ -118,18 +122,25 @@
 	if err != nil {
 		return nil, err
 	}
-	listeners, err := listen(s.Listen)
+	vm := s.Limits.VM()
+	if vm.Descriptors == 0 {
+		vm.Descriptors = descriptorLimit()
+	}
+	limits := daemon.LimitsFor(vm, s.TLS != nil, s.Limits.Intake())
+	listeners, err := listen(s.Listen, limits)
 	if err != nil {
 		return nil, err
 	}
+	answers := intake.NewBudget(limits.AnswerBytes, time.Now)
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	platform, _ := adapter.NewHTTP(adapter.Options{
 		LogURL: s.Platform.Log, VMListURL: s.Platform.VMList, MaxBackendConnections: connectionsPerBackend(), Dial: dial, Now: time.Now,
+		Answers: answers,
 	})
 	d, err := daemon.New(daemon.Options{
 		Name: s.Name, Location: s.Location, Credential: logclient.Credential(s.Credential),
 		Listeners: listeners, Dial: dial, Now: time.Now, Seed: rand.Uint64(), Events: log,
-		Certificates: store, Platform: platform, FreeMemory: debug.FreeOSMemory,
+		Certificates: store, Platform: platform, FreeMemory: debug.FreeOSMemory, Limits: limits, Answers: answers,
 	})
 	if err != nil {
 		listeners.Close()
@@ -137,6 +148,15 @@
 	return d, err
 }
 
+// descriptorLimit returns the process's limit of file descriptors, or 0 if it is not known.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // certificates opens the certificate store, or returns nil if the settings
 // configure no TLS.
 func certificates(s settings.Settings) (*certs.Store, error) {
@@ -146,13 +166,18 @@
 	return certs.Open(s.TLS.Files(), s.Name, time.Now)
 }
 
-func listen(l settings.Listen) (daemon.Listeners, error) {
+func listen(l settings.Listen, limits intake.Limits) (daemon.Listeners, error) {
 	var out daemon.Listeners
 	for _, endpoint := range []struct {
 		address string
+		options intake.SocketOptions
 		into    *net.Listener
-	}{{l.Callers, &out.Callers}, {l.Operators, &out.Operators}, {l.Peers, &out.Peers}} {
-		opened, err := net.Listen("tcp", endpoint.address)
+	}{
+		{l.Callers, intake.SocketOptions{Connections: limits.Connections, Bytes: limits.SocketBytes}, &out.Callers},
+		{l.Operators, intake.SocketOptions{Connections: limits.OperatorConnections, Bytes: limits.SocketBytes}, &out.Operators},
+		{l.Peers, intake.SocketOptions{Connections: limits.PeerConnections, Backlog: peer.Backlog, Bytes: peer.SocketBytes}, &out.Peers},
+	} {
+		opened, err := intake.Listen(endpoint.address, endpoint.options)
 		if err != nil {
 			out.Close()
 			return daemon.Listeners{}, errors.Wrap(err, "listen")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/currantwinch/currantwinch/internal/certs"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/gateway"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/operator"
 	"github.com/currantwinch/currantwinch/internal/owner"
 	"github.com/currantwinch/currantwinch/internal/peer"
@@ -70,6 +71,11 @@
 	// Certificates, if not nil, enables TLS on all three listeners and on the
 	// connections to other daemons.
 	Certificates *certs.Store
+	// Limits are the bounds on untrusted clients; the zero value takes those of a VM whose
+	// memory is not known. Answers is the budget of Platform.Backends for answers; nil if
+	// it has none.
+	Limits  intake.Limits
+	Answers *intake.Budget
 	// FreeMemory, if not nil, is called periodically to return unused memory to
 	// the operating system.
 	FreeMemory func()
@@ -77,10 +83,11 @@
 
 // Daemon is one daemon process of the scheduler.
 type Daemon struct {
-	o       Options
-	base    roles.Base
-	app     *fx.App
-	servers *servers
+	o        Options
+	base     roles.Base
+	app      *fx.App
+	servers  *servers
+	reporter *intake.Reporter
 
 	peers    *peer.Peers
 	log      *statelog.Store
@@ -101,6 +108,9 @@
 
 // New returns a daemon with all its roles. Start starts them.
 func New(o Options) (*Daemon, error) {
+	if o.Limits == (intake.Limits{}) {
+		o.Limits = LimitsFor(intake.VM{}, false, intake.Limits{})
+	}
 	d := &Daemon{o: o, lifecycle: charts.Daemon.NewMachine()}
 	d.base = roles.Base{
 		Self: cluster.Daemon{
@@ -112,6 +122,11 @@
 		Events:  o.Events.With("daemon", o.Name),
 		Metrics: metrics.NewSet(),
 	}
+	d.reporter = intake.NewReporter(d.base.Events, d.base.Metrics)
+	d.reporter.Limits(o.Limits)
+	if o.Answers != nil {
+		d.reporter.Watch("backend_answers", o.Answers)
+	}
 	d.app = fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/currantwinch/currantwinch/cluster"
 	"github.com/currantwinch/currantwinch/internal/gateway"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/operator"
 	"github.com/currantwinch/currantwinch/internal/owner"
 	"github.com/currantwinch/currantwinch/internal/peer"
@@ -11,9 +12,8 @@
 )
 
 func newPeers(d *Daemon) *peer.Peers {
-	o := peer.Options{
-		Base: d.base, Listener: d.o.Listeners.Peers, Dial: d.o.Dial, Resolve: d.resolve,
-	}
+	listener, bounds := peer.Bound(d.o.Listeners.Peers, d.o.Limits, d.reporter)
+	o := peer.Options{Base: d.base, Listener: listener, Dial: d.o.Dial, Resolve: d.resolve, Intake: bounds}
 	if d.o.Certificates != nil {
 		o.Security = d.o.Certificates
 	}
@@ -75,15 +75,19 @@
 }
 
 func newGateway(d *Daemon, p *peer.Peers, l *statelog.Store, o *owner.Owner) *gateway.Gateway {
+	bodies := intake.NewBodies(d.o.Limits.BodyBytes, d.o.Limits, d.reporter)
+	d.reporter.Watch("bodies", bodies.Budget)
 	return gateway.New(gateway.Options{
 		Base: d.base, State: l, Owners: o, Members: o, Peers: p, Appender: l,
-		SystemCredential: d.o.Credential, Backends: d.o.Platform.Backends,
+		SystemCredential: d.o.Credential, Backends: d.o.Platform.Backends, Bodies: bodies,
 	})
 }
 
 func newOperator(d *Daemon, p *peer.Peers, l *statelog.Store, o *owner.Owner, pl *placer.Placer) *operator.Operator {
+	bodies := intake.NewBodies(d.o.Limits.OperatorBytes, d.o.Limits, d.reporter)
+	d.reporter.Watch("operators", bodies.Budget)
 	return operator.New(operator.Options{
 		Base: d.base, State: l, Owners: o, Members: o, Peers: p, Appender: l,
-		Placement: pl, Dump: d.Dump, Ready: d.Ready,
+		Placement: pl, Dump: d.Dump, Ready: d.Ready, Bodies: bodies,
 	})
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -7,23 +7,14 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/gateway"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/operator"
 	"github.com/pkg/errors"
 )
 
-// Limits of the connections of callers and operators. The gateway limits the
-// requests of callers.
-const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 16 << 10
-	maxConnections = 4096
-)
-
 // servers are the HTTP servers of callers and operators.
 type servers struct {
 	callers           *http.Server
@@ -35,22 +26,26 @@
 }
 
 func newServers(d *Daemon, g *gateway.Gateway, op *operator.Operator) *servers {
-	s := &servers{operators: newServer(op.Handler()), done: make(chan struct{}, 2)}
-	s.openListeners(d.o)
-	s.callers = g.Server()
+	s := &servers{done: make(chan struct{}, 2)}
+	s.openListeners(d)
+	s.callers = intake.NewServer(s.countInFlight(g.Handler()), d.o.Limits)
+	s.operators = intake.NewServer(op.Handler(), d.o.Limits)
 	s.callers.ErrorLog = serverErrorLog(d.base.Events, "callers")
 	s.operators.ErrorLog = serverErrorLog(d.base.Events, "operators")
-	s.callers.IdleTimeout = idleTimeout
-	s.callers.Handler = s.countInFlight(s.callers.Handler)
 	return s
 }
 
-// openListeners limits the connections of both listeners and adds TLS if the daemon
+// openListeners bounds the connections of both listeners and adds TLS if the daemon
 // has a certificate. Callers need no client certificate: they are identified by
 // their requests.
-func (s *servers) openListeners(o Options) {
-	s.callersListener = limitListener(o.Listeners.Callers, maxConnections)
-	s.operatorsListener = limitListener(o.Listeners.Operators, maxConnections)
+func (s *servers) openListeners(d *Daemon) {
+	o, l := d.o, d.o.Limits
+	s.callersListener = intake.NewListener(o.Listeners.Callers, intake.ListenerOptions{
+		Name: "callers", Connections: l.Connections, AddressConnections: l.AddressConnections, WriteTimeout: l.StallTimeout, Report: d.reporter,
+	})
+	s.operatorsListener = intake.NewListener(o.Listeners.Operators, intake.ListenerOptions{
+		Name: "operators", Connections: l.OperatorConnections, WriteTimeout: l.StallTimeout, Report: d.reporter,
+	})
 	if o.Certificates != nil {
 		s.callersListener = tls.NewListener(s.callersListener, o.Certificates.CallerServerConfig())
 		s.operatorsListener = tls.NewListener(s.operatorsListener, o.Certificates.OperatorServerConfig())
@@ -73,15 +68,6 @@
 
 func (s *servers) inFlight() int { return int(s.active.Load()) }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
 // Start starts serving on both listeners.
 func (s *servers) Start(context.Context) error {
 	go s.serve(s.callers, s.callersListener)
--- a/internal/events/intake.go
+++ b/internal/events/intake.go
@@ -6,7 +6,7 @@
 var (
 	IntakeLimits = Event{
 		Number: 6110, Level: slog.LevelInfo, Name: "intake_limits",
-		Fields:  []string{"bodyBytes", "messageBytes", "connections", "addressConnections", "peerConnections", "operatorConnections", "headerBytes", "stallMS", "bodyMS", "headerMS", "idleMS", "socketBytes"},
+		Fields:  []string{"bodyBytes", "answerBytes", "operatorBytes", "messageBytes", "connections", "addressConnections", "peerConnections", "operatorConnections", "headerBytes", "stallMS", "bodyMS", "headerMS", "idleMS", "socketBytes"},
 		Meaning: "The limits on untrusted clients that are in force, from the settings or derived from the VM's memory and descriptors.",
 	}
 	RequestGaveWay = Event{
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"github.com/currantwinch/currantwinch/document"
 	"github.com/currantwinch/currantwinch/fairqueue"
 	"github.com/currantwinch/currantwinch/idempotency"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/record"
 	"github.com/currantwinch/currantwinch/verdict"
@@ -15,6 +16,10 @@
 // call is a caller's request while this daemon serves it.
 type call struct {
 	request Request
+	// body holds the memory of the request's body until the call has its outcome, and answer
+	// that of the outcome's body until the call is answered. Either is nil if there is none.
+	body    *intake.Body
+	answer  *intake.Entry
 	entry   roles.DocumentEntry
 	kind    document.RequestKind
 	arrived time.Time
@@ -45,6 +50,9 @@
 // keyed reports whether the call has an idempotency key.
 func (c *call) keyed() bool { return c.request.Key != "" }
 
+// mayHaveEarlierAttempt reports whether an earlier call with the same key may have run.
+func (c *call) mayHaveEarlierAttempt() bool { return c.keyed() && !c.firstAttempt }
+
 // billKey returns the request key of the call's bill.
 func (c *call) billKey() string {
 	if c.keyed() {
@@ -74,6 +82,12 @@
 	return d.Sum64()
 }
 
+// releaseBody returns the memory of the request's body. It must not be sent again.
+func (c *call) releaseBody() {
+	c.body.Release()
+	c.request.Body = nil
+}
+
 // outcomeOf returns the outcome to keep of a call that ran.
 func outcomeOf(c *call, backend string, response Response) idempotency.Outcome {
 	return idempotency.Outcome{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/idempotency"
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/logclient"
 	"github.com/currantwinch/currantwinch/verdict"
@@ -26,6 +27,9 @@
 	// SystemCredential authorises the log appends that write bills.
 	SystemCredential logclient.Credential
 	Backends         Backends
+	// Bodies reads callers' bodies within a memory budget; nil reads them without bounds in
+	// time and in sum.
+	Bodies *intake.Bodies
 	// Limits bounds callers' requests. Zero fields take their defaults.
 	Limits Limits
 	// KeyConfig bounds the tables of idempotency keys; the zero value takes
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,16 +2,17 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/currantwinch/currantwinch/document"
 	"github.com/currantwinch/currantwinch/idempotency"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 )
 
 // The headers of callers' requests and of responses to them.
@@ -43,7 +44,7 @@
 	router.HandleFunc("/v1/health", g.serveHealth).Methods(http.MethodGet)
 	router.NotFoundHandler = refuseHandler(http.StatusNotFound, ReasonNotFound)
 	router.MethodNotAllowedHandler = refuseHandler(http.StatusMethodNotAllowed, ReasonMethodNotAllowed)
-	return router
+	return g.o.Bodies.Protect(router)
 }
 
 func refuseHandler(status int, reason verdict.Reason) http.Handler {
@@ -82,12 +83,13 @@
 	if refusal == nil {
 		defer g.endCall()
 	}
-	c, invalid := g.readCall(w, r)
+	c, invalid := g.readCall(w, r, refusal)
 	if invalid != nil {
 		g.countVerdict(invalid.err)
 		writeRefusal(w, r, invalid)
 		return
 	}
+	defer func() { c.answer.End() }()
 	var outcome idempotency.Outcome
 	var err error
 	if refusal == nil {
@@ -96,6 +98,7 @@
 		w.Header().Set("Connection", "close")
 		outcome, err = g.refuseCall(r.Context(), c, refusal)
 	}
+	c.releaseBody()
 	g.countVerdict(err)
 	g.metrics.pathSeconds.Update(g.o.Now().Sub(c.arrived).Seconds())
 	if err != nil {
@@ -116,8 +119,9 @@
 	}
 }
 
-// readCall reads and validates a caller's request.
-func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request) (*call, *requestError) {
+// readCall reads and validates a caller's request. A request that refusal refuses is read only
+// if an earlier one with its key may have run.
+func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, refusal *verdict.Error) (*call, *requestError) {
 	vars := mux.Vars(r)
 	entry, kind, refused := g.findKind(vars["service"], vars["kind"])
 	if refused != nil {
@@ -137,6 +141,9 @@
 	if refused := g.setDeadline(c, r.Header.Get(HeaderDeadline)); refused != nil {
 		return nil, refused
 	}
+	if refusal != nil && !c.mayHaveEarlierAttempt() {
+		return nil, &requestError{status: httpStatus(refusal), err: refusal}
+	}
 	return c, g.readBody(w, r, c)
 }
 
@@ -196,46 +203,32 @@
 	if c.request.MaxResponseBytes <= 0 {
 		c.request.MaxResponseBytes = g.o.Limits.MaxResponseBytes
 	}
-	if r.ContentLength > maxBytes {
-		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is over %d bytes", maxBytes)
-	}
-	body, err := g.readBodyWithTimeout(w, r, maxBytes)
+	body, err := g.o.Bodies.Read(w, r, maxBytes)
 	if err != nil {
-		return refuse(http.StatusBadRequest, ReasonBodyTruncated, "read body: %v", err)
+		return c.bodyRefused(err, maxBytes)
 	}
-	if int64(len(body)) > maxBytes {
-		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is over %d bytes", maxBytes)
-	}
-	c.request.Body = body
+	c.body, c.request.Body = body, body.Bytes
 	return nil
 }
 
-// readBodyWithTimeout reads a body of at most maxBytes and one more within
-// Limits.BodyTimeout. After an incomplete body the read deadline stays set,
-// because the server reads the rest before it responds. After a complete one it
-// is removed, so that the server can detect that the caller disconnects.
-func (g *Gateway) readBodyWithTimeout(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(g.o.Limits.BodyTimeout))
-	body, err := readLimited(r, maxBytes)
-	if err != nil {
-		return nil, err
-	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-func readLimited(r *http.Request, maxBytes int64) ([]byte, error) {
-	if r.ContentLength >= 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, verdict.Wrap(err, verdict.NotRun, ReasonBodyTruncated)
+// bodyRefused returns the refusal of a call whose body could not be read. Where that is for want
+// of memory, it speaks for earlier calls with the same key as well, which may have run.
+func (c *call) bodyRefused(err error, maxBytes int64) *requestError {
+	var refusal *intake.Refusal
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is over %d bytes", maxBytes)
+	case errors.Is(err, intake.ErrOverBudget):
+		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is longer than this daemon's limits.bodyBytes allows")
+	case errors.As(err, &refusal) && refusal.Reason != intake.ReasonStalled:
+		full := refuse(http.StatusServiceUnavailable, ReasonBodyMemory, "bodies take all of their memory: %s", refusal.Reason)
+		full.err.RetryAfter = overloadRetryAfter
+		if c.mayHaveEarlierAttempt() {
+			full.err.Verdict = verdict.MayHaveRun
+		}
+		return full
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
-	return body, verdict.Wrap(err, verdict.NotRun, ReasonBodyTruncated)
+	return refuse(http.StatusBadRequest, ReasonBodyTruncated, "read body: %v", err)
 }
 
 // serveKeys issues idempotency keys.
--- a/internal/gateway/port.go
+++ b/internal/gateway/port.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/cluster"
+	"github.com/currantwinch/currantwinch/internal/intake"
 )
 
 // Request is a request to a backend server.
@@ -45,6 +46,9 @@
 	Body        []byte
 	// Leaving is set if the backend server reported that it is about to stop.
 	Leaving bool
+	// Memory is what Body takes of the budget of answers; nil if that is not bounded. Its
+	// End must be called once the body is no longer needed.
+	Memory *intake.Entry
 }
 
 // BackendStatus is the status that a backend server reports.
--- a/internal/gateway/reasons.go
+++ b/internal/gateway/reasons.go
@@ -29,6 +29,9 @@
 	ReasonResponseOversized verdict.Reason = "answer_oversized"
 	// ReasonResponseMalformed means that the response could not be parsed.
 	ReasonResponseMalformed verdict.Reason = "answer_malformed"
+	// ReasonResponseMemory means that the responses to all calls take the memory that they
+	// may, so that this one was not read.
+	ReasonResponseMemory verdict.Reason = "answer_memory"
 	// ReasonBackendLeaving means that the backend server is about to stop and
 	// did not run the request.
 	ReasonBackendLeaving verdict.Reason = "backend_leaving"
@@ -39,14 +42,16 @@
 
 // The reasons of errors that the gateway itself returns to callers.
 const (
-	ReasonServiceUnknown   verdict.Reason = "service_unknown"
-	ReasonKindUnknown      verdict.Reason = "kind_unknown"
-	ReasonCallerRequired   verdict.Reason = "caller_required"
-	ReasonKeyRequired      verdict.Reason = "key_required"
-	ReasonInvalidDeadline  verdict.Reason = "deadline_invalid"
-	ReasonInvalidCount     verdict.Reason = "count_invalid"
-	ReasonBodyTooLarge     verdict.Reason = "body_too_large"
-	ReasonBodyTruncated    verdict.Reason = "body_cut"
+	ReasonServiceUnknown  verdict.Reason = "service_unknown"
+	ReasonKindUnknown     verdict.Reason = "kind_unknown"
+	ReasonCallerRequired  verdict.Reason = "caller_required"
+	ReasonKeyRequired     verdict.Reason = "key_required"
+	ReasonInvalidDeadline verdict.Reason = "deadline_invalid"
+	ReasonInvalidCount    verdict.Reason = "count_invalid"
+	ReasonBodyTooLarge    verdict.Reason = "body_too_large"
+	ReasonBodyTruncated   verdict.Reason = "body_cut"
+	// ReasonBodyMemory means that the bodies of all calls take the memory that they may.
+	ReasonBodyMemory       verdict.Reason = "body_memory"
 	ReasonHeaderTooLong    verdict.Reason = "header_too_long"
 	ReasonNotFound         verdict.Reason = "not_found"
 	ReasonMethodNotAllowed verdict.Reason = "method_not_allowed"
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -18,6 +18,7 @@
 	"github.com/currantwinch/currantwinch/idempotency"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/gateway"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/internal/standin/backendstandin"
 	"github.com/currantwinch/currantwinch/record"
@@ -29,6 +30,8 @@
 	t        *testing.T
 	daemons  []*rigDaemon
 	backends backendstandin.InProcess
+	// bodies reads the bodies of all daemons' callers.
+	bodies *intake.Bodies
 
 	mu    sync.Mutex
 	vms   []cluster.VM
@@ -81,7 +84,7 @@
 
 func newRig(t *testing.T, o rigOptions) *rig {
 	r := &rig{
-		t: t, backends: backendstandin.InProcess{}, owner: map[cluster.Share]int{}, epoch: map[cluster.Share]uint64{}, claimEpoch: map[cluster.Share]uint64{},
+		t: t, backends: backendstandin.InProcess{}, bodies: intake.NewBodies(rigLimits.BodyBytes, rigLimits, nil), owner: map[cluster.Share]int{}, epoch: map[cluster.Share]uint64{}, claimEpoch: map[cluster.Share]uint64{},
 		previousOwner: map[cluster.Share]int{}, ownerChanged: map[cluster.Share]time.Time{},
 		down: map[string]bool{}, logged: map[string]record.Record{}, bytes: map[string]int{},
 		doc: &document.Document{Service: "desk", Team: "red", Requests: &document.Requests{
@@ -153,10 +156,16 @@
 		},
 		State: rigState{r}, Owners: rigOwners{d}, Members: rigMembers{d}, Peers: rigPeers{d}, Appender: rigLog{r},
 		Backends: backends, KeyConfig: o.keys, Limits: gateway.Limits{MaxBills: o.maxBills, MaxCalls: o.maxCalls},
+		Bodies: r.bodies,
 	})
 	d.handler = d.Handler()
 }
 
+var rigLimits = intake.LimitsFor(intake.VM{}, intake.Profile{}, intake.Limits{})
+
+// Server returns an HTTP server for the daemon's callers.
+func (d *rigDaemon) Server() *http.Server { return intake.NewServer(d.Handler(), rigLimits) }
+
 // setOwner makes a daemon the owner of a share, in a new epoch. For the present
 // owner this is a renewal of its claim.
 func (r *rig) setOwner(share cluster.Share, daemon int) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -46,7 +46,7 @@
 // key has left an outcome, it returns that instead. If the key's state is not
 // known, the refusal's verdict is MayHaveRun.
 func (g *Gateway) refuseCall(ctx context.Context, c *call, refusal *verdict.Error) (idempotency.Outcome, error) {
-	if !c.keyed() || c.firstAttempt {
+	if !c.mayHaveEarlierAttempt() {
 		return idempotency.Outcome{}, refusal
 	}
 	d, err := g.lookupKey(ctx, c)
@@ -78,6 +78,8 @@
 			return idempotency.Outcome{}, 0, c.callError(err)
 		}
 		response, runTime, err := g.attempt(ctx, c, s)
+		c.answer.End()
+		c.answer = response.Memory
 		if err == nil {
 			return outcomeOf(c, s.vm.Name, response), runTime, nil
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -51,13 +51,6 @@
 	endTime = 300 * time.Millisecond
 	// dumpTimeout limits the collection of a state dump.
 	dumpTimeout = time.Second
-	// peerSocketBytes is the size of the buffers of an accepted connection of a daemon. A
-	// round trip of 50 ms leaves it 10 Mbit/s.
-	peerSocketBytes = 64 << 10
-	// peerBacklog is the least number of connections of daemons that may wait to be accepted.
-	// The daemons of a large deployment reconnect together after a restart, and a connection
-	// beyond the backlog is retried only after a second.
-	peerBacklog = 128
 )
 
 // Options configures a Host.
@@ -106,7 +99,7 @@
 		Now:  time.Now, Duties: h.duties, Events: o.Events, Metrics: metrics.NewSet(),
 	}
 	h.metrics = scheduler.NewMetrics(h.base.Metrics)
-	h.limits = intake.LimitsFor(o.Settings.MemoryMB, o.Settings.MaxFDs, o.Settings.Intake)
+	h.limits = intake.LimitsFor(intake.VM{MemoryMB: o.Settings.MemoryMB, Descriptors: o.Settings.MaxFDs}, intake.Profile{}, o.Settings.Intake)
 	h.reporter = intake.NewReporter(o.Events, h.base.Metrics)
 	h.reporter.Limits(h.limits)
 	h.app = fx.New(
@@ -135,17 +128,13 @@
 
 func (h *Host) newPeers() (*peer.Peers, error) {
 	l := h.limits
-	listener, err := intake.Listen(h.base.Self.Name, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, Backlog: peerBacklog, SocketBytes: peerSocketBytes, LongLived: true, Report: h.reporter})
+	socket, err := intake.Listen(h.base.Self.Name, intake.SocketOptions{Connections: l.PeerConnections, Backlog: peer.Backlog, Bytes: peer.SocketBytes})
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peer connections")
 	}
-	received, queued := intake.NewBudget(l.MessageBytes, time.Now), intake.NewBudget(l.MessageBytes, time.Now)
-	h.reporter.Watch("messages", received)
-	h.reporter.Watch("answers", queued)
-	h.reporter.WatchConnections(listener)
+	listener, bounds := peer.Bound(socket, l, h.reporter)
 	return peer.New(peer.Options{
-		Base: h.base, Listener: listener, Dial: platform.Dial,
-		Intake: &peer.Intake{Received: received, Queued: queued, StallTimeout: l.StallTimeout, Report: h.reporter},
+		Base: h.base, Listener: listener, Dial: platform.Dial, Intake: bounds,
 		// The name of a daemon is its peer address.
 		Resolve: func(daemon string) (string, bool) { return daemon, daemon != "" },
 	}), nil
@@ -255,13 +244,15 @@
 // serve opens the listeners for callers and for readiness probes, metrics and state
 // dumps, and starts serving.
 func (h *Host) serve(context.Context) error {
-	callerAPI := &platform.CallerAPI{Service: h.entry, Config: h.config.Load, Now: time.Now, Wall: wallClockMS, OnFailure: h.recordFailedCall, Bodies: h.newBodies()}
+	callerAPI := &platform.CallerAPI{Service: h.entry, Config: h.config.Load, Now: time.Now, Wall: wallClockMS, OnFailure: h.recordFailedCall, Bodies: intake.NewBodies(h.limits.BodyBytes, h.limits, h.reporter)}
 	router := mux.NewRouter()
 	router.HandleFunc("/ready", h.handleReady)
 	router.HandleFunc("/metrics", h.handleMetrics)
 	router.HandleFunc("/debug/state", h.handleState)
 	l := h.limits
-	h.callers, h.ready = h.newServer(callerAPI.Bodies.Protect(h.countInFlight(callerAPI))), h.newServer(intake.WithoutBodies(router))
+	h.reporter.Watch("bodies", callerAPI.Bodies.Budget)
+	h.callers = intake.NewServer(callerAPI.Bodies.Protect(h.countInFlight(callerAPI)), l)
+	h.ready = intake.NewServer(intake.WithoutBodies(router), l)
 	calls, endCalls := context.WithCancel(context.Background())
 	h.endCalls = endCalls
 	h.callers.BaseContext = func(net.Listener) context.Context { return calls }
@@ -273,13 +264,13 @@
 		{h.callers, "callers", h.o.Settings.CallerAddress, l.Connections, l.AddressConnections},
 		{h.ready, "operators", h.o.Settings.ReadinessAddress, l.OperatorConnections, l.OperatorConnections},
 	} {
-		listener, err := intake.Listen(s.address, intake.ListenerOptions{
-			Name: s.name, Connections: s.connections, AddressConnections: s.shared, SocketBytes: l.SocketBytes, WriteTimeout: l.StallTimeout, Report: h.reporter,
-		})
+		socket, err := intake.Listen(s.address, intake.SocketOptions{Connections: s.connections, Bytes: l.SocketBytes})
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
-		h.reporter.WatchConnections(listener)
+		listener := intake.NewListener(socket, intake.ListenerOptions{
+			Name: s.name, Connections: s.connections, AddressConnections: s.shared, WriteTimeout: l.StallTimeout, Report: h.reporter,
+		})
 		server := s.server
 		h.duties.Go("serve "+s.address, 0, func(context.Context, duty.Heartbeat) error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -291,19 +282,6 @@
 	return nil
 }
 
-// newBodies returns the reader of callers' bodies within the limits.
-func (h *Host) newBodies() *intake.Bodies {
-	budget := intake.NewBudget(h.limits.BodyBytes, time.Now)
-	h.reporter.Watch("bodies", budget)
-	return &intake.Bodies{Budget: budget, StallTimeout: h.limits.StallTimeout, BodyTimeout: h.limits.BodyTimeout, Report: h.reporter}
-}
-
-func (h *Host) newServer(handler http.Handler) *http.Server {
-	s := &http.Server{Handler: handler, MaxHeaderBytes: h.limits.HeaderBytes, ReadHeaderTimeout: h.limits.HeaderTimeout, IdleTimeout: h.limits.IdleTimeout}
-	intake.Bind(s)
-	return s
-}
-
 // countInFlight counts the calls that a handler is working on.
 func (h *Host) countInFlight(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/intake/bodies.go
+++ b/internal/intake/bodies.go
@@ -7,11 +7,10 @@
 	"time"
 )
 
-// firstBytes is the initial size of a body's buffer. Most submissions fit in it.
-const firstBytes = 4 * kilobyte
-
-// ErrTooLarge is the error of a body that is longer than allowed.
-var ErrTooLarge = errors.New("body too large")
+// NewBodies returns a reader of bodies within a budget of limit bytes and the time limits of l.
+func NewBodies(limit int64, l Limits, report *Reporter) *Bodies {
+	return &Bodies{Budget: NewBudget(limit, time.Now), StallTimeout: l.StallTimeout, BodyTimeout: l.BodyTimeout, Report: report}
+}
 
 // Bodies reads the bodies of callers' calls within a budget. A nil *Bodies reads without
 // one.
@@ -32,13 +31,16 @@
 // Protect limits the time of bodies that a handler does not read, and marks connections
 // whose request has come as busy.
 func (b *Bodies) Protect(next http.Handler) http.Handler {
+	if b == nil {
+		return next
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(b.StallTimeout))
 		} else {
-			setBusy(r.Context(), true)
+			setBusy(r, true)
 		}
-		defer setBusy(r.Context(), false)
+		defer setBusy(r, false)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -51,8 +53,8 @@
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(-time.Hour))
 			closeAfter(w)
 		}
-		setBusy(r.Context(), true)
-		defer setBusy(r.Context(), false)
+		setBusy(r, true)
+		defer setBusy(r, false)
 		next.ServeHTTP(w, r)
 	})
 }
@@ -71,6 +73,14 @@
 		closeAfter(w)
 		return &Body{}, ErrTooLarge
 	}
+	if r.ContentLength > LargestBody(b.Budget.Usage().Limit) {
+		closeAfter(w)
+		return &Body{}, ErrOverBudget
+	}
+	if r.ContentLength == 0 {
+		setBusy(r, true)
+		return &Body{}, nil
+	}
 	size := r.ContentLength
 	if size < 0 {
 		size = limit
@@ -79,11 +89,11 @@
 	began := time.Now()
 	past := began.Add(-time.Hour)
 	x := &bodyReader{
-		bodies: b, r: r, limit: limit, declared: r.ContentLength, end: began.Add(b.BodyTimeout),
+		bodies: b, body: r.Body, end: began.Add(b.BodyTimeout),
 		setDeadline: func(t time.Time) { _ = controller.SetReadDeadline(t) },
 	}
 	x.entry = b.Budget.Begin(size, func() { _ = controller.SetReadDeadline(past) })
-	err := x.read()
+	data, err := x.entry.ReadAll(x, r.ContentLength, limit, x.waited)
 	if err == nil {
 		err = x.entry.Arrived()
 	}
@@ -92,13 +102,13 @@
 		x.setDeadline(past)
 		closeAfter(w)
 		x.entry.End()
-		b.Report.requestRefused(r, err, len(x.buffer), time.Since(began))
+		b.Report.requestRefused(r, err, len(data), time.Since(began))
 		return &Body{}, err
 	}
 	// The server waits for the end of the connection from here on.
 	x.setDeadline(time.Time{})
-	setBusy(r.Context(), true)
-	return &Body{Bytes: x.buffer, entry: x.entry}, nil
+	setBusy(r, true)
+	return &Body{Bytes: data, entry: x.entry}, nil
 }
 
 // closeAfter makes the server close the connection after the answer.
@@ -121,86 +131,43 @@
 	b.Bytes = nil
 }
 
-// Release returns all bytes that the body holds to the budget.
+// Release returns all bytes that the body holds to the budget. A nil *Body holds none.
 func (b *Body) Release() {
-	if b.entry != nil {
+	if b != nil {
 		b.entry.End()
 	}
 }
 
-// bodyReader reads one body into a buffer that grows with what has come.
+// bodyReader reads what has come of one body, and waits for it as long as a stall and the whole
+// body may take.
 type bodyReader struct {
-	bodies          *Bodies
-	entry           *Entry
-	r               *http.Request
-	setDeadline     func(time.Time)
-	limit, declared int64
-	end             time.Time
-	buffer          []byte
+	bodies      *Bodies
+	entry       *Entry
+	body        io.Reader
+	setDeadline func(time.Time)
+	end         time.Time
 }
 
-func (x *bodyReader) read() error {
-	for {
-		if len(x.buffer) == cap(x.buffer) {
-			if err := x.grow(); err != nil {
-				return err
-			}
-		}
-		n, err := x.readSome()
-		x.buffer = x.buffer[:len(x.buffer)+n]
-		switch refusal := x.entry.Add(n); {
-		case refusal != nil:
-			return refusal
-		case int64(len(x.buffer)) > x.limit:
-			return ErrTooLarge
-		case err == io.EOF:
-			return nil
-		case isTimeout(err):
-			return &Refusal{ReasonStalled}
-		case err != nil:
-			return err
-		}
-	}
-}
-
-// readSome reads what has come, and waits for it as long as a stall and the whole body
-// may take.
-func (x *bodyReader) readSome() (int, error) {
-	now := time.Now()
-	deadline := now.Add(x.bodies.StallTimeout)
+// Read implements io.Reader.
+func (x *bodyReader) Read(b []byte) (int, error) {
+	deadline := time.Now().Add(x.bodies.StallTimeout)
 	if x.end.Before(deadline) {
 		deadline = x.end
 	}
 	if err := x.entry.Do(func() { x.setDeadline(deadline) }); err != nil {
 		return 0, err
 	}
-	return x.r.Body.Read(x.buffer[len(x.buffer):cap(x.buffer)])
-}
-
-// grow doubles the buffer, up to one byte more than the body may have, so that its end or
-// its excess is seen.
-func (x *bodyReader) grow() error {
-	most := x.limit + 1
-	if x.declared >= 0 {
-		most = x.declared + 1
+	n, err := x.body.Read(b)
+	if isTimeout(err) {
+		err = &Refusal{ReasonStalled}
 	}
-	before := int64(cap(x.buffer))
-	size := min(most, max(firstBytes, 2*before))
-	began := time.Now()
-	if err := x.entry.Take(size); err != nil {
-		return err
-	}
-	// The client could not send while the daemon waited for the budget.
-	x.end = x.end.Add(time.Since(began))
-	grown := make([]byte, len(x.buffer), size)
-	copy(grown, x.buffer)
-	x.buffer = grown
-	if before > 0 {
-		x.entry.Release(before)
-	}
-	return nil
+	return n, err
 }
 
+// waited excludes a time in which the client could not send, since the daemon waited for
+// memory.
+func (x *bodyReader) waited(d time.Duration) { x.end = x.end.Add(d) }
+
 func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"errors"
 	"sync"
 	"time"
 )
@@ -41,6 +42,10 @@
 
 func (r *Refusal) Error() string { return string(r.Reason) }
 
+// ErrOverBudget is the error of a request that takes more memory than all requests together
+// may take.
+var ErrOverBudget = errors.New("takes more memory than the budget of all requests")
+
 // Usage is what the requests of a budget hold, and the budget's limit, in bytes.
 type Usage struct{ Held, Limit int64 }
 
@@ -160,7 +165,8 @@
 }
 
 // Take takes n bytes. It waits until they are free, for at most a second; slower requests
-// give way meanwhile. It returns a *Refusal if it fails.
+// give way meanwhile. It returns a *Refusal if it fails, and ErrOverBudget at once if the
+// bytes can never be free.
 func (e *Entry) Take(n int64) error {
 	b := e.budget
 	b.mu.Lock()
@@ -175,6 +181,8 @@
 		switch {
 		case e.evicted:
 			return e.err()
+		case e.held+n > b.limitFor(e, n):
+			return ErrOverBudget
 		case b.take(e, n, false):
 			return nil
 		case e.evicted:
@@ -292,8 +300,11 @@
 	e.budget.signal()
 }
 
-// End gives all bytes back and removes the request.
+// End gives all bytes back and removes the request. A nil *Entry holds nothing.
 func (e *Entry) End() {
+	if e == nil {
+		return
+	}
 	e.budget.mu.Lock()
 	defer e.budget.mu.Unlock()
 	delete(e.budget.entries, e)
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// largestBody is the longest body of a submission.
+const largestBody = 262144
+
 // start adds a request that takes n bytes, of which received have come.
 func start(t *testing.T, b *Budget, n, received int64, interrupted *string, name string) *Entry {
 	t.Helper()
@@ -179,7 +182,7 @@
 	worst := bytes.Repeat([]byte("0,"), largestBody/2)
 	var last Limits
 	for _, memory := range []int64{72, 144, 184, 284, 536, 0} {
-		l := LimitsFor(memory, 0, Limits{})
+		l := LimitsFor(VM{MemoryMB: memory}, Profile{}, Limits{})
 		need := largestBody + 1 + DecodedBytes(worst, 256) + 256*1024
 		if room := l.BodyBytes - l.BodyBytes/smallPart; need > room {
 			t.Errorf("%d MB: a body needs %d bytes, and %d are free for one", memory, need, room)
@@ -192,11 +195,11 @@
 		}
 		last = l
 	}
-	if l := LimitsFor(536, 256, Limits{}); l.Connections+l.PeerConnections+l.OperatorConnections > 192 {
+	if l := LimitsFor(VM{MemoryMB: 536, Descriptors: 256}, Profile{}, Limits{}); l.Connections+l.PeerConnections+l.OperatorConnections > 192 {
 		t.Errorf("%+v take more than three quarters of 256 descriptors", l)
 	}
 	set := Limits{BodyBytes: 5 * megabyte, Connections: 20}
-	if l := LimitsFor(144, 3075, set); l.BodyBytes != set.BodyBytes || l.Connections != 20 || set.Validate() != nil {
+	if l := LimitsFor(VM{MemoryMB: 144, Descriptors: 3075}, Profile{}, set); l.BodyBytes != set.BodyBytes || l.Connections != 20 || set.Validate() != nil {
 		t.Errorf("%+v, want what was set", l)
 	}
 	if (Limits{BodyBytes: megabyte}).Validate() == nil || (Limits{Connections: -1}).Validate() == nil {
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -75,11 +75,12 @@
 // unfinished body keeps a connection and its bytes for ever.
 func TestBodies_RefuseWhatDoesNotCome(t *testing.T) {
 	bodies := &Bodies{Budget: NewBudget(minBodyBytes, time.Now), StallTimeout: 200 * time.Millisecond, BodyTimeout: time.Second}
-	l, err := Listen("127.0.0.1:0", ListenerOptions{Name: "test", Connections: 4, SocketBytes: 32 * kilobyte})
+	socket, err := Listen("127.0.0.1:0", SocketOptions{Connections: 4, Bytes: 32 * kilobyte})
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &http.Server{Handler: bodies.Protect(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l := NewListener(socket, ListenerOptions{Name: "test", Connections: 4})
+	s := NewServer(bodies.Protect(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := bodies.Read(w, r, 1000)
 		defer body.Release()
 		if err != nil {
@@ -93,8 +94,7 @@
 		case <-time.After(500 * time.Millisecond):
 			_, _ = w.Write(body.Bytes)
 		}
-	}))}
-	Bind(s)
+	})), LimitsFor(VM{}, Profile{}, Limits{}))
 	go func() { _ = s.Serve(l) }()
 	defer func() { _ = s.Close() }()
 	for _, c := range []struct{ name, text, want string }{
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -33,19 +33,25 @@
 
 // Watch exports what a budget holds, under the name of what it bounds.
 func (r *Reporter) Watch(name string, b *Budget) {
+	if r == nil {
+		return
+	}
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_bytes{budget=%q}", name), func() float64 { return float64(b.Usage().Held) })
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_limit_bytes{budget=%q}", name), func() float64 { return float64(b.Usage().Limit) })
 }
 
-// WatchConnections exports the number of a listener's connections.
-func (r *Reporter) WatchConnections(l *Listener) {
+// watchConnections exports the number of a listener's connections.
+func (r *Reporter) watchConnections(l *Listener) {
+	if r == nil {
+		return
+	}
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_connections{listener=%q}", l.o.Name), func() float64 { return float64(l.Open()) })
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_limit_connections{listener=%q}", l.o.Name), func() float64 { return float64(l.o.Connections) })
 }
 
 // Limits logs the limits in force.
 func (r *Reporter) Limits(l Limits) {
-	r.events.Log(events.IntakeLimits, "bodyBytes", l.BodyBytes, "messageBytes", l.MessageBytes, "connections", l.Connections, "addressConnections", l.AddressConnections,
+	r.events.Log(events.IntakeLimits, "bodyBytes", l.BodyBytes, "answerBytes", l.AnswerBytes, "operatorBytes", l.OperatorBytes, "messageBytes", l.MessageBytes, "connections", l.Connections, "addressConnections", l.AddressConnections,
 		"peerConnections", l.PeerConnections, "operatorConnections", l.OperatorConnections, "headerBytes", l.HeaderBytes, "stallMS", l.StallTimeout.Milliseconds(),
 		"bodyMS", l.BodyTimeout.Milliseconds(), "headerMS", l.HeaderTimeout.Milliseconds(), "idleMS", l.IdleTimeout.Milliseconds(), "socketBytes", l.SocketBytes)
 }
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -1,9 +1,9 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -55,11 +55,13 @@
 }
 
 func (p *Operator) publish(w http.ResponseWriter, r *http.Request) {
-	text, err := io.ReadAll(r.Body)
+	body, err := p.readBody(w, r)
+	defer body.Release()
 	if err != nil {
-		writeError(w, verdict.Wrap(err, verdict.NotRun, reasonInvalidRequest))
+		writeError(w, err)
 		return
 	}
+	text := body.Bytes
 	doc, err := document.Parse(text)
 	if err != nil {
 		writeFailure(w, verdict.Wrap(err, verdict.NotRun, reasonInvalidDocument), operatorapi.Failure{Fields: fieldErrors(err)})
@@ -140,8 +142,14 @@
 }
 
 func (p *Operator) submit(w http.ResponseWriter, r *http.Request) {
+	body, err := p.readBody(w, r)
+	defer body.Release()
+	if err != nil {
+		writeError(w, err)
+		return
+	}
 	var s operatorapi.Submission
-	d := json.NewDecoder(r.Body)
+	d := json.NewDecoder(bytes.NewReader(body.Bytes))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
 		writeError(w, verdict.Wrap(err, verdict.NotRun, reasonInvalidRequest))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,12 +11,14 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/operatorapi"
 	"github.com/currantwinch/currantwinch/internal/placer"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/logclient"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -29,6 +31,8 @@
 	peerTimeout = 2 * time.Second
 	// maxWait limits how long one request may wait for an offset to be in force.
 	maxWait = 30 * time.Second
+	// bodyRetryAfter is the Retry-After of a call whose body found no memory.
+	bodyRetryAfter = time.Second
 	// pollInterval is the time between two checks of the daemons' offsets during
 	// such a wait.
 	pollInterval = 50 * time.Millisecond
@@ -61,6 +65,8 @@
 	Dump func() operatorapi.Dump
 	// Ready reports whether the daemon is serving.
 	Ready func() bool
+	// Bodies reads operators' bodies within a memory budget; nil reads them without one.
+	Bodies *intake.Bodies
 }
 
 // Operator is the role that serves the HTTP API for operators.
@@ -89,7 +95,6 @@
 // Handler returns the HTTP handler for all routes of the API.
 func (p *Operator) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.Use(limitBody)
 	r.HandleFunc("/v1/documents", p.listDocuments).Methods(http.MethodGet)
 	r.HandleFunc("/v1/documents/{service}", p.getDocument).Methods(http.MethodGet)
 	r.HandleFunc("/v1/documents/{service}", p.publish).Methods(http.MethodPut)
@@ -106,14 +111,18 @@
 	r.HandleFunc("/metrics", p.metrics).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(notFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(notFound)
-	return r
+	return p.o.Bodies.Protect(r)
 }
 
-func limitBody(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
-		next.ServeHTTP(w, r)
-	})
+// readBody reads the body of a change. The caller must release the returned body, which is
+// never nil.
+func (p *Operator) readBody(w http.ResponseWriter, r *http.Request) (*intake.Body, error) {
+	body, err := p.o.Bodies.Read(w, r, maxBodyBytes)
+	var refusal *intake.Refusal
+	if errors.As(err, &refusal) && refusal.Reason != intake.ReasonStalled {
+		return body, verdict.New(verdict.NotRun, reasonBodyMemory, "bodies take all of their memory").WithRetryAfter(bodyRetryAfter)
+	}
+	return body, verdict.Wrap(err, verdict.NotRun, reasonInvalidRequest)
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
@@ -130,6 +139,9 @@
 	reasonNotFound        verdict.Reason = "unknown_name"
 	reasonOutcomeUnknown  verdict.Reason = "unsettled"
 	reasonNoHomeDaemon    verdict.Reason = "no_home"
+	// reasonBodyMemory means that the bodies of all operators' calls take the memory that
+	// they may.
+	reasonBodyMemory verdict.Reason = "body_memory"
 )
 
 func httpStatus(err error) int {
--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -1,7 +1,7 @@
 package peer
 
 import (
-	"crypto/tls"
+	"io"
 	"net"
 	"time"
 
@@ -10,6 +10,13 @@
 )
 
 const (
+	// SocketBytes is the size of the buffers of an accepted connection of a daemon. A round
+	// trip of 50 ms leaves it 10 Mbit/s.
+	SocketBytes = 64 << 10
+	// Backlog is the least number of connections of daemons that may wait to be accepted.
+	// The daemons of a large deployment reconnect together after a restart, and a connection
+	// beyond the backlog is retried only after a second.
+	Backlog = 128
 	// maxHelloBytes limits a message before the hello, and the hello itself.
 	maxHelloBytes = 4 << 10
 	// maxNameBytes limits a daemon's name, which is an address.
@@ -19,8 +26,6 @@
 	maxNamedPeers = 2048
 	// otherPeers is the name in the metrics of all others.
 	otherPeers = "other"
-	// firstMessageBytes is the initial size of a message's buffer.
-	firstMessageBytes = 4 << 10
 	// minMessageRate, in bytes a second, limits the whole time of a message, beside the time
 	// of a stall. It is a third of what the slowest link, 10 Mbit/s, gives to each of several
 	// connections.
@@ -40,6 +45,16 @@
 	Report       *intake.Reporter
 }
 
+// Bound returns a listener for connections of other daemons that accepts them within limits,
+// and what bounds their messages.
+func Bound(socket net.Listener, l intake.Limits, report *intake.Reporter) (net.Listener, *Intake) {
+	received, queued := intake.NewBudget(l.MessageBytes, time.Now), intake.NewBudget(l.MessageBytes, time.Now)
+	report.Watch("messages", received)
+	report.Watch("answers", queued)
+	listener := intake.NewListener(socket, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, LongLived: true, Report: report})
+	return listener, &Intake{Received: received, Queued: queued, StallTimeout: l.StallTimeout, Report: report}
+}
+
 // awaitHello closes an accepted connection whose other end does not say who it is.
 func (l *link) awaitHello() {
 	timer := time.NewTimer(dialTimeout)
@@ -57,10 +72,7 @@
 
 // setKnown marks a connection whose other end has sent its hello.
 func setKnown(c net.Conn) {
-	if secured, ok := c.(*tls.Conn); ok {
-		c = secured.NetConn()
-	}
-	if bounded, ok := c.(*intake.Conn); ok {
+	if bounded, ok := intake.Bounded(c); ok {
 		bounded.SetKnown()
 	}
 }
@@ -112,79 +124,41 @@
 	return m.stream.conn.SetReadDeadline(time.Time{})
 }
 
-// grow returns a buffer of the given size with the data of another one, in place of which
-// it is held in the budget. The time that it waits for that does not count.
-func (m *messageRead) grow(data []byte, size int) ([]byte, error) {
-	if m != nil {
-		began := time.Now()
-		if err := m.entry.Take(int64(size)); err != nil {
-			return nil, err
-		}
-		m.end = m.end.Add(time.Since(began))
-	}
-	grown := make([]byte, len(data), size)
-	copy(grown, data)
-	if m != nil {
-		m.entry.Release(int64(cap(data)))
-	}
-	return grown, nil
-}
-
-// setDeadline limits the next read: by the time without progress, and by the end of the
-// whole message.
-func (m *messageRead) setDeadline() error {
-	if m == nil {
-		return nil
-	}
+// Read implements io.Reader. It waits for bytes of the message as long as a stall and the whole
+// message may take.
+func (m *messageRead) Read(b []byte) (int, error) {
 	deadline := time.Now().Add(m.stream.intake.StallTimeout)
 	if m.end.Before(deadline) {
 		deadline = m.end
 	}
-	return m.entry.Do(func() { _ = m.stream.conn.SetReadDeadline(deadline) })
-}
-
-// arrived counts bytes that have come.
-func (m *messageRead) arrived(n int) error {
-	if m == nil {
-		return nil
+	if err := m.entry.Do(func() { _ = m.stream.conn.SetReadDeadline(deadline) }); err != nil {
+		return 0, err
 	}
-	return m.entry.Add(n)
+	return m.stream.reader.Read(b)
 }
 
-// complete ends the time limits of a message that has come whole. It fails if the message
-// has just been refused for want of memory.
-func (m *messageRead) complete() error {
-	if m == nil {
-		return nil
-	}
-	return m.entry.Arrived()
-}
+// waited excludes a time in which this daemon did not read, since it waited for memory.
+func (m *messageRead) waited(d time.Duration) { m.end = m.end.Add(d) }
 
-// readMessage reads a message of n bytes into a buffer that grows with what has come, so that a length
-// that is only announced takes no memory.
-func (s *stream) readMessage(m *messageRead, n int) ([]byte, error) {
+// readMessage reads a message of n bytes; m is nil on a connection without bounds.
+func (s *stream) readMessage(m *messageRead, n int64) ([]byte, error) {
+	message := &io.LimitedReader{R: s.reader, N: n}
 	var data []byte
-	for len(data) < n {
-		if len(data) == cap(data) {
-			grown, err := m.grow(data, min(n, max(firstMessageBytes, 2*cap(data))))
-			if err != nil {
-				return nil, err
-			}
-			data = grown
-		}
-		if err := m.setDeadline(); err != nil {
-			return nil, err
-		}
-		got, err := s.reader.Read(data[len(data):cap(data)])
-		data = data[:len(data)+got]
-		if refused := m.arrived(got); refused != nil {
-			return nil, refused
-		}
-		if err != nil && len(data) < n {
-			return nil, err
-		}
+	var err error
+	if m == nil {
+		data, err = io.ReadAll(message)
+	} else {
+		message.R = m
+		data, err = m.entry.ReadAll(message, n, n, m.waited)
+	}
+	if err == nil && message.N > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil || m == nil {
+		return data, err
 	}
-	return data, m.complete()
+	// It fails if the message has just been refused for want of memory.
+	return data, m.entry.Arrived()
 }
 
 // holdCall takes the bytes of a call's method and parameters from the budget until release is called. It
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -96,7 +96,7 @@
 		return errTooLarge
 	}
 	m := s.beginRead(int(n))
-	data, err := s.readMessage(m, int(n))
+	data, err := s.readMessage(m, int64(n))
 	if err != nil {
 		return m.finish(err)
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -80,6 +80,7 @@
 		checkRegions(&s, d.Report)
 		checkAddresses(&s, d.Report)
 		checkTLS(&s, d.Report)
+		checkLimits(&s, d.Report)
 		further(&s, d.Report)
 	}
 	if list, ok := strictjson.AsErrors(d.Err()); ok {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,8 @@
 	// StopTimeout is the maximum duration of a graceful stop, 1 s to 10 min.
 	StopTimeout document.Duration `json:"stopTimeout" validate:"min=1000000000,max=600000000000"`
 	Log         Log               `json:"log"`
+	// Limits describes the VM and bounds what clients can take of the daemon.
+	Limits Limits `json:"limits"`
 	// TLS secures the daemon's listen addresses; if nil, they are unencrypted.
 	TLS *TLS `json:"tls,omitempty"`
 	// HeapGrowthPercent is the garbage collector's target percentage (GOGC): the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,6 +32,8 @@
 		{"half of TLS", `// "tls": {`, `"tls": {"certificate": "a", "key": "b", "authority": "c"}, // {`, `tls.operatorAuthority: found "", allowed: a value`},
 		{"one authority", `// "tls": {`, `"tls": {"certificate": "a", "key": "b", "authority": "c", "operatorAuthority": "c"}, // {`, `f:39: tls.operatorAuthority: found c, allowed: another authority`},
 		{"heap that may not grow", `"heapGrowthPercent": 50`, `"heapGrowthPercent": 0`, `heapGrowthPercent: found "0", allowed: at least 20`},
+		{"limit too low", `"descriptors": 0`, `"bodyBytes": 5`, `f:49: limits.bodyBytes: found 5, allowed: at least 4194304, or 0 for the default`},
+		{"limit of time too low", `"descriptors": 0`, `"stallTimeout": "1ms"`, `limits.stallTimeout: found 1, allowed: at least 100`},
 		{"not JSON", `"listen": {`, `"listen": [{`, `JSON with comments`},
 	}
 	for _, c := range cases {
--- a/internal/untrusted/clients_test.go
+++ b/internal/untrusted/clients_test.go
@@ -18,11 +18,24 @@
 	redialPause = 200 * time.Millisecond
 	// dripInterval is the time between two pieces of a client that sends slowly.
 	dripInterval = 100 * time.Millisecond
-	// sentBytes of a body of declaredBytes are sent, as in the trial that ended a process.
-	sentBytes     = 250_000
-	declaredBytes = 250_020
 )
 
+// target is what clients need to know of the requests of one listener.
+type target struct {
+	// path returns the path of a client's requests, and fields are their header fields.
+	path   func(number int) string
+	fields []string
+	// listing is a path that answers to GET.
+	listing string
+	// sent bytes of a body of declared bytes are sent by clients that stop short, and
+	// largest is the legal size of a body.
+	sent, declared, largest int
+}
+
+func (g target) head(number int, fields ...string) string {
+	return head("POST", g.path(number), append(fields, g.fields...)...)
+}
+
 // client sends one load over one connection until the connection ends or ctx does.
 type client func(ctx context.Context, c net.Conn, number int)
 
@@ -66,14 +79,12 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s\r\n", method, path, hostName, strings.Join(append(fields, ""), "\r\n"))
 }
 
-func submissionPath(number int) string { return fmt.Sprintf("/q/%016x", 0xc0000+number) }
-
 func declared(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
 
 const chunked = "Transfer-Encoding: chunked"
 
 // wholeBodies sends whole bodies of the largest legal size, one after the other.
-func wholeBodies(body []byte) client {
+func wholeBodies(g target, body []byte) client {
 	return func(ctx context.Context, c net.Conn, number int) {
 		answers := make(chan struct{}, 1)
 		go func() {
@@ -90,7 +101,7 @@
 			}
 		}()
 		for ctx.Err() == nil {
-			if _, err := io.WriteString(c, head("POST", submissionPath(number), declared(len(body)))); err != nil {
+			if _, err := io.WriteString(c, g.head(number, declared(len(body)))); err != nil {
 				return
 			}
 			if _, err := c.Write(body); err != nil {
@@ -103,41 +114,47 @@
 	}
 }
 
-// paddedBody is a sound submission of the largest legal size.
-func paddedBody() []byte {
+// paddedBody is a sound submission of a legal size.
+func paddedBody(size int) []byte {
 	text := `{"spec":"x","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":30}]`
-	return []byte(text + strings.Repeat(" ", maxBodyBytes-len(text)-1) + "}")
+	return []byte(text + strings.Repeat(" ", size-len(text)-1) + "}")
 }
 
 // manySteps is a body of legal size that takes many times as much memory once decoded.
-func manySteps() []byte {
+func manySteps(size int) []byte {
 	const first, last = `{"steps":[{}`, `]}`
-	return []byte(first + strings.Repeat(",{}", (maxBodyBytes-len(first)-len(last))/3) + last)
+	return []byte(first + strings.Repeat(",{}", (size-len(first)-len(last))/3) + last)
 }
 
 // stopShort declares a length and stops just before its end.
-func stopShort(_ context.Context, c net.Conn, number int) {
-	_, _ = io.WriteString(c, head("POST", submissionPath(number), declared(declaredBytes)))
-	_, _ = c.Write(bytes.Repeat([]byte(" "), sentBytes))
-	hold(c)
+func stopShort(g target) client {
+	body := bytes.Repeat([]byte(" "), g.sent)
+	return func(_ context.Context, c net.Conn, number int) {
+		_, _ = io.WriteString(c, g.head(number, declared(g.declared)))
+		_, _ = c.Write(body)
+		hold(c)
+	}
 }
 
 // chunks sends a body in chunks of the given size, and never the last chunk.
-func chunks(size int) client {
+func chunks(g target, size int) client {
 	one := fmt.Appendf(nil, "%x\r\n%s\r\n", size, strings.Repeat(" ", size))
-	all := bytes.Repeat(one, sentBytes/size)
+	all := bytes.Repeat(one, g.sent/size)
 	return func(_ context.Context, c net.Conn, number int) {
-		_, _ = io.WriteString(c, head("POST", submissionPath(number), chunked))
+		_, _ = io.WriteString(c, g.head(number, chunked))
 		_, _ = c.Write(all)
 		hold(c)
 	}
 }
 
 // slowPieces sends most of a body, and then a byte at a time, without an end.
-func slowPieces(ctx context.Context, c net.Conn, number int) {
-	_, _ = io.WriteString(c, head("POST", submissionPath(number), declared(declaredBytes)))
-	_, _ = c.Write(bytes.Repeat([]byte(" "), sentBytes-10_000))
-	drip(ctx, c, " ")
+func slowPieces(g target) client {
+	body := bytes.Repeat([]byte(" "), g.sent-10_000)
+	return func(ctx context.Context, c net.Conn, number int) {
+		_, _ = io.WriteString(c, g.head(number, declared(g.declared)))
+		_, _ = c.Write(body)
+		drip(ctx, c, " ")
+	}
 }
 
 // drip writes piece again and again until the connection ends.
@@ -152,10 +169,12 @@
 }
 
 // endlessHeaders sends many headers, and then one at a time, without an end.
-func endlessHeaders(ctx context.Context, c net.Conn, number int) {
-	_, _ = io.WriteString(c, strings.TrimSuffix(head("POST", submissionPath(number)), "\r\n"))
-	_, _ = io.WriteString(c, strings.Repeat("X-A: "+strings.Repeat("a", 93)+"\r\n", 600))
-	drip(ctx, c, "X-A: a\r\n")
+func endlessHeaders(g target) client {
+	return func(ctx context.Context, c net.Conn, number int) {
+		_, _ = io.WriteString(c, strings.TrimSuffix(g.head(number), "\r\n"))
+		_, _ = io.WriteString(c, strings.Repeat("X-A: "+strings.Repeat("a", 93)+"\r\n", 600))
+		drip(ctx, c, "X-A: a\r\n")
+	}
 }
 
 // unread sends many requests and reads no answer.
@@ -170,6 +189,18 @@
 	}
 }
 
+// unreadAnswer sends one whole body, whose answer is as long, and does not read it.
+func unreadAnswer(g target, body []byte) client {
+	return func(ctx context.Context, c net.Conn, number int) {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(4096)
+		}
+		_, _ = io.WriteString(c, g.head(number, declared(len(body))))
+		_, _ = c.Write(body)
+		<-ctx.Done()
+	}
+}
+
 // idle sends nothing.
 func idle(_ context.Context, c net.Conn, _ int) { hold(c) }
 
--- a/internal/untrusted/daemon_test.go
+++ b/internal/untrusted/daemon_test.go
@@ -1,7 +1,6 @@
 package untrusted
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,31 +15,36 @@
 
 	// A change of the daemon must not leave an earlier result in the cache of go test.
 	_ "github.com/currantwinch/currantwinch/internal/command"
-	"github.com/currantwinch/currantwinch/platform/standin"
 )
 
-const (
-	hostName     = "h.example"
-	maxBodyBytes = 262144
-	storeParts   = 4
-	// patience limits the waits for readiness and for the answer to the ordinary request.
-	// It only tells a hanging process from a slow one.
-	patience = 60 * time.Second
-)
+// patience limits the waits for readiness and for the answer to the ordinary request. It only
+// tells a hanging process from a slow one.
+const patience = 60 * time.Second
 
 // limits are the limits of the VM that the test's settings state.
 type limits struct{ memoryMB, maxFDs int }
 
 // process is a daemon that runs as a process of its own.
 type process struct {
-	t                     *testing.T
-	limits                limits
-	callers, ready, peers string
-	pid                   int
-	ended                 chan struct{}
-	log                   string
+	t      *testing.T
+	limits limits
+	// callers, ready and peers are the addresses of the listeners, and readyPath that of the
+	// readiness probe at the second one.
+	callers, ready, readyPath, peers string
+	// target is what callers' clients send to, and call sends one ordinary call.
+	target target
+	call   func() int
+	pid    int
+	ended  chan struct{}
+	// exit is the error of the process's end; it is valid once ended is closed.
+	exit error
+	log  string
 }
 
+// starter starts one of the daemon's programs on a VM with the given limits, beside
+// stand-ins of what it needs, and returns once it is ready.
+type starter func(*testing.T, limits) *process
+
 // program is the path of the daemon's program. It is built once.
 var program string
 
@@ -62,75 +65,57 @@
 	os.Exit(code)
 }
 
-// startProcess starts a daemon beside stand-ins of the platform and waits until it is ready.
-func startProcess(t *testing.T, l limits) *process {
-	t.Helper()
-	serve := func(h http.Handler) string {
-		s := httptest.NewServer(h)
-		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-		return s.Listener.Addr().String()
-	}
-	store := standin.NewStore(storeParts)
-	storeAddress := serve(store)
-	server := standin.NewServer("i-0", 30*time.Millisecond)
-	store.Put("keyed.servers", 0, server.ID, fmt.Appendf(nil,
-		`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":4000,"mem_mb":8000},"labels":["a","r1"],"born":%d}`, serve(server), server.Born()))
-	store.Put("keyed.op", 0, "config", fmt.Appendf(nil,
-		`{"version":1,"routes":[{"name":"r","host":%q,"path_prefix":"/q/","service":"pool","attempts":2,"stretch":2,"target_latency_ms":400}],"services":[{"name":"pool"}],"limits":{"max_body_bytes":%d}}`, hostName, maxBodyBytes))
-	p := &process{t: t, limits: l, callers: freeAddress(t), ready: freeAddress(t), peers: freeAddress(t), ended: make(chan struct{})}
-	p.start(storeAddress)
-	p.await("ready", func() bool { return p.get(p.ready, "/ready") == http.StatusOK })
-	return p
+// newProcess returns a process with free addresses that is not started.
+func newProcess(t *testing.T, l limits) *process {
+	return &process{t: t, limits: l, callers: freeAddress(t), ready: freeAddress(t), peers: freeAddress(t)}
 }
 
-// start starts the process under the descriptor limit that its settings state.
-func (p *process) start(store string) {
+// start starts the program with arguments under the descriptor limit that its settings state.
+func (p *process) start(arguments ...string) {
 	p.t.Helper()
-	_, port, _ := net.SplitHostPort(p.peers)
-	number, err := strconv.Atoi(port)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	text, err := json.Marshal(map[string]any{
-		"node_name": "n", "ip": "127.0.0.1", "zone": "z", "region": "r", "port_range": []int{number, number},
-		"listen": map[string]string{"frontend": p.callers, "readiness": p.ready},
-		"limits": map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": p.limits.memoryMB, "max_fds": p.limits.maxFDs},
-		"bounds": map[string]any{
-			"reuse_after_s": 2, "drain_ms": 2500, "grace_s": 6, "max_hold_ms": 6000, "gang_timeout_ms": 3000, "status_s": 120,
-		},
-		"platform": map[string]any{"address": store, "parts": storeParts, "record_bytes": 262144, "min_ttl_ms": 1000},
-	})
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	dir := p.t.TempDir()
-	settings := filepath.Join(dir, "settings.json")
-	if err := os.WriteFile(settings, text, 0o600); err != nil {
-		p.t.Fatal(err)
-	}
-	p.log = filepath.Join(dir, "daemon.log")
+	p.log = filepath.Join(p.t.TempDir(), "daemon.log")
 	log, err := os.Create(p.log)
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	command := exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" host --file "$1"`, p.limits.maxFDs), program, settings)
+	shell := []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.limits.maxFDs), program}
+	command := exec.Command("sh", append(shell, arguments...)...)
 	command.Env = append(os.Environ(), "GOMAXPROCS=1")
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		p.t.Fatal(err)
 	}
 	p.pid = command.Process.Pid
+	ended := make(chan struct{})
+	p.ended = ended
 	go func() {
-		_ = command.Wait()
+		p.exit = command.Wait()
 		_ = log.Close()
-		close(p.ended)
+		close(ended)
 	}()
 	p.t.Cleanup(func() {
 		_ = command.Process.Signal(syscall.SIGKILL)
-		<-p.ended
+		<-ended
 	})
 }
 
+// writeFile writes a file of the test and returns its path.
+func writeFile(t *testing.T, name string, text []byte) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// serve serves a stand-in on a loopback address until the test ends.
+func serve(t *testing.T, h http.Handler) (address string) {
+	s := httptest.NewServer(h)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s.Listener.Addr().String()
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -163,17 +148,23 @@
 
 var ordinary = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
-// get returns the status of one call, or 0 if there is no answer.
-func (p *process) get(address, path string) int {
-	return do(http.MethodGet, address, path, "")
+// awaitReady waits until the readiness probe succeeds.
+func (p *process) awaitReady() {
+	p.t.Helper()
+	p.await("ready", func() bool { return do(http.MethodGet, p.ready, p.readyPath, "") == http.StatusOK })
 }
 
-func do(method, address, path, body string) int {
+// do returns the status of one call, or 0 if there is no answer. Each field is "Name: value".
+func do(method, address, path, body string, fields ...string) int {
 	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
 	r.Host = hostName
+	for _, field := range fields {
+		name, value, _ := strings.Cut(field, ": ")
+		r.Header.Set(name, value)
+	}
 	response, err := ordinary.Do(r)
 	if err != nil {
 		return 0
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -1,13 +1,9 @@
 package untrusted
 
 import (
-	"fmt"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
-
-	"github.com/currantwinch/currantwinch/platform/standin"
 )
 
 const (
@@ -18,6 +14,8 @@
 	manyConnections = 400
 	// peerClients send messages of a million bytes.
 	peerClients = 100
+	// operatorClients send bodies of 120,000 bytes, as many bytes together as the VM has.
+	operatorClients = 600
 	// loadDuration is how long the clients send before the ordinary request.
 	loadDuration = 6 * time.Second
 )
@@ -38,26 +36,21 @@
 	each    client
 }
 
-// nextID gives each ordinary request an ID of its own.
-var nextID atomic.Int64
-
 // withstands checks that a daemon under a load lives, stays within the memory and the
 // descriptors of its VM, and answers one ordinary request while the clients go on.
-func withstands(t *testing.T, address func(*process) string, loads []load) {
+func withstands(t *testing.T, start starter, address func(*process) string, loads []load) {
 	if testing.Short() {
 		t.Skip("the process is not built with the race detector; the stage without it runs this test")
 	}
 	for _, l := range loads {
 		t.Run(l.name, func(t *testing.T) {
-			p := startProcess(t, l.limits)
+			p := start(t, l.limits)
 			o := p.observe()
 			stop := attack(address(p), l.clients, l.each)
 			defer stop()
 			time.Sleep(loadDuration)
-			p.await("answering", func() bool {
-				return do(http.MethodPost, p.callers, fmt.Sprintf("/q/%016x", 0xd0000+nextID.Add(1)), standin.GangAfterStep) == http.StatusOK
-			})
-			p.await("ready", func() bool { return p.get(p.ready, "/ready") == http.StatusOK })
+			p.await("answering", func() bool { return p.call() == http.StatusOK })
+			p.awaitReady()
 			peak, err := o.end()
 			if err != nil || !p.lives() {
 				t.Fatalf("the process lives: %t; usage: %v", p.lives(), err)
@@ -73,47 +66,88 @@
 	}
 }
 
+// callerLoads are the loads on the listener for callers.
+func callerLoads(g target) []load {
+	return []load{
+		{"whole bodies", small, clients, wholeBodies(g, paddedBody(g.largest))},
+		{"whole bodies of many steps", small, clients, wholeBodies(g, manySteps(g.largest))},
+		{"bodies that stop short", small, clients, stopShort(g)},
+		{"large chunks", small, clients, chunks(g, 10_000)},
+		{"chunks of one byte", small, clients, chunks(g, 1)},
+		{"slow pieces", small, clients, slowPieces(g)},
+		{"endless headers", small, clients, endlessHeaders(g)},
+		{"answers that are not read", small, 32, unread(g.listing, 4000)},
+		{"connections without a request", scarce, manyConnections, idle},
+	}
+}
+
+func callersOf(p *process) string { return p.callers }
+func readyOf(p *process) string   { return p.ready }
+func peersOf(p *process) string   { return p.peers }
+
 // A process ran out of memory and ended when clients sent many large bodies at once, whole
 // or stopping just short of the end, with declared lengths or in chunks, or kept
 // connections busy in other ways.
 func TestCallers_WithstandUntrustedClients(t *testing.T) {
-	withstands(t, func(p *process) string { return p.callers }, []load{
-		{"whole bodies", small, clients, wholeBodies(paddedBody())},
-		{"whole bodies of many steps", small, clients, wholeBodies(manySteps())},
-		{"bodies that stop short", small, clients, stopShort},
-		{"large chunks", small, clients, chunks(10_000)},
-		{"chunks of one byte", small, clients, chunks(1)},
-		{"slow pieces", small, clients, slowPieces},
-		{"endless headers", small, clients, endlessHeaders},
-		{"answers that are not read", small, 32, unread("/q/", 4000)},
-		{"connections without a request", scarce, manyConnections, idle},
-	})
+	withstands(t, startHost, callersOf, callerLoads(submissions))
+}
+
+// The program that runs documents read bodies of up to 1 MiB on 4,096 connections without a
+// bound in sum.
+func TestRunCallers_WithstandUntrustedClients(t *testing.T) {
+	withstands(t, startRun, callersOf, append(callerLoads(requests),
+		load{"large answers that are not read", small, clients, unreadAnswer(requests, paddedBody(requests.largest))}))
 }
 
 // The listener for readiness probes and metrics must not bring down the daemon either. Its
 // metrics are the longest answers.
 func TestReadiness_WithstandsUntrustedClients(t *testing.T) {
-	withstands(t, func(p *process) string { return p.ready }, []load{
-		{"bodies that stop short", small, clients, stopShort},
-		{"large chunks", small, clients, chunks(10_000)},
-		{"chunks of one byte", small, clients, chunks(1)},
-		{"slow pieces", small, clients, slowPieces},
-		{"endless headers", small, clients, endlessHeaders},
+	probes := target{path: submissions.path, sent: submissions.sent, declared: submissions.declared}
+	withstands(t, startHost, readyOf, []load{
+		{"bodies that stop short", small, clients, stopShort(probes)},
+		{"large chunks", small, clients, chunks(probes, 10_000)},
+		{"chunks of one byte", small, clients, chunks(probes, 1)},
+		{"slow pieces", small, clients, slowPieces(probes)},
+		{"endless headers", small, clients, endlessHeaders(probes)},
 		{"answers that are not read", small, clients, unread("/metrics", 400)},
 		{"connections without a request", scarce, manyConnections, idle},
 	})
 }
 
-// The listener for other daemons must not bring down the daemon either: a message announces
-// up to 4 MB, and a failed accept ended the process.
-func TestPeers_WithstandUntrustedClients(t *testing.T) {
-	withstands(t, func(p *process) string { return p.peers }, []load{
+// Operators' bodies were bounded for each and not in sum.
+func TestRunOperators_WithstandUntrustedClients(t *testing.T) {
+	withstands(t, startRun, readyOf, []load{
+		{"whole bodies", small, operatorClients, wholeBodies(operatorCalls, paddedBody(operatorCalls.largest))},
+		{"bodies that stop short", small, operatorClients, stopShort(operatorCalls)},
+		{"large chunks", small, operatorClients, chunks(operatorCalls, 10_000)},
+		{"chunks of one byte", small, operatorClients, chunks(operatorCalls, 1)},
+		{"slow pieces", small, operatorClients, slowPieces(operatorCalls)},
+		{"endless headers", small, clients, endlessHeaders(operatorCalls)},
+		{"answers that are not read", small, clients, unread("/metrics", 400)},
+		{"connections without a request", scarce, manyConnections, idle},
+	})
+}
+
+// peerLoads are the loads on the listener for other daemons.
+func peerLoads() []load {
+	return []load{
 		{"messages that stop short", small, peerClients, messageStopsShort(true)},
 		{"messages before a hello", small, peerClients, messageStopsShort(false)},
 		{"slow pieces", small, peerClients, messageInSlowPieces},
 		{"answers that are not read", small, 20, unreadCalls},
 		{"connections without a request", scarce, manyConnections, idle},
-	})
+	}
+}
+
+// The listener for other daemons must not bring down the daemon either: a message announces
+// up to 4 MB, and a failed accept ended the process.
+func TestPeers_WithstandUntrustedClients(t *testing.T) {
+	withstands(t, startHost, peersOf, peerLoads())
+}
+
+// The messages of other daemons were not bounded in sum in the program that runs documents.
+func TestRunPeers_WithstandUntrustedClients(t *testing.T) {
+	withstands(t, startRun, peersOf, peerLoads())
 }
 
 // One request of the largest legal size must be served on the smallest VM when there is no
@@ -122,8 +156,13 @@
 	if testing.Short() {
 		t.Skip("the process is not built with the race detector; the stage without it runs this test")
 	}
-	p := startProcess(t, limits{memoryMB: 144, maxFDs: 3075})
-	if status := do(http.MethodPost, p.callers, submissionPath(0), string(paddedBody())); status != http.StatusOK {
-		t.Errorf("status %d, want 200", status)
+	for name, start := range map[string]starter{"host": startHost, "run": startRun} {
+		t.Run(name, func(t *testing.T) {
+			p := start(t, limits{memoryMB: 144, maxFDs: 3075})
+			g := p.target
+			if status := do(http.MethodPost, p.callers, g.path(0), string(paddedBody(g.largest)), g.fields...); status != http.StatusOK {
+				t.Errorf("status %d, want 200", status)
+			}
+		})
 	}
 }
