A crowd of large bodies does not keep ordinary callers from the processor

Cause: each request counted like any other. All bodies were parsed at the same time, so that an ordinary request waited behind all of them for each of its steps, and none was complete before its time was over, which ran while the daemon itself did not read. Of connections the longest open one was closed for a new one, also while the daemon let its body wait. A request of one tenant could not take memory that another tenant's requests held.

Change: intake.WorkQueue lets one large body a core be parsed at a time, the first one first; one that waits for its client gives the processor back before each read (Conn.Read). While a body waits for memory, later ones of its group wait too. Times in which the daemon does not read count for no limit. A body that cannot be served in time is refused at once with a Retry-After by the measured rate. Groups (tenant, queue of a public route, team) share processor, memory and connections; a connection that has shown a key, or whose body the daemon lets wait, closes last. State dumps show who holds each budget and who was refused, in bounded memory. Messages on connections that a daemon opened are bounded in sum as well, which needs the same entries of clients.

TestCallers_WithstandACrowdWithAKey, and tests of the queue, the budgets and the order of connections without a network.

--- a/internal/adapter/backendhttp/backendhttp.go
+++ b/internal/adapter/backendhttp/backendhttp.go
@@ -140,7 +140,7 @@
 		return gateway.Response{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := c.readResponse(response, request, track)
+	answer, err := c.readResponse(vm, response, request, track)
 	if err != nil {
 		// Unread bytes of this response may remain on the connection, so it must
 		// not be reused.
@@ -197,7 +197,7 @@
 
 // readResponse reads the whole response. The request has already been written, so
 // that the verdict of every error is MayHaveRun.
-func (c *Client) readResponse(response *http.Response, request gateway.Request, track *sendTracker) (gateway.Response, error) {
+func (c *Client) readResponse(vm cluster.VM, response *http.Response, request gateway.Request, track *sendTracker) (gateway.Response, error) {
 	id := response.Header.Get(HeaderRequestID)
 	if id != request.ID {
 		return gateway.Response{}, verdict.New(verdict.MayHaveRun, gateway.ReasonResponseMismatched, "answer carries request ID %q, want %q", id, request.ID)
@@ -209,7 +209,7 @@
 	if response.ContentLength > limit {
 		return gateway.Response{}, oversized(limit)
 	}
-	memory := c.answers.Begin(response.ContentLength, track.closeConn)
+	memory := c.answers.Begin(intake.Client{Group: request.Service, Address: vm.Address}, response.ContentLength, track.closeConn)
 	body, err := memory.ReadAll(response.Body, response.ContentLength, limit, func(time.Duration) {})
 	if err == nil {
 		err = memory.Arrived()
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -21,12 +21,13 @@
 	operators         *http.Server
 	callersListener   net.Listener
 	operatorsListener net.Listener
+	reporter          *intake.Reporter
 	done              chan struct{}
 	active            atomic.Int64
 }
 
 func newServers(d *Daemon, g *gateway.Gateway, op *operator.Operator) *servers {
-	s := &servers{done: make(chan struct{}, 2)}
+	s := &servers{reporter: d.reporter, done: make(chan struct{}, 2)}
 	s.openListeners(d)
 	s.callers = intake.NewServer(s.countInFlight(g.Handler()), d.o.Limits)
 	s.operators = intake.NewServer(op.Handler(), d.o.Limits)
@@ -98,5 +99,5 @@
 	_ = s.operators.Close()
 }
 
-// Dump returns an empty object, since the role has no state to report.
-func (s *servers) Dump() any { return struct{}{} }
+// Dump returns an intake.Status: what clients take of the daemon.
+func (s *servers) Dump() any { return s.reporter.Status() }
--- a/internal/events/intake.go
+++ b/internal/events/intake.go
@@ -11,9 +11,9 @@
 	}
 	RequestGaveWay = Event{
 		Number: 6111, Level: slog.LevelWarn, Name: "request_gave_way",
-		Fields:  []string{"remote", "reason", "received", "declared", "age", "unreported"},
-		Meaning: "A call was refused while its body was read, with status 503, and has not run: it was the slowest when the memory for bodies was full (gave_way), it found none within a second (intake_full), or its body made no progress or took too long (body_stalled). The field declared is -1 if no length was declared; unreported counts such calls since the event before that were not logged.",
-		Action:  "If ordinary callers are concerned, look for the addresses that send many unfinished bodies, and raise intake.body_bytes or the VM's memory.",
+		Fields:  []string{"remote", "group", "reason", "received", "declared", "age", "unreported"},
+		Meaning: "A call was refused while its body was read, with status 503, and has not run: it was the slowest when the memory for bodies was full (gave_way), it found none within a second (intake_full), the processor had more large bodies to work on than it can in time (processor_busy), or its body made no progress or took too long (body_stalled). The field group is the tenant, the queue of a public route or the team, and declared is -1 if no length was declared; unreported counts such calls since the event before that were not logged.",
+		Action:  "If ordinary callers are concerned, look in a state dump, under intake, for who holds the budget and who was refused, and raise intake.body_bytes or the VM's memory.",
 	}
 	ConnectionGaveWay = Event{
 		Number: 6112, Level: slog.LevelWarn, Name: "connection_gave_way",
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -203,7 +204,8 @@
 	if c.request.MaxResponseBytes <= 0 {
 		c.request.MaxResponseBytes = g.o.Limits.MaxResponseBytes
 	}
-	body, err := g.o.Bodies.Read(w, r, maxBytes)
+	body, err := g.o.Bodies.Read(w, r, intake.BodyOptions{Limit: maxBytes, Group: c.entry.Team, Deadline: c.request.Deadline})
+	body.Parsed()
 	if err != nil {
 		return c.bodyRefused(err, maxBytes)
 	}
@@ -222,7 +224,7 @@
 		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is longer than this daemon's limits.bodyBytes allows")
 	case errors.As(err, &refusal) && refusal.Reason != intake.ReasonStalled:
 		full := refuse(http.StatusServiceUnavailable, ReasonBodyMemory, "bodies take all of their memory: %s", refusal.Reason)
-		full.err.RetryAfter = overloadRetryAfter
+		full.err.RetryAfter = cmp.Or(refusal.RetryAfter, overloadRetryAfter)
 		if c.mayHaveEarlierAttempt() {
 			full.err.Verdict = verdict.MayHaveRun
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -337,6 +337,7 @@
 	Members    []string               `json:"members"`
 	Schedulers map[int]scheduler.Dump `json:"schedulers"`
 	Peers      any                    `json:"peers"`
+	Intake     intake.Status          `json:"intake"`
 }
 
 func (h *Host) handleState(w http.ResponseWriter, r *http.Request) {
@@ -344,7 +345,7 @@
 	defer cancel()
 	state := stateDump{
 		Daemon: h.base.Self.Name, Isolated: h.store.Isolated(), LeaseValid: h.member.LeaseValid(), Held: h.member.Held(), Members: h.member.Holders(),
-		Schedulers: h.tenures.Dump(ctx), Peers: h.peers.Dump(),
+		Schedulers: h.tenures.Dump(ctx), Peers: h.peers.Dump(), Intake: h.reporter.Status(),
 	}
 	if config := h.config.Load(); config != nil {
 		state.Config = config.Version
--- a/internal/intake/bodies.go
+++ b/internal/intake/bodies.go
@@ -1,31 +1,48 @@
 package intake
 
 import (
-	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"time"
 )
 
-// NewBodies returns a reader of bodies within a budget of limit bytes and the time limits of l.
-func NewBodies(limit int64, l Limits, report *Reporter) *Bodies {
-	return &Bodies{Budget: NewBudget(limit, time.Now), StallTimeout: l.StallTimeout, BodyTimeout: l.BodyTimeout, Report: report}
-}
-
 // Bodies reads the bodies of callers' calls within a budget. A nil *Bodies reads without
 // one.
 type Bodies struct {
 	// Budget bounds the bytes of all bodies together.
 	Budget *Budget
+	// Work bounds the large bodies that are worked on at a time.
+	Work *WorkQueue
 	// StallTimeout bounds the time without progress of a body, and BodyTimeout its whole time.
 	StallTimeout, BodyTimeout time.Duration
 	Report                    *Reporter
 }
 
+// NewBodies returns a reader of bodies within a budget of limit bytes and the time limits of l.
+func NewBodies(limit int64, l Limits, report *Reporter) *Bodies {
+	return &Bodies{
+		Budget: NewBudget(limit, time.Now), Work: NewWorkQueue(runtime.GOMAXPROCS(0), time.Now),
+		StallTimeout: l.StallTimeout, BodyTimeout: l.BodyTimeout, Report: report,
+	}
+}
+
+// BodyOptions describe a body that is read.
+type BodyOptions struct {
+	// Limit is its longest length in bytes.
+	Limit int64
+	// Group is the group of clients for which it counts (Client.Group).
+	Group string
+	// Deadline is until when its caller waits; zero if that is not known.
+	Deadline time.Time
+}
+
 // Body is a body that was read. Release must be called once the call is answered.
 type Body struct {
 	Bytes []byte
 	entry *Entry
+	// work is the body's right to the processor, nil if it is small.
+	work *Work
 }
 
 // Protect limits the time of bodies that a handler does not read, and marks connections
@@ -59,56 +76,44 @@
 	})
 }
 
-// Read reads a body of at most limit bytes. Its error is a *Refusal if the call has to be
-// refused as not run, ErrTooLarge, or that of the connection.
-func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64) (*Body, error) {
+// Read reads a body. Its error is a *Refusal if the call has to be refused as not run,
+// ErrTooLarge, ErrOverBudget, or that of the connection. A large body keeps the processor until
+// its Parsed, Decoded or Release is called.
+func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, o BodyOptions) (*Body, error) {
 	if b == nil {
-		data, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-		if err == nil && int64(len(data)) > limit {
+		data, err := io.ReadAll(io.LimitReader(r.Body, o.Limit+1))
+		if err == nil && int64(len(data)) > o.Limit {
 			err = ErrTooLarge
 		}
 		return &Body{Bytes: data}, err
 	}
-	if r.ContentLength > limit {
+	switch {
+	case r.ContentLength > o.Limit:
 		closeAfter(w)
 		return &Body{}, ErrTooLarge
-	}
-	if r.ContentLength > LargestBody(b.Budget.Usage().Limit) {
+	case r.ContentLength > LargestBody(b.Budget.Usage().Limit):
 		closeAfter(w)
 		return &Body{}, ErrOverBudget
-	}
-	if r.ContentLength == 0 {
+	case r.ContentLength == 0:
 		setBusy(r, true)
 		return &Body{}, nil
 	}
-	size := r.ContentLength
-	if size < 0 {
-		size = limit
-	}
-	controller := http.NewResponseController(w)
-	began := time.Now()
-	past := began.Add(-time.Hour)
-	x := &bodyReader{
-		bodies: b, body: r.Body, end: began.Add(b.BodyTimeout),
-		setDeadline: func(t time.Time) { _ = controller.SetReadDeadline(t) },
-	}
-	x.entry = b.Budget.Begin(size, func() { _ = controller.SetReadDeadline(past) })
-	data, err := x.entry.ReadAll(x, r.ContentLength, limit, x.waited)
+	x := newBodyReader(b, w, r, o)
+	data, err := x.entry.ReadAll(x, r.ContentLength, o.Limit, x.waited)
+	x.leaveConnection()
 	if err == nil {
 		err = x.entry.Arrived()
 	}
 	if err != nil {
-		// What else the client sends is not read.
-		x.setDeadline(past)
+		x.refuse()
 		closeAfter(w)
-		x.entry.End()
-		b.Report.requestRefused(r, err, len(data), time.Since(began))
+		b.Report.requestRefused(r, x.client(), err, len(data), time.Since(x.began))
 		return &Body{}, err
 	}
 	// The server waits for the end of the connection from here on.
 	x.setDeadline(time.Time{})
 	setBusy(r, true)
-	return &Body{Bytes: data, entry: x.entry}, nil
+	return &Body{Bytes: data, entry: x.entry, work: x.work}, nil
 }
 
 // closeAfter makes the server close the connection after the answer.
@@ -123,52 +128,28 @@
 	return b.entry.Take(DecodedBytes(b.Bytes, maxObjects))
 }
 
-// Decoded releases the bytes of the body. Decoded values must not refer to them.
+// Parsed ends the body's use of the processor. Its bytes are still held.
+func (b *Body) Parsed() {
+	if b.work != nil {
+		b.work.End()
+	}
+}
+
+// Decoded releases the bytes of the body, and ends its use of the processor. Decoded values must
+// not refer to the bytes.
 func (b *Body) Decoded() {
+	b.Parsed()
 	if b.entry != nil {
 		b.entry.Release(int64(cap(b.Bytes)))
 	}
 	b.Bytes = nil
 }
 
-// Release returns all bytes that the body holds to the budget. A nil *Body holds none.
+// Release returns all bytes that the body holds to the budget, and ends its use of the
+// processor. A nil *Body holds none.
 func (b *Body) Release() {
 	if b != nil {
+		b.Parsed()
 		b.entry.End()
 	}
 }
-
-// bodyReader reads what has come of one body, and waits for it as long as a stall and the whole
-// body may take.
-type bodyReader struct {
-	bodies      *Bodies
-	entry       *Entry
-	body        io.Reader
-	setDeadline func(time.Time)
-	end         time.Time
-}
-
-// Read implements io.Reader.
-func (x *bodyReader) Read(b []byte) (int, error) {
-	deadline := time.Now().Add(x.bodies.StallTimeout)
-	if x.end.Before(deadline) {
-		deadline = x.end
-	}
-	if err := x.entry.Do(func() { x.setDeadline(deadline) }); err != nil {
-		return 0, err
-	}
-	n, err := x.body.Read(b)
-	if isTimeout(err) {
-		err = &Refusal{ReasonStalled}
-	}
-	return n, err
-}
-
-// waited excludes a time in which the client could not send, since the daemon waited for
-// memory.
-func (x *bodyReader) waited(d time.Duration) { x.end = x.end.Add(d) }
-
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -35,10 +35,17 @@
 	ReasonFull Reason = "intake_full"
 	// ReasonStalled: the body made no progress, or took too long.
 	ReasonStalled Reason = "body_stalled"
+	// ReasonBusy: the processor has more large bodies to work on than it can in time.
+	ReasonBusy Reason = "processor_busy"
 )
 
 // Refusal is the error of a request that was refused. It has not run.
-type Refusal struct{ Reason Reason }
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is the time after which the request would be served at the present rate; 0
+	// if that is not known.
+	RetryAfter time.Duration
+}
 
 func (r *Refusal) Error() string { return string(r.Reason) }
 
@@ -62,16 +69,31 @@
 	// searchAfter is the earliest time of the next search for a request to evict.
 	searchAfter time.Time
 	entries     map[*Entry]struct{}
+	// sequence numbers the requests in the order in which they began.
+	sequence uint64
 	// changed is closed, and replaced, when bytes are released or a request is evicted.
 	changed chan struct{}
 }
 
+// Client is who sent a request.
+type Client struct {
+	// Group is the group of clients for which the request counts, such as a tenant; empty if
+	// it is not known.
+	Group string
+	// Address is the host address of the other end of its connection.
+	Address string
+}
+
 // Entry is one request's part of a budget.
 type Entry struct {
 	budget    *Budget
+	client    Client
+	sequence  uint64
 	progress  Progress
 	held      int64
 	interrupt func()
+	// work is the request's place in a WorkQueue, nil if it has none.
+	work *Work
 	// arriving is set until the whole request has come. Only an arriving request is evicted.
 	// waiting is set while Take waits for bytes.
 	arriving, waiting, evicted, ended bool
@@ -89,12 +111,14 @@
 	return Usage{b.used, b.limit}
 }
 
-// Begin adds a request with an expected size in bytes. Interrupt ends its reading or
-// writing; it is called once, with the budget locked, if the request has to give way.
-func (b *Budget) Begin(size int64, interrupt func()) *Entry {
-	e := &Entry{budget: b, progress: NewProgress(size, b.now()), interrupt: interrupt, arriving: true}
+// Begin adds a request of a client with an expected size in bytes. Interrupt ends its reading
+// or writing; it is called once, with the budget locked, if the request has to give way.
+func (b *Budget) Begin(client Client, size int64, interrupt func()) *Entry {
+	e := &Entry{budget: b, client: client, progress: NewProgress(size, b.now()), interrupt: interrupt, arriving: true}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sequence++
+	e.sequence = b.sequence
 	b.entries[e] = struct{}{}
 	return e
 }
@@ -107,6 +131,21 @@
 	return e.err()
 }
 
+// setWork notes the request's place in a WorkQueue. While it waits there it is not slow, and
+// while it waits for memory it leaves the processor to others.
+func (e *Entry) setWork(w *Work) {
+	e.budget.mu.Lock()
+	defer e.budget.mu.Unlock()
+	e.work = w
+}
+
+// pause excludes a time in which the daemon did not read from the request's progress.
+func (e *Entry) pause(d time.Duration) {
+	e.budget.mu.Lock()
+	defer e.budget.mu.Unlock()
+	e.progress.Resume(d)
+}
+
 // Do calls f with the budget locked, so that interrupt is not called meanwhile. If the request
 // has to give way, it returns a *Refusal instead.
 func (e *Entry) Do(f func()) error {
@@ -121,7 +160,7 @@
 
 func (e *Entry) err() error {
 	if e.evicted {
-		return &Refusal{ReasonGaveWay}
+		return &Refusal{Reason: ReasonGaveWay}
 	}
 	return nil
 }
@@ -168,6 +207,15 @@
 // give way meanwhile. It returns a *Refusal if it fails, and ErrOverBudget at once if the
 // bytes can never be free.
 func (e *Entry) Take(n int64) error {
+	err := e.take(n)
+	if e.work != nil && err == nil {
+		e.work.Acquire()
+		err = e.work.Refused()
+	}
+	return err
+}
+
+func (e *Entry) take(n int64) error {
 	b := e.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -188,7 +236,10 @@
 		case e.evicted:
 			return e.err()
 		case b.now().Sub(began) >= waitTimeout:
-			return &Refusal{ReasonFull}
+			return &Refusal{Reason: ReasonFull}
+		}
+		if e.work != nil {
+			e.work.Yield()
 		}
 		b.await()
 	}
@@ -223,7 +274,7 @@
 			e.held += n
 			return true
 		}
-		if n <= freeSoon || !b.evictSlowest() || e.evicted {
+		if n <= freeSoon || !b.evictFor(e) || e.evicted {
 			return false
 		}
 	}
@@ -238,13 +289,17 @@
 	return b.limit
 }
 
-// evictSlowest makes the slowest request give way. It reports false if none has to.
-func (b *Budget) evictSlowest() bool {
+// evictFor makes a request give way to e: the slowest, or one of a group that holds more than its
+// share. It reports false if none has to.
+func (b *Budget) evictFor(e *Entry) bool {
 	now := b.now()
 	if now.Before(b.searchAfter) {
 		return false
 	}
 	victim := b.slowest(now)
+	if victim == nil {
+		victim = b.beyondShare(e, now)
+	}
 	if victim == nil {
 		b.searchAfter = now.Add(searchInterval)
 		return false
@@ -256,19 +311,51 @@
 	return true
 }
 
+// beyondShare returns the slowest arriving request of the group that holds the most, if that is
+// more than an equal share of the budget for each group, and the group of e holds less than one.
+func (b *Budget) beyondShare(e *Entry, now time.Time) (victim *Entry) {
+	held := map[string]int64{e.client.Group: 0}
+	for other := range b.entries {
+		held[other.client.Group] += other.held
+	}
+	share := b.limit / int64(len(held))
+	largest := e.client.Group
+	for group, bytes := range held {
+		if bytes > held[largest] {
+			largest = group
+		}
+	}
+	if held[largest] <= share || held[e.client.Group] >= share {
+		return nil
+	}
+	for other := range b.entries {
+		if other.client.Group != largest || !other.arriving || other.evicted || other.held == 0 {
+			continue
+		}
+		if victim == nil || other.progress.Left(now) > victim.progress.Left(now) {
+			victim = other
+		}
+	}
+	return victim
+}
+
 // slowest returns the request that gives way next, or nil if all are fast: the one whose
 // rest takes the longest at its present rate. If all that arrive wait for this budget, it
-// is the one that holds the most, so that the others can go on.
+// is the large one that began last, so that the others can go on.
 func (b *Budget) slowest(now time.Time) (slowest *Entry) {
 	longest, blocked := evictionGrace, true
-	var largest *Entry
+	var last *Entry
 	for e := range b.entries {
 		if !e.arriving || e.evicted || e.held == 0 {
 			continue
 		}
+		if e.work != nil && e.work.isWaiting() {
+			blocked = false
+			continue
+		}
 		if e.waiting {
-			if largest == nil || e.held > largest.held {
-				largest = e
+			if e.held > smallBytes && (last == nil || e.sequence > last.sequence) {
+				last = e
 			}
 			continue
 		}
@@ -277,8 +364,8 @@
 			slowest, longest = e, left
 		}
 	}
-	if blocked && largest != nil && largest.held > smallBytes {
-		return largest
+	if blocked && last != nil {
+		return last
 	}
 	return slowest
 }
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -7,10 +7,11 @@
 	"time"
 )
 
-func hostOf(c net.Conn) string {
-	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+// addressOf returns the host of a network address, or all of it if it has no port.
+func addressOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
 	if err != nil {
-		return c.RemoteAddr().String()
+		return address
 	}
 	return host
 }
@@ -28,12 +29,21 @@
 	// goes on.
 	waitsSince, writesSince atomic.Int64
 	busy, known             atomic.Bool
+	// group is the group of the client that has shown who it is; nil if it has not.
+	group atomic.Pointer[string]
+	// received counts the bytes that were read.
+	received atomic.Int64
+	// work is the place in a WorkQueue of the body that is being read; nil if it has none.
+	work atomic.Pointer[Work]
 }
 
 func (c *Conn) mark(at *atomic.Int64) { at.Store(max(1, int64(time.Since(c.listener.began)))) }
 
 func (c *Conn) state(now time.Duration) ConnectionState {
-	s := ConnectionState{Address: c.address, Idle: now - time.Duration(c.waitsSince.Load()), Busy: c.busy.Load(), Known: c.known.Load()}
+	s := ConnectionState{Address: c.address, Idle: now - time.Duration(c.waitsSince.Load()), Busy: c.busy.Load(), Known: c.known.Load(), Group: c.groupName()}
+	if work := c.work.Load(); work != nil {
+		s.Queued = work.active.Load()
+	}
 	// An answer that is not taken protects its connection no longer.
 	if writes := c.writesSince.Load(); writes > 0 && s.Busy {
 		s.Busy, s.Idle = false, now-time.Duration(writes)
@@ -41,8 +51,21 @@
 	return s
 }
 
-// SetKnown notes that the other end has said who it is.
-func (c *Conn) SetKnown() { c.known.Store(true) }
+// SetKnown notes that the other end has shown who it is: a client of a group, such as a tenant,
+// or a daemon if the group is empty.
+func (c *Conn) SetKnown(group string) {
+	if c.groupName() != group {
+		c.group.Store(&group)
+	}
+	c.known.Store(true)
+}
+
+func (c *Conn) groupName() string {
+	if group := c.group.Load(); group != nil {
+		return *group
+	}
+	return ""
+}
 
 // SetBusy notes whether a request that has come is being handled.
 func (c *Conn) SetBusy(busy bool) {
@@ -52,12 +75,32 @@
 	c.busy.Store(busy)
 }
 
-// Read implements net.Conn.
+// setWork makes reads wait for the processor as w does; nil ends that.
+func (c *Conn) setWork(w *Work) { c.work.Store(w) }
+
+// Read implements net.Conn. The processor is left to others while a read of a large body waits
+// for bytes, and what has come is returned once it is this body's turn.
 func (c *Conn) Read(b []byte) (int, error) {
+	work := c.work.Load()
+	// net/http looks for the end of a connection by reads of one byte, on a goroutine of
+	// its own, while a handler works on the body.
+	if len(b) == 1 {
+		work = nil
+	}
+	if work != nil {
+		work.Release()
+	}
 	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
 	if n > 0 && c.listener.o.LongLived {
 		c.mark(&c.waitsSince)
 	}
+	if work != nil && n > 0 {
+		work.Acquire()
+		if refused := work.Refused(); refused != nil {
+			return 0, refused
+		}
+	}
 	return n, err
 }
 
@@ -119,6 +162,13 @@
 	return c
 }
 
+// SetKnown notes that the client of a request has shown that it belongs to a group.
+func SetKnown(r *http.Request, group string) {
+	if c := connOf(r); c != nil {
+		c.SetKnown(group)
+	}
+}
+
 // setBusy notes whether the request has come and is being handled.
 func setBusy(r *http.Request, busy bool) {
 	if c := connOf(r); c != nil {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -95,7 +95,7 @@
 
 // admit returns the bounded connection, or nil if the bounds do not admit it.
 func (l *Listener) admit(inner net.Conn) *Conn {
-	c := &Conn{Conn: inner, listener: l, address: hostOf(inner)}
+	c := &Conn{Conn: inner, listener: l, address: addressOf(inner.RemoteAddr().String())}
 	c.mark(&c.waitsSince)
 	l.mu.Lock()
 	victim, admitted := l.yielding(c.address)
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -24,11 +24,17 @@
 	mu         sync.Mutex
 	lastLogged map[int]time.Time
 	unreported map[int]int
+	budgets    map[string]*Budget
+	listeners  map[string]*Listener
+	refused    *frequentClients
 }
 
 // NewReporter returns a Reporter that writes to log and set.
 func NewReporter(log *events.Logger, set *metrics.Set) *Reporter {
-	return &Reporter{events: log, set: set, lastLogged: make(map[int]time.Time), unreported: make(map[int]int)}
+	return &Reporter{
+		events: log, set: set, lastLogged: make(map[int]time.Time), unreported: make(map[int]int),
+		budgets: make(map[string]*Budget), listeners: make(map[string]*Listener), refused: newFrequentClients(countedRefused),
+	}
 }
 
 // Watch exports what a budget holds, under the name of what it bounds.
@@ -36,6 +42,9 @@
 	if r == nil {
 		return
 	}
+	r.mu.Lock()
+	r.budgets[name] = b
+	r.mu.Unlock()
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_bytes{budget=%q}", name), func() float64 { return float64(b.Usage().Held) })
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_limit_bytes{budget=%q}", name), func() float64 { return float64(b.Usage().Limit) })
 }
@@ -45,6 +54,9 @@
 	if r == nil {
 		return
 	}
+	r.mu.Lock()
+	r.listeners[l.o.Name] = l
+	r.mu.Unlock()
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_connections{listener=%q}", l.o.Name), func() float64 { return float64(l.Open()) })
 	r.set.GetOrCreateGauge(fmt.Sprintf("currantwinch_intake_limit_connections{listener=%q}", l.o.Name), func() float64 { return float64(l.o.Connections) })
 }
@@ -57,13 +69,16 @@
 }
 
 // requestRefused reports a call that was refused while its body was read.
-func (r *Reporter) requestRefused(call *http.Request, err error, received int, age time.Duration) {
+func (r *Reporter) requestRefused(call *http.Request, client Client, err error, received int, age time.Duration) {
 	var refusal *Refusal
 	if r == nil || !errors.As(err, &refusal) {
 		return
 	}
+	r.mu.Lock()
+	r.refused.add(refusedClient{refusal.Reason, client})
+	r.mu.Unlock()
 	r.set.GetOrCreateCounter(fmt.Sprintf("currantwinch_intake_refused_total{reason=%q}", string(refusal.Reason))).Inc()
-	r.log(events.RequestGaveWay, "remote", call.RemoteAddr, "reason", string(refusal.Reason), "received", received, "declared", call.ContentLength, "age", age.Milliseconds())
+	r.log(events.RequestGaveWay, "remote", call.RemoteAddr, "group", client.Group, "reason", string(refusal.Reason), "received", received, "declared", call.ContentLength, "age", age.Milliseconds())
 }
 
 // MessageRefused reports a connection between daemons that was closed because of the
--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -63,6 +63,7 @@
 	}
 	text := body.Bytes
 	doc, err := document.Parse(text)
+	body.Parsed()
 	if err != nil {
 		writeFailure(w, verdict.Wrap(err, verdict.NotRun, reasonInvalidDocument), operatorapi.Failure{Fields: fieldErrors(err)})
 		return
@@ -151,7 +152,9 @@
 	var s operatorapi.Submission
 	d := json.NewDecoder(bytes.NewReader(body.Bytes))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
+	err = d.Decode(&s)
+	body.Parsed()
+	if err != nil {
 		writeError(w, verdict.Wrap(err, verdict.NotRun, reasonInvalidRequest))
 		return
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/operatorapi"
@@ -117,7 +118,7 @@
 // readBody reads the body of a change. The caller must release the returned body, which is
 // never nil.
 func (p *Operator) readBody(w http.ResponseWriter, r *http.Request) (*intake.Body, error) {
-	body, err := p.o.Bodies.Read(w, r, maxBodyBytes)
+	body, err := p.o.Bodies.Read(w, r, intake.BodyOptions{Limit: maxBodyBytes})
 	var refusal *intake.Refusal
 	if errors.As(err, &refusal) && refusal.Reason != intake.ReasonStalled {
 		return body, verdict.New(verdict.NotRun, reasonBodyMemory, "bodies take all of their memory").WithRetryAfter(bodyRetryAfter)
@@ -188,6 +189,7 @@
 func (p *Operator) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	p.o.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
 }
 
 func (p *Operator) health(w http.ResponseWriter, _ *http.Request) {
--- a/internal/peer/intake.go
+++ b/internal/peer/intake.go
@@ -34,25 +34,38 @@
 
 var errNoHello = errors.Errorf("no hello within %s", dialTimeout)
 
-// Intake bounds what accepted connections take together. Connections that this daemon
-// dialed are not bounded by it.
+// Intake bounds what messages take.
 type Intake struct {
-	// Received bounds the messages that arrive or are handled, and Queued those that wait
-	// to be written.
-	Received, Queued *intake.Budget
+	// Accepted bounds the messages of all connections that other daemons opened, and Dialed
+	// those of all that this one opened. Strangers can open connections; they must not take
+	// the memory that calls of this daemon need.
+	Accepted, Dialed Messages
 	// StallTimeout bounds the time without progress of a message.
 	StallTimeout time.Duration
 	Report       *intake.Reporter
 }
 
+// Messages bounds the messages of some connections together: those that arrive or are handled,
+// and those that wait to be written.
+type Messages struct{ Received, Queued *intake.Budget }
+
+func newMessages(l intake.Limits) Messages {
+	return Messages{Received: intake.NewBudget(l.MessageBytes, time.Now), Queued: intake.NewBudget(l.MessageBytes, time.Now)}
+}
+
+func newIntake(l intake.Limits, report *intake.Reporter) *Intake {
+	return &Intake{Accepted: newMessages(l), Dialed: newMessages(l), StallTimeout: l.StallTimeout, Report: report}
+}
+
 // Bound returns a listener for connections of other daemons that accepts them within limits,
-// and what bounds their messages.
+// and what bounds the messages of all connections.
 func Bound(socket net.Listener, l intake.Limits, report *intake.Reporter) (net.Listener, *Intake) {
-	received, queued := intake.NewBudget(l.MessageBytes, time.Now), intake.NewBudget(l.MessageBytes, time.Now)
-	report.Watch("messages", received)
-	report.Watch("answers", queued)
-	listener := intake.NewListener(socket, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, LongLived: true, Report: report})
-	return listener, &Intake{Received: received, Queued: queued, StallTimeout: l.StallTimeout, Report: report}
+	bounds := newIntake(l, report)
+	report.Watch("messages", bounds.Accepted.Received)
+	report.Watch("answers", bounds.Accepted.Queued)
+	report.Watch("dialed_messages", bounds.Dialed.Received)
+	report.Watch("dialed_calls", bounds.Dialed.Queued)
+	return intake.NewListener(socket, intake.ListenerOptions{Name: "peers", Connections: l.PeerConnections, LongLived: true, Report: report}), bounds
 }
 
 // awaitHello closes an accepted connection whose other end does not say who it is.
@@ -73,7 +86,7 @@
 // setKnown marks a connection whose other end has sent its hello.
 func setKnown(c net.Conn) {
 	if bounded, ok := intake.Bounded(c); ok {
-		bounded.SetKnown()
+		bounded.SetKnown("")
 	}
 }
 
@@ -88,8 +101,7 @@
 	return name
 }
 
-// messageRead is a message that is being read on an accepted connection, within the budget
-// of received messages. A nil messageRead has no bounds.
+// messageRead is a message that is being read within the budget of received messages.
 type messageRead struct {
 	stream *stream
 	entry  *intake.Entry
@@ -97,15 +109,20 @@
 	end time.Time
 }
 
-// beginRead begins a message of n bytes; it returns nil on a connection without bounds. The
-// caller must call finish.
-func (s *stream) beginRead(n int) *messageRead {
-	if s.intake == nil {
-		return nil
+// clientOf returns who is at the other end of a connection, for the budgets.
+func clientOf(c net.Conn) intake.Client {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		host = c.RemoteAddr().String()
 	}
+	return intake.Client{Address: host}
+}
+
+// beginRead begins a message of n bytes. The caller must call finish.
+func (s *stream) beginRead(n int) *messageRead {
 	return &messageRead{
 		stream: s,
-		entry:  s.intake.Received.Begin(int64(n), func() { _ = s.conn.SetReadDeadline(time.Now().Add(-time.Hour)) }),
+		entry:  s.messages.Received.Begin(s.client, int64(n), func() { _ = s.conn.SetReadDeadline(time.Now().Add(-time.Hour)) }),
 		end:    time.Now().Add(s.intake.StallTimeout + time.Duration(n)*time.Second/minMessageRate),
 	}
 }
@@ -113,9 +130,6 @@
 // finish gives the bytes of the message back to the budget, and reports err if the message
 // was not read.
 func (m *messageRead) finish(err error) error {
-	if m == nil {
-		return err
-	}
 	m.entry.End()
 	if err != nil {
 		m.stream.intake.Report.MessageRefused(m.stream.conn.RemoteAddr().String(), err)
@@ -140,22 +154,15 @@
 // waited excludes a time in which this daemon did not read, since it waited for memory.
 func (m *messageRead) waited(d time.Duration) { m.end = m.end.Add(d) }
 
-// readMessage reads a message of n bytes; m is nil on a connection without bounds.
+// readMessage reads a message of n bytes.
 func (s *stream) readMessage(m *messageRead, n int64) ([]byte, error) {
-	message := &io.LimitedReader{R: s.reader, N: n}
-	var data []byte
-	var err error
-	if m == nil {
-		data, err = io.ReadAll(message)
-	} else {
-		message.R = m
-		data, err = m.entry.ReadAll(message, n, n, m.waited)
-	}
+	message := &io.LimitedReader{R: m, N: n}
+	data, err := m.entry.ReadAll(message, n, n, m.waited)
 	if err == nil && message.N > 0 {
 		err = io.ErrUnexpectedEOF
 	}
-	if err != nil || m == nil {
-		return data, err
+	if err != nil {
+		return nil, err
 	}
 	// It fails if the message has just been refused for want of memory.
 	return data, m.entry.Arrived()
@@ -164,10 +171,7 @@
 // holdCall takes the bytes of a call's method and parameters from the budget until release is called. It
 // reports false if the budget does not have them.
 func (s *stream) holdCall(n int) (release func(), ok bool) {
-	if s.intake == nil {
-		return func() {}, true
-	}
-	e := s.intake.Received.Begin(int64(n), func() {})
+	e := s.messages.Received.Begin(s.client, int64(n), func() {})
 	if e.Arrived() != nil || !e.Try(int64(n)) {
 		e.End()
 		return nil, false
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -63,11 +63,11 @@
 		verifyName:   nameVerifier(c),
 	}
 	l.helloDone.Store(dialed)
-	var bounds *Intake
-	if !dialed {
-		bounds = p.o.Intake
+	messages := p.o.Intake.Accepted
+	if dialed {
+		messages = p.o.Intake.Dialed
 	}
-	l.stream = newStream(c, bounds)
+	l.stream = newStream(c, p.o.Intake, messages)
 	l.stream.greeted = l.helloDone.Load
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -81,7 +81,7 @@
 	go func() { defer p.wg.Done(); l.stream.writeLoop() }()
 	l.rpc = jsonrpc2.NewConn(ctx, l.stream, l, jsonrpc2.SetLogger(discardLogger{}))
 	go func() { defer p.wg.Done(); l.awaitDisconnect() }()
-	if bounds != nil {
+	if !dialed {
 		p.wg.Add(1)
 		go func() { defer p.wg.Done(); l.awaitHello() }()
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/intake"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/pkg/errors"
@@ -57,7 +58,8 @@
 	Resolve func(daemon string) (address string, ok bool)
 	// Security, if not nil, authenticates both ends of every connection by TLS.
 	Security Security
-	// Intake, if not nil, bounds what accepted connections take.
+	// Intake bounds what messages take; nil takes the bounds of a VM whose memory is not
+	// known.
 	Intake *Intake
 }
 
@@ -99,6 +101,9 @@
 
 // New returns Peers that accept no connections before Start.
 func New(o Options) *Peers {
+	if o.Intake == nil {
+		o.Intake = newIntake(intake.LimitsFor(intake.VM{}, intake.Profile{}, intake.Limits{}), nil)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Peers{
 		o: o, ctx: ctx, cancel: cancel,
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -37,10 +37,12 @@
 	queue  chan []byte
 	once   sync.Once
 	done   chan struct{}
-	// intake bounds the messages of an accepted connection; nil means no bounds. queued holds
-	// the bytes of its messages that wait to be written.
 	intake *Intake
-	queued *intake.Entry
+	// messages bounds the connection's messages together with those of others, and queued
+	// holds the bytes of its own that wait to be written.
+	messages Messages
+	queued   *intake.Entry
+	client   intake.Client
 	// greeted reports whether the other end has said who it is.
 	greeted func() bool
 
@@ -49,14 +51,15 @@
 	sentCounter, readCounter atomic.Pointer[metrics.Counter]
 }
 
-func newStream(c net.Conn, bounds *Intake) *stream {
-	s := &stream{conn: c, queue: make(chan []byte, sendQueueLength), done: make(chan struct{}), intake: bounds, greeted: func() bool { return true }}
-	if bounds != nil {
-		s.queued = bounds.Queued.Begin(0, func() {
-			bounds.Report.MessageRefused(c.RemoteAddr().String(), errUnread)
-			_ = s.Close()
-		})
+func newStream(c net.Conn, bounds *Intake, messages Messages) *stream {
+	s := &stream{
+		conn: c, queue: make(chan []byte, sendQueueLength), done: make(chan struct{}),
+		intake: bounds, messages: messages, client: clientOf(c), greeted: func() bool { return true },
 	}
+	s.queued = messages.Queued.Begin(s.client, 0, func() {
+		bounds.Report.MessageRefused(c.RemoteAddr().String(), errUnread)
+		_ = s.Close()
+	})
 	s.reader = bufio.NewReader(s)
 	s.lastReadNano.Store(time.Now().UnixNano())
 	return s
@@ -125,14 +128,14 @@
 		return errClosed
 	default:
 	}
-	if s.queued != nil && !s.queued.TryQueue(int64(len(frame))) {
+	if !s.queued.TryQueue(int64(len(frame))) {
 		return errQueueFull
 	}
 	select {
 	case s.queue <- frame:
 		return nil
 	default:
-		s.releaseQueued(len(frame))
+		s.queued.Release(int64(len(frame)))
 		return errQueueFull
 	}
 }
@@ -145,9 +148,7 @@
 
 // writeLoop writes queued messages until the stream is closed or a write fails.
 func (s *stream) writeLoop() {
-	if s.queued != nil {
-		defer s.queued.End()
-	}
+	defer s.queued.End()
 	for {
 		select {
 		case <-s.done:
@@ -161,21 +162,13 @@
 	}
 }
 
-func (s *stream) releaseQueued(n int) {
-	if s.queued != nil {
-		s.queued.Release(int64(n))
-	}
-}
-
 func (s *stream) write(frame []byte) error {
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	n, err := s.conn.Write(frame)
-	if s.queued != nil {
-		_ = s.queued.Add(n)
-		s.releaseQueued(len(frame))
-	}
+	_ = s.queued.Add(n)
+	s.queued.Release(int64(len(frame)))
 	s.sentBytes.Add(uint64(n))
 	if c := s.sentCounter.Load(); c != nil {
 		c.Add(n)
--- a/internal/untrusted/daemon_test.go
+++ b/internal/untrusted/daemon_test.go
@@ -39,6 +39,8 @@
 	// exit is the error of the process's end; it is valid once ended is closed.
 	exit error
 	log  string
+	// arguments are those of the program.
+	arguments []string
 }
 
 // starter starts one of the daemon's programs on a VM with the given limits, beside
@@ -73,6 +75,7 @@
 // start starts the program with arguments under the descriptor limit that its settings state.
 func (p *process) start(arguments ...string) {
 	p.t.Helper()
+	p.arguments = arguments
 	p.log = filepath.Join(p.t.TempDir(), "daemon.log")
 	log, err := os.Create(p.log)
 	if err != nil {
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -92,6 +92,16 @@
 	withstands(t, startHost, callersOf, callerLoads(submissions))
 }
 
+// A crowd with one tenant's key must not keep another tenant's calls out.
+func TestCallers_WithstandACrowdWithAKey(t *testing.T) {
+	g := submissions
+	g.fields = []string{keyField("crowd-key")}
+	withstands(t, startTenants, callersOf, []load{
+		{"whole bodies", small, clients, wholeBodies(g, paddedBody(g.largest))},
+		{"bodies that stop short", small, clients, stopShort(g)},
+	})
+}
+
 // The program that runs documents read bodies of up to 1 MiB on 4,096 connections without a
 // bound in sum.
 func TestRunCallers_WithstandUntrustedClients(t *testing.T) {
