Without TLS a daemon's name is taken from its own host alone

What callers saw: nothing yet; whoever reached the port for daemons could name itself any daemon, and its calls were done: taking over partitions and keys, starting and ending work, lending slots.

Cause: the hello's name was checked against a certificate only.

Change: peer.Options.VerifySource checks the name against the address of the connection. For `host` the name is an address, whose host must be the sender's. For `run` it must be that of the VM that the list shows, and a name that is not listed is refused with peer_refused; a new daemon connects again with its next call. With TLS the certificate decides, as before.

--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"net"
+
 	"github.com/currantwinch/currantwinch/cluster"
 	"github.com/currantwinch/currantwinch/internal/gateway"
 	"github.com/currantwinch/currantwinch/internal/intake"
@@ -9,11 +11,12 @@
 	"github.com/currantwinch/currantwinch/internal/peer"
 	"github.com/currantwinch/currantwinch/internal/placer"
 	"github.com/currantwinch/currantwinch/internal/statelog"
+	"github.com/pkg/errors"
 )
 
 func newPeers(d *Daemon) *peer.Peers {
 	listener, bounds := peer.Bound(d.o.Listeners.Peers, d.o.Limits, d.reporter)
-	o := peer.Options{Base: d.base, Listener: listener, Dial: d.o.Dial, Resolve: d.resolve, Intake: bounds}
+	o := peer.Options{Base: d.base, Listener: listener, Dial: d.o.Dial, Resolve: d.resolve, Intake: bounds, VerifySource: d.verifySource}
 	if d.o.Certificates != nil {
 		o.Security = d.o.Certificates
 	}
@@ -29,6 +32,16 @@
 	return d.owner.Resolve(name)
 }
 
+// verifySource checks a daemon's connection by the list of entry VMs. A daemon that the list does
+// not show yet is refused, and connects again.
+func (d *Daemon) verifySource(name string, remote net.Addr) error {
+	address, ok := d.resolve(name)
+	if !ok {
+		return errors.Errorf("daemon %q is not on the list of entry VMs", name)
+	}
+	return peer.CheckSource(name, address, remote)
+}
+
 func newLog(d *Daemon, p *peer.Peers) *statelog.Store {
 	return statelog.New(statelog.Options{
 		Base: d.base, Log: d.o.Platform.Log, SystemCredential: d.o.Credential,
--- a/internal/events/security.go
+++ b/internal/events/security.go
@@ -24,7 +24,7 @@
 	PeerRefused = Event{
 		Number: 1023, Level: slog.LevelWarn, Name: "peer_refused",
 		Fields:  []string{"remote", "error", "unreported"},
-		Meaning: "A connection between daemons was refused because the certificate of the other end is missing, expired, of another authority or of another name. The field unreported counts the refusals since the previous event that were not logged.",
+		Meaning: "A connection between daemons was refused because the certificate of the other end is missing, expired, of another authority or of another name, or because, without TLS, it comes from another host than the daemon that it names. The field unreported counts the refusals since the previous event that were not logged.",
 		Action:  "If the other end is a daemon, check its certificate files. See docs/operators/tls.md.",
 	}
 	HTTPServerError = Event{
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -135,6 +135,7 @@
 	listener, bounds := peer.Bound(socket, l, h.reporter)
 	return peer.New(peer.Options{
 		Base: h.base, Listener: listener, Dial: platform.Dial, Intake: bounds,
+		VerifySource: func(daemon string, remote net.Addr) error { return peer.CheckSource(daemon, daemon, remote) },
 		// The name of a daemon is its peer address.
 		Resolve: func(daemon string) (string, bool) { return daemon, daemon != "" },
 	}), nil
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -301,7 +301,7 @@
 		l.reply(c, r, nil, verdict.New(verdict.NotRun, ReasonMalformedMessage, "unreadable hello"))
 		return
 	}
-	if err := l.verifyName(remote.Name); err != nil {
+	if err := l.verifyIdentity(remote.Name); err != nil {
 		l.peers.refusals.report(l.stream.conn, err)
 		l.cancel()
 		_ = c.Close()
@@ -315,6 +315,16 @@
 	l.reply(c, r, l.peers.identity(), nil)
 }
 
+// verifyIdentity checks that the other end of an accepted connection is the daemon that it names:
+// by its certificate, or without TLS by its address.
+func (l *link) verifyIdentity(name string) error {
+	o := l.peers.o
+	if o.Security == nil && o.VerifySource != nil {
+		return o.VerifySource(name, l.stream.conn.RemoteAddr())
+	}
+	return l.verifyName(name)
+}
+
 func (l *link) reply(c *jsonrpc2.Conn, r *jsonrpc2.Request, response any, err error) {
 	if err != nil {
 		_ = c.ReplyWithError(l.ctx, r.ID, rpcError(err))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,6 +56,10 @@
 	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	// Resolve returns a daemon's peer address.
 	Resolve func(daemon string) (address string, ok bool)
+	// VerifySource, if not nil, checks that a daemon of the given name may call from the
+	// address of the other end of a connection. It is not called if Security is set, which
+	// verifies names by certificates.
+	VerifySource func(daemon string, remote net.Addr) error
 	// Security, if not nil, authenticates both ends of every connection by TLS.
 	Security Security
 	// Intake bounds what messages take; nil takes the bounds of a VM whose memory is not
--- a/internal/untrusted/capacity_test.go
+++ b/internal/untrusted/capacity_test.go
@@ -63,7 +63,7 @@
 	}
 	crowd("callers", p.callers, n, chosenLoads(g)...)
 	crowd("operators", p.ready, n/10, stopShort(g), endlessHeaders(g), unread("/metrics", 400), idle)
-	crowd("peers", p.peers, n/10, messageStopsShort(true), messageStopsShort(false), messageInSlowPieces, unreadCalls, idle)
+	crowd("peers", p.peers, n/10, messageStopsShort(addressHello), messageStopsShort(noHello), messageInSlowPieces(addressHello), unreadCalls(addressHello), idle)
 	time.Sleep(3 * loadDuration)
 	const calls, largeCalls = 20, 4
 	answered, large := 0, 0
--- a/internal/untrusted/clients_test.go
+++ b/internal/untrusted/clients_test.go
@@ -217,17 +217,28 @@
 	return frame(len(text), text)
 }
 
-func hello(number int) []byte {
-	return call(0, "peer.hello", map[string]string{"name": fmt.Sprintf("127.0.0.1:%d", 1+number), "incarnation": fmt.Sprint("i", number), "region": "r"})
+// greeting returns the hello of a client that names itself a daemon.
+type greeting func(number int) []byte
+
+// addressHello names a daemon at a port of the client's host, as `host` names its daemons.
+func addressHello(number int) []byte {
+	return hello(fmt.Sprintf("127.0.0.1:%d", 1+number), fmt.Sprint("i", number))
+}
+
+// listedHello names a daemon that the list of VMs shows.
+func listedHello(int) []byte { return hello(listedDaemon, "i") }
+
+// noHello names no daemon.
+func noHello(int) []byte { return nil }
+
+func hello(name, incarnation string) []byte {
+	return call(0, "peer.hello", map[string]string{"name": name, "incarnation": incarnation, "region": "r"})
 }
 
-// messageStopsShort sends a message between daemons up to just before its end, after a
-// hello if greet is set.
-func messageStopsShort(greet bool) client {
+// messageStopsShort sends a message between daemons up to just before its end, after a hello.
+func messageStopsShort(greet greeting) client {
 	return func(_ context.Context, c net.Conn, number int) {
-		if greet {
-			_, _ = c.Write(hello(number))
-		}
+		_, _ = c.Write(greet(number))
 		const length = 1_000_000
 		_, _ = c.Write(frame(length+20, bytes.Repeat([]byte(" "), length)))
 		hold(c)
@@ -235,25 +246,29 @@
 }
 
 // messageInSlowPieces sends most of a message between daemons, and then a byte at a time.
-func messageInSlowPieces(ctx context.Context, c net.Conn, number int) {
-	_, _ = c.Write(hello(number))
-	const length = 1_000_000
-	_, _ = c.Write(frame(length+100_000, bytes.Repeat([]byte(" "), length)))
-	drip(ctx, c, " ")
+func messageInSlowPieces(greet greeting) client {
+	return func(ctx context.Context, c net.Conn, number int) {
+		_, _ = c.Write(greet(number))
+		const length = 1_000_000
+		_, _ = c.Write(frame(length+100_000, bytes.Repeat([]byte(" "), length)))
+		drip(ctx, c, " ")
+	}
 }
 
 // unreadCalls sends calls between daemons with long answers and reads none.
-func unreadCalls(ctx context.Context, c net.Conn, number int) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(4096)
-	}
-	_, _ = c.Write(hello(number))
-	// The answer to a call of an unknown method holds the method's name.
-	method := strings.Repeat("m", 100_000)
-	for i := range 60 {
-		if _, err := c.Write(call(i+1, method, nil)); err != nil {
-			return
+func unreadCalls(greet greeting) client {
+	return func(ctx context.Context, c net.Conn, number int) {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(4096)
 		}
+		_, _ = c.Write(greet(number))
+		// The answer to a call of an unknown method holds the method's name.
+		method := strings.Repeat("m", 100_000)
+		for i := range 60 {
+			if _, err := c.Write(call(i+1, method, nil)); err != nil {
+				return
+			}
+		}
+		<-ctx.Done()
 	}
-	<-ctx.Done()
 }
--- a/internal/untrusted/run_test.go
+++ b/internal/untrusted/run_test.go
@@ -21,6 +21,8 @@
 	callerField = "Caller: c"
 	deskBytes   = 1 << 20
 	deskTeam    = "dispatch"
+	// listedDaemon is the name of the daemon's VM.
+	listedDaemon = "entry-1"
 )
 
 // requests are requests to the program that runs documents. A body of the service may have
@@ -53,7 +55,7 @@
 	t.Cleanup(c.Close)
 	p := newProcess(t, l)
 	c.VMs.Put(cluster.VM{
-		Name: "entry-1", Role: cluster.RoleEntry, Address: p.peers,
+		Name: listedDaemon, Role: cluster.RoleEntry, Address: p.peers,
 		Location: cluster.Location{Region: "north", FailureDomain: "north-a"},
 	})
 	p.readyPath, p.target = "/v1/health", requests
@@ -67,12 +69,12 @@
 }
 
 func (p *process) runSettings(log, vms string) []byte {
-	return fmt.Appendf(nil, `{"name": "entry-1", "location": {"region": "north", "failureDomain": "north-a"},
+	return fmt.Appendf(nil, `{"name": %q, "location": {"region": "north", "failureDomain": "north-a"},
  "regions": [{"name": "north", "failureDomains": ["north-a"]}],
  "listen": {"callers": %q, "operators": %q, "peers": %q}, "platform": {"log": %q, "vmList": %q},
  "credential": "system/daemon:secret", "stopTimeout": "20s", "log": {"level": "info", "format": "json"},
  "limits": {"memoryMB": %d, "descriptors": %d}}`,
-		p.callers, p.ready, p.peers, log, vms, p.limits.memoryMB, p.limits.maxFDs)
+		listedDaemon, p.callers, p.ready, p.peers, log, vms, p.limits.memoryMB, p.limits.maxFDs)
 }
 
 // publish publishes the document of the service.
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -139,12 +139,12 @@
 }
 
 // peerLoads are the loads on the listener for other daemons.
-func peerLoads() []load {
+func peerLoads(greet greeting) []load {
 	return []load{
-		{"messages that stop short", small, peerClients, messageStopsShort(true)},
-		{"messages before a hello", small, peerClients, messageStopsShort(false)},
-		{"slow pieces", small, peerClients, messageInSlowPieces},
-		{"answers that are not read", small, 20, unreadCalls},
+		{"messages that stop short", small, peerClients, messageStopsShort(greet)},
+		{"messages before a hello", small, peerClients, messageStopsShort(noHello)},
+		{"slow pieces", small, peerClients, messageInSlowPieces(greet)},
+		{"answers that are not read", small, 20, unreadCalls(greet)},
 		{"connections without a request", scarce, manyConnections, idle},
 	}
 }
@@ -152,12 +152,12 @@
 // The listener for other daemons must not bring down the daemon either: a message announces
 // up to 4 MB, and a failed accept ended the process.
 func TestPeers_WithstandUntrustedClients(t *testing.T) {
-	withstands(t, startHost, peersOf, peerLoads())
+	withstands(t, startHost, peersOf, peerLoads(addressHello))
 }
 
 // The messages of other daemons were not bounded in sum in the program that runs documents.
 func TestRunPeers_WithstandUntrustedClients(t *testing.T) {
-	withstands(t, startRun, peersOf, peerLoads())
+	withstands(t, startRun, peersOf, peerLoads(listedHello))
 }
 
 // One request of the largest legal size must be served on the smallest VM when there is no
