A planned stop ends in its time beside unfinished bodies

What callers saw: a daemon of `host` that was stopped while clients kept bodies unfinished ended with exit code 1, without the handover's last steps being confirmed, when its grace was over.

Cause: the drain cancels the contexts of calls 0.6 s before its deadline, and counts on each to be answered then. A body that was being read looked at its own limits alone.

Change: the end of a call's context refuses its body if it has not come whole (503, daemon_stopping, not run).

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -37,6 +37,8 @@
 	ReasonStalled Reason = "body_stalled"
 	// ReasonBusy: the processor has more large bodies to work on than it can in time.
 	ReasonBusy Reason = "processor_busy"
+	// ReasonStopping: the daemon stops, or the caller is gone, before the whole body has come.
+	ReasonStopping Reason = "daemon_stopping"
 )
 
 // Refusal is the error of a request that was refused. It has not run.
@@ -97,6 +99,8 @@
 	// arriving is set until the whole request has come. Only an arriving request is evicted.
 	// waiting is set while Take waits for bytes.
 	arriving, waiting, evicted, ended bool
+	// reason is why the request was evicted.
+	reason Reason
 }
 
 // NewBudget returns an empty budget of limit bytes.
@@ -160,11 +164,20 @@
 
 func (e *Entry) err() error {
 	if e.evicted {
-		return &Refusal{Reason: ReasonGaveWay}
+		return &Refusal{Reason: e.reason}
 	}
 	return nil
 }
 
+// Cancel refuses the request if it has not come whole.
+func (e *Entry) Cancel(reason Reason) {
+	e.budget.mu.Lock()
+	defer e.budget.mu.Unlock()
+	if e.arriving && !e.evicted && !e.ended {
+		e.budget.evict(e, reason)
+	}
+}
+
 // Arrived records that the whole request has come. From then on it does not give way. It
 // returns a *Refusal if it already has to.
 func (e *Entry) Arrived() error {
@@ -304,13 +317,18 @@
 		b.searchAfter = now.Add(searchInterval)
 		return false
 	}
-	victim.evicted = true
-	b.evictedBytes += victim.held
-	victim.interrupt()
-	b.signal()
+	b.evict(victim, ReasonGaveWay)
 	return true
 }
 
+// evict makes a request give its bytes back.
+func (b *Budget) evict(e *Entry, reason Reason) {
+	e.evicted, e.reason = true, reason
+	b.evictedBytes += e.held
+	e.interrupt()
+	b.signal()
+}
+
 // beyondShare returns the slowest arriving request of the group that holds the most, if that is
 // more than an equal share of the budget for each group, and the group of e holds less than one.
 func (b *Budget) beyondShare(e *Entry, now time.Time) (victim *Entry) {
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -1,10 +1,12 @@
 package intake
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -112,3 +114,37 @@
 		t.Errorf("%d bytes are held after all calls, want 0", u.Held)
 	}
 }
+
+// A planned stop waits for the calls that are in progress. Bodies that never end kept it waiting
+// until its time was over; they are refused when the contexts of calls end.
+func TestBodies_UnfinishedOnesEndWithTheDaemon(t *testing.T) {
+	bodies := NewBodies(minBodyBytes, Limits{StallTimeout: time.Minute, BodyTimeout: time.Minute}, nil)
+	calls, endCalls := context.WithCancel(t.Context())
+	refused := make(chan error, 2)
+	s := httptest.NewUnstartedServer(bodies.Protect(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := bodies.Read(w, r, BodyOptions{Limit: 200_000})
+		body.Release()
+		refused <- err
+	})))
+	s.Config.BaseContext = func(net.Listener) context.Context { return calls }
+	s.Start()
+	defer s.Close()
+	for _, length := range []string{"10", "100000"} {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: "+length+"\r\n\r\nhello")
+	}
+	for bodies.Budget.Status().Requests < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	endCalls()
+	for range 2 {
+		var refusal *Refusal
+		if err := <-refused; !errors.As(err, &refusal) || refusal.Reason != ReasonStopping {
+			t.Errorf("%v, want %s", err, ReasonStopping)
+		}
+	}
+}
