--- a/routing/routing.go
+++ b/routing/routing.go
@@ -30,7 +30,7 @@
 	Service    string
 	// Priority 0 is the highest.
 	Priority int
-	// MaxFailedRuns bounds the failed runs of a task.
+	// MaxFailedRuns bounds the failed runs of a task; 0 or less means no bound.
 	MaxFailedRuns int
 	// A submission should complete within Stretch times the length of its
 	// critical path, plus TargetLatency.
