The set of ended occurrences is a type of package workload

Cause: internal/scheduler holds many subjects; intervals was a set of integers over workload.OccurrenceRange and nothing else of the scheduler.

Change: workload.OccurrenceSet, beside the range that it is made of, with its test.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -35,7 +35,7 @@
 	// that are not done. The others are built once they are due.
 	occurrences map[int]*occurrence
 	// done holds the occurrences that are done.
-	done intervals
+	done workload.OccurrenceSet
 	// saved holds the stored progress of occurrences that are not built.
 	saved map[int]workload.Progress
 	// nextDue is the first occurrence that was not activated yet.
--- a/internal/scheduler/memory_test.go
+++ b/internal/scheduler/memory_test.go
@@ -99,9 +99,9 @@
 	if built := len(h.core.jobs[sub.ID].occurrences); size > 100 || built > 2 {
 		t.Errorf("after %d occurrences the progress has %d bytes and %d occurrences are built, want at most 100 and 2", runs, size, built)
 	}
-	done := h.core.jobs[sub.ID].done.count()
+	done := h.core.jobs[sub.ID].done.Count()
 	h.takeOver()
-	if got := h.core.jobs[sub.ID].done.count(); got != done || done < runs/2 {
+	if got := h.core.jobs[sub.ID].done.Count(); got != done || done < runs/2 {
 		t.Errorf("the next owner takes %d occurrences for done, the one before %d of %d", got, done, runs)
 	}
 }
@@ -323,8 +323,8 @@
 	j.restore(workload.Progress{Steps: []workload.StepProgress{
 		{Occurrence: 0, Done: []byte{3}}, {Occurrence: 1, Done: []byte{3}}, {Occurrence: 2, Done: []byte{1}},
 	}})
-	if j.done.count() != 2 || j.build(1) != nil {
-		t.Errorf("%d occurrences are done, want 2", j.done.count())
+	if j.done.Count() != 2 || j.build(1) != nil {
+		t.Errorf("%d occurrences are done, want 2", j.done.Count())
 	}
 	if o := j.build(2); o == nil || o.steps[0].done != 1 {
 		t.Error("the third occurrence is not restored in part")
--- a/internal/scheduler/occurrence.go
+++ b/internal/scheduler/occurrence.go
@@ -28,7 +28,7 @@
 	if o := j.occurrences[index]; o != nil {
 		return o
 	}
-	if index < 0 || index >= j.sub.Occurrences() || j.done.contains(index) {
+	if index < 0 || index >= j.sub.Occurrences() || j.done.Contains(index) {
 		return nil
 	}
 	o := &occurrence{job: j, index: index, open: len(j.sub.Steps)}
@@ -51,12 +51,12 @@
 // finished notes that all steps are done. Attempts that are being stopped hold on to the
 // occurrence until they end.
 func (o *occurrence) finished() {
-	o.job.done = o.job.done.add(o.index, o.index+1)
+	o.job.done = o.job.done.Add(o.index, o.index+1)
 	delete(o.job.occurrences, o.index)
 }
 
 // open returns the number of occurrences that are not done.
-func (j *job) open() int { return j.sub.Occurrences() - j.done.count() }
+func (j *job) open() int { return j.sub.Occurrences() - j.done.Count() }
 
 // built returns the occurrences that are built, in order.
 func (j *job) built() []*occurrence {
@@ -111,7 +111,7 @@
 func (j *job) restore(p workload.Progress) {
 	total := j.sub.Occurrences()
 	for _, r := range p.Done {
-		j.done = j.done.add(max(r.From, 0), min(r.To, total))
+		j.done = j.done.Add(max(r.From, 0), min(r.To, total))
 	}
 	for _, m := range p.Steps {
 		j.save(m.Occurrence, func(kept *workload.Progress) { kept.Steps = append(kept.Steps, m) })
@@ -122,7 +122,7 @@
 	for index, kept := range j.saved {
 		if j.allDone(kept) {
 			// Earlier versions stored each step of an occurrence that was done.
-			j.done = j.done.add(index, index+1)
+			j.done = j.done.Add(index, index+1)
 			delete(j.saved, index)
 		}
 	}
@@ -130,7 +130,7 @@
 
 // save changes what is kept of an occurrence that is not built.
 func (j *job) save(occurrence int, change func(kept *workload.Progress)) {
-	if occurrence < 0 || occurrence >= j.sub.Occurrences() || j.done.contains(occurrence) {
+	if occurrence < 0 || occurrence >= j.sub.Occurrences() || j.done.Contains(occurrence) {
 		return
 	}
 	if j.saved == nil {
--- a/internal/scheduler/schedule.go
+++ b/internal/scheduler/schedule.go
@@ -60,7 +60,7 @@
 // and queues the job for the next one.
 func (c *Core) schedule(j *job) {
 	for j.ending == "" {
-		j.nextDue = j.done.next(j.nextDue)
+		j.nextDue = j.done.Next(j.nextDue)
 		if j.nextDue >= j.sub.Occurrences() {
 			return
 		}
--- a/internal/scheduler/intervals_test.go
+++ b/workload/occurrences_test.go
@@ -1,35 +1,35 @@
-package scheduler
+package workload
 
 import (
 	"math/rand/v2"
 	"testing"
 )
 
-func TestIntervals_AgreeWithASet(t *testing.T) {
+func TestOccurrenceSet_AgreesWithASet(t *testing.T) {
 	const most = 60
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		var s intervals
+		var s OccurrenceSet
 		set := make(map[int]bool)
 		for range 30 {
 			from := random.IntN(most)
 			to := min(from+random.IntN(5), most)
-			s = s.add(from, to)
+			s = s.Add(from, to)
 			for n := from; n < to; n++ {
 				set[n] = true
 			}
-			if s.count() != len(set) {
-				t.Fatalf("seed %d: %v holds %d integers, want %d", seed, s, s.count(), len(set))
+			if s.Count() != len(set) {
+				t.Fatalf("seed %d: %v holds %d occurrences, want %d", seed, s, s.Count(), len(set))
 			}
 			for n := range most {
-				if s.contains(n) != set[n] {
-					t.Fatalf("seed %d: %v contains %d: %t, want %t", seed, s, n, s.contains(n), set[n])
+				if s.Contains(n) != set[n] {
+					t.Fatalf("seed %d: %v contains %d: %t, want %t", seed, s, n, s.Contains(n), set[n])
 				}
 				next := n
 				for set[next] {
 					next++
 				}
-				if got := s.next(n); got != next {
+				if got := s.Next(n); got != next {
 					t.Fatalf("seed %d: %v has next(%d) = %d, want %d", seed, s, n, got, next)
 				}
 			}
