Unfinished bodies end with the budget, not with a call's context

What callers saw: a body that stopped was sometimes refused as daemon_stopping while the daemon went on.

Cause: net/http cancels the context of a request when a read fails, also by its deadline, so that the end of a context does not tell a stop of the daemon from a stalled body.

Change: Budget.Stop refuses what has not come whole and all that begins later; the drain calls it when it ends the contexts of calls.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -83,8 +83,9 @@
 	policyClients *entry.PolicyClients
 
 	callers, ready *http.Server
-	// endCalls cancels the contexts of all callers' calls.
-	endCalls context.CancelFunc
+	// endCalls cancels the contexts of all callers' calls, and refuses those whose bodies have
+	// not come whole.
+	endCalls func()
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	// layoutsLoaded is set once the layouts of all configured services were known.
@@ -255,7 +256,10 @@
 	h.callers = intake.NewServer(callerAPI.Bodies.Protect(h.countInFlight(callerAPI)), l)
 	h.ready = intake.NewServer(intake.WithoutBodies(router), l)
 	calls, endCalls := context.WithCancel(context.Background())
-	h.endCalls = endCalls
+	h.endCalls = func() {
+		endCalls()
+		callerAPI.Bodies.Budget.Stop(intake.ReasonStopping)
+	}
 	h.callers.BaseContext = func(net.Listener) context.Context { return calls }
 	for _, s := range []struct {
 		server              *http.Server
--- a/internal/intake/bodies.go
+++ b/internal/intake/bodies.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"runtime"
@@ -100,8 +99,6 @@
 		return &Body{}, nil
 	}
 	x := newBodyReader(b, w, r, o)
-	// A stop of the daemon ends the contexts of its calls.
-	defer context.AfterFunc(r.Context(), func() { x.entry.Cancel(ReasonStopping) })()
 	data, err := x.entry.ReadAll(x, r.ContentLength, o.Limit, x.waited)
 	x.leaveConnection()
 	if err == nil {
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -37,7 +37,7 @@
 	ReasonStalled Reason = "body_stalled"
 	// ReasonBusy: the processor has more large bodies to work on than it can in time.
 	ReasonBusy Reason = "processor_busy"
-	// ReasonStopping: the daemon stops, or the caller is gone, before the whole body has come.
+	// ReasonStopping: the daemon stops before the whole body has come.
 	ReasonStopping Reason = "daemon_stopping"
 )
 
@@ -73,6 +73,8 @@
 	entries     map[*Entry]struct{}
 	// sequence numbers the requests in the order in which they began.
 	sequence uint64
+	// stopped is the reason for which all new requests are refused; empty if they are not.
+	stopped Reason
 	// changed is closed, and replaced, when bytes are released or a request is evicted.
 	changed chan struct{}
 }
@@ -123,6 +125,7 @@
 	defer b.mu.Unlock()
 	b.sequence++
 	e.sequence = b.sequence
+	e.evicted, e.reason = b.stopped != "", b.stopped
 	b.entries[e] = struct{}{}
 	return e
 }
@@ -169,12 +172,15 @@
 	return nil
 }
 
-// Cancel refuses the request if it has not come whole.
-func (e *Entry) Cancel(reason Reason) {
-	e.budget.mu.Lock()
-	defer e.budget.mu.Unlock()
-	if e.arriving && !e.evicted && !e.ended {
-		e.budget.evict(e, reason)
+// Stop refuses all requests that have not come whole, and each that begins later.
+func (b *Budget) Stop(reason Reason) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = reason
+	for e := range b.entries {
+		if e.arriving && !e.evicted {
+			b.evict(e, reason)
+		}
 	}
 }
 
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -116,18 +115,15 @@
 }
 
 // A planned stop waits for the calls that are in progress. Bodies that never end kept it waiting
-// until its time was over; they are refused when the contexts of calls end.
+// until its time was over; they are refused when the budget stops.
 func TestBodies_UnfinishedOnesEndWithTheDaemon(t *testing.T) {
 	bodies := NewBodies(minBodyBytes, Limits{StallTimeout: time.Minute, BodyTimeout: time.Minute}, nil)
-	calls, endCalls := context.WithCancel(t.Context())
-	refused := make(chan error, 2)
-	s := httptest.NewUnstartedServer(bodies.Protect(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	refused := make(chan error, 3)
+	s := httptest.NewServer(bodies.Protect(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := bodies.Read(w, r, BodyOptions{Limit: 200_000})
 		body.Release()
 		refused <- err
 	})))
-	s.Config.BaseContext = func(net.Listener) context.Context { return calls }
-	s.Start()
 	defer s.Close()
 	for _, length := range []string{"10", "100000"} {
 		c, err := net.Dial("tcp", s.Listener.Addr().String())
@@ -140,8 +136,11 @@
 	for bodies.Budget.Status().Requests < 2 {
 		time.Sleep(time.Millisecond)
 	}
-	endCalls()
-	for range 2 {
+	bodies.Budget.Stop(ReasonStopping)
+	late := bodies.Budget.Begin(Client{}, 1, func() {})
+	refused <- late.Take(1)
+	late.End()
+	for range 3 {
 		var refusal *Refusal
 		if err := <-refused; !errors.As(err, &refusal) || refusal.Reason != ReasonStopping {
 			t.Errorf("%v, want %s", err, ReasonStopping)
