A body that waits for memory does not wait for one behind it in the queue

What callers saw: beside a crowd of whole bodies a large one was refused after a second (intake_full) while later ones of its group held the memory that it needed.

Cause: bodies that wait for the processor counted as if they could go on, so that none gave way. They cannot: the one that waits for memory began before them.

Change: if all that arrive wait for memory or for the processor, the one that began last gives way.

Evidence: TestBudget_LastGivesWayThoughItWaitsForTheProcessor fails without the change ("intake_full after 1s") and passes.

--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -364,8 +364,8 @@
 }
 
 // slowest returns the request that gives way next, or nil if all are fast: the one whose
-// rest takes the longest at its present rate. If all that arrive wait for this budget, it
-// is the large one that began last, so that the others can go on.
+// rest takes the longest at its present rate. If all that arrive wait for this budget or for the
+// processor, it is the large one that began last, so that the others can go on.
 func (b *Budget) slowest(now time.Time) (slowest *Entry) {
 	longest, blocked := evictionGrace, true
 	var last *Entry
@@ -373,11 +373,8 @@
 		if !e.arriving || e.evicted || e.held == 0 {
 			continue
 		}
-		if e.work != nil && e.work.isWaiting() {
-			blocked = false
-			continue
-		}
-		if e.waiting {
+		// A body that waits for the processor may wait for a request that waits for memory.
+		if e.waiting || e.work != nil && e.work.isWaiting() {
 			if e.held > smallBytes && (last == nil || e.sequence > last.sequence) {
 				last = e
 			}
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -121,6 +121,34 @@
 	})
 }
 
+// A body that waits for memory must not wait for one that waits for the processor behind it: both
+// would be refused, the first after a second.
+func TestBudget_LastGivesWayThoughItWaitsForTheProcessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, q := NewBudget(800*kilobyte, time.Now), NewWorkQueue(1, time.Now)
+		var interrupted string
+		first := start(t, b, 300*kilobyte, 200_000, &interrupted, "first")
+		second := start(t, b, 300*kilobyte, 200_000, &interrupted, "second")
+		first.setWork(q.Begin("g", largestBody, time.Time{}))
+		second.setWork(q.Begin("g", largestBody, time.Time{}))
+		first.work.Acquire()
+		go func() {
+			second.work.Acquire()
+			second.work.End()
+			second.End()
+		}()
+		synctest.Wait()
+		time.Sleep(100 * time.Millisecond)
+		second.interrupt = func() { interrupted += "second"; second.work.Cancel() }
+		began := time.Now()
+		if err := first.Take(200 * kilobyte); err != nil || interrupted != "second" || time.Since(began) > retryInterval {
+			t.Errorf("%v after %v, %q gave way, want the second one at once", err, time.Since(began), interrupted)
+		}
+		first.work.End()
+		first.End()
+	})
+}
+
 // Answers that one daemon does not read must not keep those to others from being sent. A
 // connection that was quiet is not slow because its next answer is long.
 func TestBudget_UnreadAnswersGiveWay(t *testing.T) {
--- a/internal/intake/work.go
+++ b/internal/intake/work.go
@@ -51,10 +51,10 @@
 
 // Work is one body's place in a WorkQueue.
 type Work struct {
-	queue    *WorkQueue
-	group    *workGroup
-	name     string
-	sequence uint64
+	queue     *WorkQueue
+	group     *workGroup
+	groupName string
+	sequence  uint64
 	// left is the number of bytes to the body's end, and deadline the end of its caller's time;
 	// zero if there is none.
 	left     int64
@@ -91,7 +91,7 @@
 	}
 	g.bodies++
 	q.sequence++
-	return &Work{queue: q, group: g, name: group, sequence: q.sequence, left: size, deadline: deadline, index: -1}
+	return &Work{queue: q, group: g, groupName: group, sequence: q.sequence, left: size, deadline: deadline, index: -1}
 }
 
 // leastServed returns the work of the group that has had the least.
@@ -263,7 +263,7 @@
 	q.release(w)
 	w.group.bodies--
 	if w.group.bodies == 0 {
-		delete(q.groups, w.name)
+		delete(q.groups, w.groupName)
 	}
 	w.group = nil
 }
