--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -27,9 +27,9 @@
 // Yielding returns the index of the connection that gives way to one more from an address:
 // of the address's own connections if they have reached perAddress, of all if these have
 // reached limit. It is the one that has been idle for the longest. Connections that are
-// busy, or idle for less than 10 ms, do not give way. Queued ones do only if no other does, the
-// last one first, which waits for the longest yet. Known ones do only after all others, and first
-// those of a group that has more than an equal share of the limit.
+// busy, or idle for less than 10 ms, do not give way. Queued ones do only if no other does, and of
+// them the one with the latest beginning, whose wait is the longest yet to come. Known ones do only
+// after all others, and first those of a group that has more than an equal share of the limit.
 // It returns -1 and true if none has to give way, and -1 and false if one has to and none
 // can.
 func Yielding(all []ConnectionState, address string, limit, perAddress int) (index int, ok bool) {
--- a/internal/untrusted/aftermath_test.go
+++ b/internal/untrusted/aftermath_test.go
@@ -94,6 +94,18 @@
 	return q
 }
 
+// checkAnswering ends the observation, and checks that the process answers an ordinary call and
+// has stayed within its memory.
+func (o *observer) checkAnswering() {
+	p := o.process
+	p.t.Helper()
+	p.await("answering", func() bool { return p.call() == http.StatusOK })
+	peak, err := o.end()
+	if err != nil || !p.lives() || peak.memory() > p.limits.memoryMB*megabyte {
+		p.t.Errorf("the process lives: %t; %.1f MB held, want at most %d MB; %v", p.lives(), float64(peak.memory())/megabyte, p.limits.memoryMB, err)
+	}
+}
+
 // A descriptor, goroutine or byte of a budget that is lost with each refused request ends the
 // service in a day.
 func TestCallers_NothingIsLeftAfterTheCrowd(t *testing.T) {
@@ -112,11 +124,7 @@
 				after := p.awaitQuiet(before)
 				t.Logf("%+v after a wave, %+v before the first", after, before)
 			}
-			p.await("answering", func() bool { return p.call() == http.StatusOK })
-			peak, err := o.end()
-			if err != nil || !p.lives() || peak.memory() > small.memoryMB*megabyte {
-				t.Errorf("the process lives: %t; %.1f MB held, want at most %d MB; %v", p.lives(), float64(peak.memory())/megabyte, small.memoryMB, err)
-			}
+			o.checkAnswering()
 		})
 	}
 }
@@ -148,11 +156,7 @@
 			p.start(p.arguments...)
 			o := p.observe()
 			p.awaitReady()
-			p.await("answering", func() bool { return p.call() == http.StatusOK })
-			peak, err := o.end()
-			if err != nil || !p.lives() || peak.memory() > small.memoryMB*megabyte {
-				t.Errorf("the process lives: %t; %.1f MB held, want at most %d MB; %v", p.lives(), float64(peak.memory())/megabyte, small.memoryMB, err)
-			}
+			o.checkAnswering()
 		})
 	}
 }
--- a/internal/untrusted/observe_test.go
+++ b/internal/untrusted/observe_test.go
@@ -26,15 +26,16 @@
 
 // observer reads the usage of a process until it is stopped.
 type observer struct {
-	stop chan struct{}
-	done sync.WaitGroup
+	process *process
+	stop    chan struct{}
+	done    sync.WaitGroup
 	// peak has the highest memory with its parts, and the highest number of descriptors.
 	peak usage
 	err  error
 }
 
 func (p *process) observe() *observer {
-	o := &observer{stop: make(chan struct{})}
+	o := &observer{process: p, stop: make(chan struct{})}
 	o.done.Go(func() {
 		for tick := time.NewTicker(observeInterval); ; {
 			u, err := p.usage()
