A stopping daemon closes the connection of a refused call without a body

What callers saw: since a call without a body that a stopping daemon of `run` refused kept its connection, so that the caller's next call went to the same daemon.

Cause: a call that is refused before it is read took the way of invalid requests, which closes connections for unread bodies alone.

Change: the header is set as soon as the call is known to be refused. The message of a body that was not read no longer says "memory" where the reason is another.

Evidence: TestBody_StoppingDaemonClosesConnections failed for the empty body, and passes.

--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -62,3 +62,22 @@
 		}
 	})
 }
+
+// A caller whose call a stopping daemon refuses must open its next connection, which goes to
+// another daemon, whether its request has a body or not.
+func TestBody_StoppingDaemonClosesConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, rigOptions{daemons: 1, backends: 3, slots: 2, runTime: runFor(10 * time.Millisecond)})
+		defer r.close()
+		waitForBackends()
+		if err := r.daemons[0].Stop(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for _, body := range []string{"", "x"} {
+			p := r.daemons[0].send(t.Context(), "peek", body)
+			if p.status != http.StatusServiceUnavailable || p.header.Get("Connection") != "close" || p.header.Get("Retry-After") == "" {
+				t.Errorf("body %q: status %d, %v, want 503, a closed connection and a Retry-After", body, p.status, p.header)
+			}
+		}
+	})
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -83,6 +83,9 @@
 	refusal := g.beginCall()
 	if refusal == nil {
 		defer g.endCall()
+	} else {
+		// The caller's next call goes to another daemon.
+		w.Header().Set("Connection", "close")
 	}
 	c, invalid := g.readCall(w, r, refusal)
 	if invalid != nil {
@@ -96,7 +99,6 @@
 	if refusal == nil {
 		outcome, err = g.serve(r.Context(), c)
 	} else {
-		w.Header().Set("Connection", "close")
 		outcome, err = g.refuseCall(r.Context(), c, refusal)
 	}
 	c.releaseBody()
@@ -213,8 +215,8 @@
 	return nil
 }
 
-// bodyRefused returns the refusal of a call whose body could not be read. Where that is for want
-// of memory, it speaks for earlier calls with the same key as well, which may have run.
+// bodyRefused returns the refusal of a call whose body could not be read. Where the
+// daemon is the reason, it speaks for earlier calls with the same key as well, which may have run.
 func (c *call) bodyRefused(err error, maxBytes int64) *requestError {
 	var refusal *intake.Refusal
 	switch {
@@ -223,12 +225,12 @@
 	case errors.Is(err, intake.ErrOverBudget):
 		return refuse(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, "the body is longer than this daemon's limits.bodyBytes allows")
 	case errors.As(err, &refusal) && refusal.Reason != intake.ReasonStalled:
-		full := refuse(http.StatusServiceUnavailable, ReasonBodyMemory, "bodies take all of their memory: %s", refusal.Reason)
-		full.err.RetryAfter = cmp.Or(refusal.RetryAfter, overloadRetryAfter)
+		unread := refuse(http.StatusServiceUnavailable, ReasonBodyMemory, "the body was refused: %s", refusal.Reason)
+		unread.err.RetryAfter = cmp.Or(refusal.RetryAfter, overloadRetryAfter)
 		if c.mayHaveEarlierAttempt() {
-			full.err.Verdict = verdict.MayHaveRun
+			unread.err.Verdict = verdict.MayHaveRun
 		}
-		return full
+		return unread
 	}
 	return refuse(http.StatusBadRequest, ReasonBodyTruncated, "read body: %v", err)
 }
--- a/internal/gateway/reasons.go
+++ b/internal/gateway/reasons.go
@@ -50,7 +50,8 @@
 	ReasonInvalidCount    verdict.Reason = "count_invalid"
 	ReasonBodyTooLarge    verdict.Reason = "body_too_large"
 	ReasonBodyTruncated   verdict.Reason = "body_cut"
-	// ReasonBodyMemory means that the bodies of all calls take the memory that they may.
+	// ReasonBodyMemory means that the bodies of all calls take the memory or the processor
+	// time that they may.
 	ReasonBodyMemory       verdict.Reason = "body_memory"
 	ReasonHeaderTooLong    verdict.Reason = "header_too_long"
 	ReasonNotFound         verdict.Reason = "not_found"
