--- a/internal/intake/bodies.go
+++ b/internal/intake/bodies.go
@@ -105,7 +105,7 @@
 		err = x.entry.Arrived()
 	}
 	if err != nil {
-		x.refuse()
+		x.abandon()
 		closeAfter(w)
 		b.Report.requestRefused(r, x.client(), err, len(data), time.Since(x.began))
 		return &Body{}, err
--- a/internal/intake/bodyreader.go
+++ b/internal/intake/bodyreader.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// refuse gives back what the body holds. What else the client sends is not read.
-func (x *bodyReader) refuse() {
+// abandon gives back what the body holds. What else the client sends is not read.
+func (x *bodyReader) abandon() {
 	x.setDeadline(x.past())
 	if x.work != nil {
 		x.work.End()
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -226,7 +226,7 @@
 // give way meanwhile. It returns a *Refusal if it fails, and ErrOverBudget at once if the
 // bytes can never be free.
 func (e *Entry) Take(n int64) error {
-	err := e.take(n)
+	err := e.takeOrWait(n)
 	if e.work != nil && err == nil {
 		e.work.Acquire()
 		err = e.work.Refused()
@@ -234,7 +234,8 @@
 	return err
 }
 
-func (e *Entry) take(n int64) error {
+// takeOrWait is Take without the right to the processor, which a wait gives up.
+func (e *Entry) takeOrWait(n int64) error {
 	b := e.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/intake/status.go
+++ b/internal/intake/status.go
@@ -42,13 +42,13 @@
 
 // ListenerStatus tells how many connections a listener has, and whose.
 type ListenerStatus struct {
-	Open    int                `json:"open"`
-	Limit   int                `json:"limit"`
-	Clients []ConnectionsOfOne `json:"clients"`
+	Open    int                 `json:"open"`
+	Limit   int                 `json:"limit"`
+	Clients []ClientConnections `json:"clients"`
 }
 
-// ConnectionsOfOne is a client with open connections.
-type ConnectionsOfOne struct {
+// ClientConnections is a client with open connections.
+type ClientConnections struct {
 	Group       string `json:"group,omitempty"`
 	Address     string `json:"address"`
 	Connections int    `json:"connections"`
@@ -97,11 +97,11 @@
 		clients[Client{Group: c.groupName(), Address: c.address}]++
 	}
 	l.mu.Unlock()
-	list := make([]ConnectionsOfOne, 0, len(clients))
+	list := make([]ClientConnections, 0, len(clients))
 	for c, n := range clients {
-		list = append(list, ConnectionsOfOne{Group: c.Group, Address: c.Address, Connections: n})
+		list = append(list, ClientConnections{Group: c.Group, Address: c.Address, Connections: n})
 	}
-	slices.SortFunc(list, func(a, b ConnectionsOfOne) int {
+	slices.SortFunc(list, func(a, b ClientConnections) int {
 		return cmp.Or(cmp.Compare(b.Connections, a.Connections), cmp.Compare(a.Address, b.Address), cmp.Compare(a.Group, b.Group))
 	})
 	return ListenerStatus{Open: open, Limit: l.o.Connections, Clients: list[:min(shownClients, len(list))]}
