review: case 14, tasks that last stay where their rack was lost

Cause: a submission is handed to another shard only as a whole, while none of its tasks runs. A known entry says so, with a test in virtual time; this shows it with processes.

Change: a script that fails, with 400 runners in two shards. It takes the place of a lesser case: tasks that last and wait for runners in quarantine, which a known entry already shows. The loss of a majority becomes case 15. The scenario late-ack is added to the stand-ins; it is no case.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -4,4 +4,4 @@
 # could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-standin-3 ] && [ -x target/currantwinchd ] || exit 2
-exec target/review-standin-3 lasting review/15/record.txt
+exec target/review-standin-3 lost-majority review/15/record.txt
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -33,7 +33,8 @@
 	"renamed-lost":  renamedLost,
 	"checkpoint":    largeCheckpoint,
 	"lost-majority": lostMajority,
-	"lasting":       lasting,
+	"late-ack":      lateAck,
+	"split-lasting": splitLasting,
 }
 
 func main() {
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -53,8 +54,9 @@
 	changed  chan struct{}
 	// checkpoint, if set, gives the checkpoint that a task has saved since its run began.
 	checkpoint func(task string, since time.Duration) string
-	// fails, if set, says how long a run lasts until its task fails by itself.
-	fails func(task string, run int) time.Duration
+	// late, if set, returns for a call that gets no response a channel that is closed when the
+	// call is executed, and nil for any other.
+	late func(path string, o order) <-chan struct{}
 }
 
 func newRunner(w *world, number int, service string) (*runner, error) {
@@ -63,7 +65,7 @@
 		return nil, err
 	}
 	r := &runner{
-		world: w, id: fmt.Sprintf("rn-%s-%02d", service, number), service: service, kind: kindOf(number), rack: fmt.Sprintf("r%d", number/4),
+		world: w, id: fmt.Sprintf("rn-%s-%02d", service, number), service: service, kind: w.kindOf(number), rack: fmt.Sprintf("r%02d", number/w.rackSize),
 		address: l.Addr().String(), born: time.Now(), running: make(map[string]*run), highest: make(map[string]int), changed: make(chan struct{}), gone: make(chan struct{}),
 	}
 	r.server = &http.Server{Handler: r}
@@ -72,19 +74,14 @@
 	return r, nil
 }
 
-// kindOf returns the kind of a runner: every fourth is of the kind b.
-func kindOf(number int) string {
-	if number%4 == 3 {
-		return "b"
-	}
-	return "a"
-}
-
 func (r *runner) register() {
 	for n := 1; ; n++ {
+		r.mu.Lock()
+		born := r.born
+		r.mu.Unlock()
 		entry, _ := json.Marshal(map[string]any{
 			"service": r.service, "address": r.address, "zone": "zone-a", "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-			"sequence": n, "capacity": map[string]any{"cpu": runnerCores * 1000, "mem_mb": 65536}, "labels": []string{r.kind, r.rack}, "born": r.born.UnixMilli(),
+			"sequence": n, "capacity": map[string]any{"cpu": runnerCores * 1000, "mem_mb": 65536}, "labels": []string{r.kind, r.rack}, "born": born.UnixMilli(),
 		})
 		r.world.store.put("keyed.servers", r.id, entry)
 		select {
@@ -98,6 +95,35 @@
 	}
 }
 
+// crash ends all that runs on the runner, which is back after downtime as a new life under its
+// id and address, and knows nothing of before.
+func (r *runner) crash(downtime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.world.note("runner %s crashes", r.id)
+	_ = r.server.Close()
+	for task, a := range r.running {
+		a.timer.Stop()
+		r.world.ended(r, task, a.number, "lost with its runner", 0)
+	}
+	r.running = make(map[string]*run)
+	time.AfterFunc(downtime, func() {
+		l, err := net.Listen("tcp", r.address)
+		if err != nil {
+			r.world.note("runner %s can't come back: %v", r.id, err)
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.born, r.fence, r.lastEnd, r.deadline, r.ends = time.Now(), 0, 0, 0, nil
+		r.running, r.highest = make(map[string]*run), make(map[string]int)
+		r.server = &http.Server{Handler: r}
+		server := r.server
+		go func() { _ = server.Serve(l) }()
+		r.world.note("runner %s is back under its id, born %d", r.id, r.born.UnixMilli())
+	})
+}
+
 // leave loses the runner for good, with all that runs there.
 func (r *runner) leave() {
 	r.mu.Lock()
@@ -140,6 +166,24 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	r.world.called()
+	if r.late != nil {
+		if execute := r.late(q.URL.Path, o); execute != nil {
+			// The call gets no response, and is executed when execute is closed.
+			path := q.URL.Path
+			go func() {
+				<-execute
+				r.handle(httptest.NewRecorder(), context.Background(), path, o)
+			}()
+			<-q.Context().Done()
+			return
+		}
+	}
+	r.handle(w, q.Context(), q.URL.Path, o)
+}
+
+// handle executes a call.
+func (r *runner) handle(w http.ResponseWriter, ctx context.Context, path string, o order) {
 	r.mu.Lock()
 	if o.Fence < r.fence {
 		r.mu.Unlock()
@@ -148,13 +192,13 @@
 	}
 	r.fence = o.Fence
 	r.mu.Unlock()
-	switch q.URL.Path {
+	switch path {
 	case "/run-start":
 		r.start(w, o)
 	case "/run-stop":
 		r.stop(w, o)
 	case "/hold":
-		r.hold(w, q.Context(), o)
+		r.hold(w, ctx, o)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -216,14 +260,10 @@
 		a = &run{number: o.Run, began: time.Now()}
 		r.running[o.Task] = a
 		r.world.began(r, o)
-		lasts, how := work(o.Task, o.Spec), "done"
-		if r.fails != nil {
-			lasts, how = r.fails(o.Task, o.Run), "failed"
-		}
-		a.timer = time.AfterFunc(lasts, func() {
+		a.timer = time.AfterFunc(work(o.Task, o.Spec), func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.end(o.Task, o.Run, how)
+			r.end(o.Task, o.Run, "done")
 		})
 	}
 	reply(w, http.StatusOK, map[string]any{"clock_ms": r.clock()})
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -38,10 +38,15 @@
 	front  []*daemon
 	dir    string
 	stores net.Listener
+	// kindOf gives the kind of a runner by its number, and rackSize is how many a rack has.
+	kindOf   func(number int) string
+	rackSize int
 
 	mu     sync.Mutex
 	record *os.File
 	starts []*start
+	// calls are the times at which runners got calls.
+	calls []time.Duration
 }
 
 // daemon is one process of the project.
@@ -61,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{zero: time.Now(), store: newStore(), dir: dir, record: record}
+	w := &world{zero: time.Now(), store: newStore(), dir: dir, record: record, kindOf: oneKind, rackSize: 4}
 	if w.stores, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
@@ -69,6 +74,9 @@
 	return w, nil
 }
 
+// oneKind is the kind of each runner where a case needs no other.
+func oneKind(int) string { return "a" }
+
 func (w *world) since() time.Duration { return time.Since(w.zero) }
 
 // note writes one line of the record.
@@ -90,6 +98,26 @@
 	w.noteLocked("runner %s starts %s run %d, checkpoint of %d bytes", r.id, o.Task, o.Run, len(o.Checkpoint))
 }
 
+// called notes that a runner got a call.
+func (w *world) called() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, w.since())
+}
+
+// callsBetween counts the calls that all runners got between two times.
+func (w *world) callsBetween(from, to time.Duration) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, at := range w.calls {
+		if at >= from && at <= to {
+			n++
+		}
+	}
+	return n
+}
+
 // ended notes that a run has ended.
 func (w *world) ended(r *runner, task string, number int, how string, end int) {
 	w.mu.Lock()
