--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -34,6 +34,7 @@
 	"checkpoint":    largeCheckpoint,
 	"lost-majority": lostMajority,
 	"late-ack":      lateAck,
+	"port-taken":    portTaken,
 	"split-lasting": splitLasting,
 }
 
