Accepted work goes on after its queue gets another name, or goes

GET said "running" for good, and the next step never started.

Cause: a submission was tied to the name of its queue. startsHere let a task start only while the configuration had a queue of that name, and the next owner knew no attempts, priority or policy without it. Ruled out: the home (the GETs found the submission) and room (8 idle servers).

Change: a submission is stored with the address of its queue, by which callers select it, and with the queue's settings. Queues are looked up by the address; a queue that no configuration has holds nothing back. Learned run times, objectives and pending go by the address too. Records of the version before follow the name until an owner has seen the queue, which stores the address.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -7,6 +7,7 @@
 
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/scheduler"
+	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/shard"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
@@ -82,11 +83,12 @@
 	return scheduler.Reply{Outcome: scheduler.OutcomeNotFound}, nil
 }
 
-// Pending returns how many submissions of a queue that leads to a service now have not
-// started, summed over all partitions that may hold them.
-func (e *Router) Pending(ctx context.Context, queue, service string) (scheduler.Reply, error) {
+// Pending returns how many submissions of a queue have not started, summed over all partitions
+// that may hold them.
+func (e *Router) Pending(ctx context.Context, queue *routing.Queue) (scheduler.Reply, error) {
+	service := queue.Service
 	services := []string{service}
-	if home, ok := e.o.Homes.Home(queue); ok && home != service {
+	if home, ok := e.o.Homes.Home(queue.Name); ok && home != service {
 		services = append(services, e.o.Homes.Services()...)
 	}
 	asked, began := make(map[int]bool), e.o.Now()
@@ -106,7 +108,7 @@
 	parts := make(chan part, len(asked))
 	for number := range asked {
 		go func() {
-			r, err := e.callOwner(ctx, began, methodPending, call{Service: service, Queue: queue, Part: number})
+			r, err := e.callOwner(ctx, began, methodPending, call{Service: service, Queue: queue.Name, Address: queue.Address(), Part: number})
 			parts <- part{r, err}
 		}()
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -68,6 +68,8 @@
 	Part  int    `json:"part"`
 	ID    string `json:"id,omitempty"`
 	Queue string `json:"queue,omitempty"`
+	// Address identifies the queue; empty in calls of an earlier version.
+	Address workload.QueueAddress `json:"address,omitempty"`
 	// Tenant is the tenant that asks about the submission; empty if there is none.
 	Tenant     string               `json:"tenant,omitempty"`
 	Submission *workload.Submission `json:"submission,omitempty"`
@@ -256,7 +258,7 @@
 	case methodCancel:
 		return engine.Cancel(ctx, c.ID, c.Tenant)
 	default:
-		return engine.Pending(ctx, c.Queue)
+		return engine.Pending(ctx, c.Queue, c.Address)
 	}
 }
 
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -126,7 +126,7 @@
 	if c.config == nil {
 		return Reply{Outcome: OutcomeRefused, Reason: "no_configuration", RetryAfterMS: 1000}, true
 	}
-	if _, ok := c.config.Queue(sub.Queue); !ok {
+	if _, ok := c.queueOf(sub); !ok {
 		return Reply{Outcome: OutcomeNotFound, Reason: "no_queue"}, true
 	}
 	if storeDelay > maxStoreDelay {
--- a/internal/scheduler/authorization.go
+++ b/internal/scheduler/authorization.go
@@ -126,7 +126,7 @@
 			unknown = append(unknown, s)
 		}
 	}
-	rate := p.core.allowRateOf(st.job().queue.Name).rate
+	rate := p.core.allowRateOf(queueKey(st.job().sub)).rate
 	chosen, enough := p.chooseServers(st, need, rate, known, unknown)
 	if !enough {
 		chosen = p.addFullServers(st, chosen)
@@ -289,7 +289,7 @@
 	if len(tickets) > 0 {
 		a.validUntil = latest(a.validUntil, c.now.Add(validity))
 	}
-	learned := c.allowRateOf(s.job().queue.Name)
+	learned := c.allowRateOf(queueKey(s.job().sub))
 	allowedNow := make(map[string]bool, len(tickets))
 	for _, t := range tickets {
 		allowedNow[t.Server] = true
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -57,9 +57,10 @@
 	return e.confirmNotFound(ctx, r, err)
 }
 
-// Pending returns how many of a queue's submissions have not started.
-func (e *Engine) Pending(ctx context.Context, queue string) (Reply, error) {
-	return e.call(ctx, func(c *Core, reply func(Reply)) { c.Pending(queue, reply) })
+// Pending returns how many submissions of the queue with a name and an address have not
+// started.
+func (e *Engine) Pending(ctx context.Context, queue string, address workload.QueueAddress) (Reply, error) {
+	return e.call(ctx, func(c *Core, reply func(Reply)) { c.Pending(queue, address, reply) })
 }
 
 // confirmNotFound passes OutcomeNotFound on only if this daemon owned the partition
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -422,9 +422,7 @@
 	c.wakeAll()
 	c.placementNeeded = true
 	for _, j := range c.jobs {
-		if q, ok := config.Queue(j.sub.Queue); ok {
-			j.queue = *q
-		}
+		c.setQueue(j)
 		c.tenants.setCriticalPath(j)
 		c.noteRoute(j)
 	}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -217,7 +217,7 @@
 // towards that and are not asked about again. It returns none once every server
 // has been asked about.
 func (p *placementPass) serversToQuery(st *step, need int, forecasts []forecast) []string {
-	rate := p.core.allowRateOf(st.job().queue.Name).rate
+	rate := p.core.allowRateOf(queueKey(st.job().sub)).rate
 	want := gangCapacityFactor * float64(need)
 	least := minRequestServers
 	if st.authorization.openRequests > 0 {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -14,6 +14,8 @@
 type job struct {
 	sub   *workload.Submission
 	queue routing.Queue
+	// queueKnown is set once a configuration, or the submission's record, has told queue.
+	queueKnown bool
 	// stored is set once the submission is in the log. No task starts before.
 	stored bool
 	// acceptWriteID is the write that stores the submission, and withdrawn is set
--- a/internal/scheduler/reroute.go
+++ b/internal/scheduler/reroute.go
@@ -39,7 +39,7 @@
 // configuration that is older than the one that led it here says nothing.
 func (c *Core) noteRoute(j *job) {
 	delete(c.misrouted, j)
-	q, ok := c.config.Queue(j.sub.Queue)
+	q, ok := c.queueOf(j.sub)
 	if ok && q.Service != j.sub.Service && c.config.Version > j.sub.ConfigVersion {
 		c.misrouted[j] = true
 	}
@@ -47,9 +47,9 @@
 
 // startsHere reports whether tasks of a job may start on this partition's servers, as far as
 // its queue is concerned: the queue leads to the job's service, or to another one while the
-// job cannot move there.
+// job cannot move there, or the configuration has it no more.
 func (c *Core) startsHere(j *job) bool {
-	if _, ok := c.config.Queue(j.sub.Queue); !ok {
+	if c.config == nil || j.mayHaveUsedUpRuns() {
 		return false
 	}
 	if !c.misrouted[j] {
@@ -69,7 +69,7 @@
 // destination returns where a misrouted job moves as soon as it is stored and the owner has
 // recovered. It reports false for a job that stays for now.
 func (c *Core) destination(j *job) (destination, bool) {
-	q, ok := c.config.Queue(j.sub.Queue)
+	q, ok := c.queueOf(j.sub)
 	if !ok || j.live > 0 || j.handoverRejected || j.onTrial() {
 		return destination{}, false
 	}
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -46,7 +46,7 @@
 
 // observeObjective adds the objective of a job of which a task starts.
 func (c *Core) observeObjective(j *job) {
-	c.speedsOf(j.sub.Service).objectives.Observe(j.sub.Queue, j.targetTime().Sub(j.accepted), c.now)
+	c.speedsOf(j.sub.Service).objectives.Observe(queueKey(j.sub), j.targetTime().Sub(j.accepted), c.now)
 }
 
 // observeSpeed learns from a run that ended done, by the time from its start order to its
@@ -217,7 +217,7 @@
 	if !known.unequal {
 		return p.choice
 	}
-	p.choice.Choice = speed.NewChoice(known.objectives.Yields(j.sub.Queue), st.work(), p.timeLeft(st))
+	p.choice.Choice = speed.NewChoice(known.objectives.Yields(queueKey(j.sub)), st.work(), p.timeLeft(st))
 	return p.choice
 }
 
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -33,6 +33,9 @@
 	if sub.Transfer != nil {
 		sub.Transfer.Epoch = c.epoch
 	}
+	if q, ok := c.queueOf(sub); ok {
+		nameQueue(sub, q)
+	}
 	c.tenants.arrived(sub)
 	accepted := recordOf(keyAccepted, sub.ID, sub)
 	j := newJob(sub, c.now)
@@ -200,14 +203,13 @@
 
 // assignQueue sets a job's queue and the statistics of that queue's run times.
 func (c *Core) assignQueue(j *job) {
-	if c.runTimes[j.sub.Queue] == nil {
-		c.runTimes[j.sub.Queue] = &runTimes{}
+	key := queueKey(j.sub)
+	if c.runTimes[key] == nil {
+		c.runTimes[key] = &runTimes{}
 	}
-	j.runs = c.runTimes[j.sub.Queue]
+	j.runs = c.runTimes[key]
 	if c.config != nil {
-		if q, ok := c.config.Queue(j.sub.Queue); ok {
-			j.queue = *q
-		}
+		c.setQueue(j)
 		c.tenants.setCriticalPath(j)
 		c.noteRoute(j)
 	}
@@ -329,17 +331,17 @@
 	c.afterStored(func() { c.reply(reply, Reply{}) })
 }
 
-// Pending replies with the number of a queue's submissions that have not
-// started, not counting those with a scheduled start.
-func (c *Core) Pending(queue string, reply func(Reply)) {
+// Pending replies with the number of submissions of the queue with a name and an address that
+// have not started, not counting those with a scheduled start.
+func (c *Core) Pending(queue string, address workload.QueueAddress, reply func(Reply)) {
 	n := 0
 	for _, j := range c.jobs {
-		if j.sub.Queue == queue && j.stored && !j.started && !j.sub.Timed() && j.ending == "" {
+		if inQueue(j.sub, queue, address) && j.stored && !j.started && !j.sub.Timed() && j.ending == "" {
 			n++
 		}
 	}
 	for _, d := range c.departures {
-		if sub := d.record.Submission; sub.Queue == queue && !d.record.Started && !sub.Timed() {
+		if sub := &d.record.Submission; inQueue(sub, queue, address) && !d.record.Started && !sub.Timed() {
 			n++
 		}
 	}
--- a/routing/example_test.go
+++ b/routing/example_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/currantwinch/currantwinch/routing"
+	"github.com/currantwinch/currantwinch/workload"
 )
 
 func config() *routing.Configuration {
@@ -33,3 +34,18 @@
 		}
 	}
 }
+
+// Guards against work that loses its queue, or gets another one, by how a host is written.
+func TestQueueAt_FindsTheAddressOfEachMatch(t *testing.T) {
+	for _, c := range []struct{ host, path string }{{"DESK.example:80", "/jobs/x"}, {"desk.example", "/jobs/urgent/x"}} {
+		matched, _, _ := config().Match(c.host, c.path)
+		if found, ok := config().QueueAt(matched.Address()); !ok || found.Name != matched.Name {
+			t.Errorf("%s%s: queue %v at %q, want %q", c.host, c.path, found, matched.Address(), matched.Name)
+		}
+	}
+	for _, address := range []workload.QueueAddress{"", "desk.example/job", "desk.example/jobs/urgent/x", "other.example/jobs/"} {
+		if q, ok := config().QueueAt(address); ok {
+			t.Errorf("%q: queue %q, want none", address, q.Name)
+		}
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -9,18 +9,9 @@
 	"slices"
 	"strings"
 	"time"
-)
 
-// PolicyTiming is the latency of a queue's policy service and the validity of its
-// permissions.
-type PolicyTiming struct {
-	// DecisionTime is the fixed time of one decision.
-	DecisionTime time.Duration
-	// TimePerServer is the additional time for each backend server in a request.
-	TimePerServer time.Duration
-	// PermissionValidity is how long a permission may be used.
-	PermissionValidity time.Duration
-}
+	"github.com/currantwinch/currantwinch/workload"
+)
 
 // Queue is a route, with the service and the limits of its submissions.
 type Queue struct {
@@ -39,7 +30,7 @@
 	// Timeout bounds one request.
 	Timeout time.Duration
 	// Policy is nil if every backend server may run the queue's tasks.
-	Policy *PolicyTiming
+	Policy *workload.PolicyTiming
 	// Public queues take calls without a key.
 	Public bool
 }
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -151,12 +151,19 @@
 	Tenant string `cbor:"12,keyasint,omitempty"`
 	// Excess is set if the tenant sent the submission beyond its rate.
 	Excess bool `cbor:"13,keyasint,omitempty"`
+	// Address identifies the queue. Queue is its name when the submission was received.
+	Address QueueAddress `cbor:"14,keyasint,omitempty"`
+	// Settings are those of the queue when the submission was received; nil if an earlier
+	// version has stored it.
+	Settings *QueueSettings `cbor:"15,keyasint,omitempty"`
 }
 
 // Reference names a submission in a call about it.
 type Reference struct {
 	ID    string
 	Queue string
+	// Address identifies the queue.
+	Address QueueAddress
 	// Service is the one to which the queue leads now.
 	Service string
 	// Tenant is the tenant that asks; empty if the queue is public or the deployment
