Work goes on after most daemons are lost together with a server

Cause: the next owner took the witnesses that it did not reach for a majority that attests for the earlier owner, for 30 s, and stretched that by the ratio of the takeover wait to the sent lease (53 s) in place of the ratio of two clocks. Ruled out: detection (the claim comes 1 s after the loss) and room.

Change: attestations of all witnesses extend leases for 30 s as before, those of a majority only for what finish_s and max_hold_ms leave, which the claim states. One promise shows that the earlier owner cannot have all, and ends the long doubt. Claims of the version before state nothing and count as before. Settings that leave no time are logged (6069).

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -185,6 +185,12 @@
 		Fields:  []string{"partition", "epoch", "daemon", "took", "stopped", "error"},
 		Meaning: "This daemon told another one, on which an earlier owner ran or which is a witness of one, that it owns the partition now. If stopped is true, no earlier owner runs there any more; if error is not empty, that daemon was not reached last. The field took is the time since the claim, in milliseconds.",
 	}
+	RestartTimeMissed = Event{
+		Number: 6069, Level: slog.LevelWarn, Name: "restart_time_missed",
+		Fields:  []string{"maxLease", "restartTime"},
+		Meaning: "By the settings, a lease on a server that fell silent together with its owner lasts so long that its tasks run elsewhere later than the platform asks. Both fields are in milliseconds.",
+		Action:  "If the loss of a server together with its owner has to be borne, shorten bounds.max_hold_ms or lengthen bounds.finish_s.",
+	}
 	LeaseRenewalChanged = Event{
 		Number: 6066, Level: slog.LevelInfo, Name: "lease_renewal",
 		Fields:  []string{"epoch", "renewed", "evidenceAge"},
@@ -304,7 +310,7 @@
 	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved, PlacementPass,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
-	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
+	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, RestartTimeMissed, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
 	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
 	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged, CopyStarted, CopyDecided, LocalityWaitEnded,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -103,6 +103,7 @@
 	h.limits = intake.LimitsFor(intake.VM{MemoryMB: o.Settings.MemoryMB, Descriptors: o.Settings.MaxFDs}, intake.Profile{}, o.Settings.Intake)
 	h.reporter = intake.NewReporter(o.Events, h.base.Metrics)
 	h.reporter.Limits(h.limits)
+	h.checkRestartTime()
 	h.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(o.Settings),
@@ -207,13 +208,9 @@
 
 // newEngine returns the scheduler of a partition that this daemon holds.
 func (h *Host) newEngine(id partition.ID) *scheduler.Engine {
-	b := h.o.Settings.Bounds
 	return scheduler.NewEngine(scheduler.EngineOptions{
 		Log: h.store, Partition: id, Daemon: h.base.Self.Name,
-		Bounds: scheduler.Bounds{
-			MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusRetention: b.StatusRetention, ReuseAfter: b.ReuseAfter,
-			MaxRecordBytes: h.o.Settings.MaxRecordBytes, ShareWindow: b.ShareWindow, RemoteFactor: b.RemoteFactor,
-		},
+		Bounds:  h.schedulerBounds(),
 		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
 		MemoryBudget: h.memoryBudget,
 		Shards:       h.entry.ShardsOf(id), Caps: h.entry.CapsOf(id), Witnesses: h.tenures.Witnesses(id),
@@ -224,6 +221,23 @@
 	})
 }
 
+func (h *Host) schedulerBounds() scheduler.Bounds {
+	b := h.o.Settings.Bounds
+	return scheduler.Bounds{
+		MaxLease: b.MaxLease, GangTimeout: b.GangTimeout, StatusRetention: b.StatusRetention, ReuseAfter: b.ReuseAfter, RestartTime: b.RestartTime,
+		MaxRecordBytes: h.o.Settings.MaxRecordBytes, ShareWindow: b.ShareWindow, RemoteFactor: b.RemoteFactor,
+	}
+}
+
+// checkRestartTime logs settings under which the tasks of a server that is lost together with
+// its owner start elsewhere too late.
+func (h *Host) checkRestartTime() {
+	b := h.schedulerBounds()
+	if _, fits := b.MajorityAttested(); !fits {
+		h.o.Events.Log(events.RestartTimeMissed, "maxLease", b.MaxLease.Milliseconds(), "restartTime", b.RestartTime.Milliseconds())
+	}
+}
+
 const (
 	// submissionsFraction is the fraction of a VM's memory that may be taken by the
 	// submissions of all partitions, since one daemon may come to own all.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -36,6 +36,9 @@
 	ReuseAfter time.Duration
 	// MemoryBytes is the budget for what is held of submissions; 0 means none.
 	MemoryBytes int64
+	// RestartTime is how long after the loss of its owner, however many daemons are lost
+	// with it, accepted work may have nothing running; 0 means that there is no bound.
+	RestartTime time.Duration
 	// RemoteFactor is the ratio of a task's run time outside the rack of its data or its group
 	// to that in it; at most 1 if that makes no difference.
 	RemoteFactor float64
--- a/internal/scheduler/tenure.go
+++ b/internal/scheduler/tenure.go
@@ -23,16 +23,24 @@
 // the partition after it: a call to the log, or attestations of a majority of the witnesses
 // that its claim names. A later owner asks those witnesses to attest no more, and its wait
 // begins once a majority has promised that or the earlier owner's daemon says that it has
-// ended. Package ownership holds the protocol and its proof by exploration.
+// ended. If they are lost, it begins once the attestations of the others can extend nothing
+// more: those of a majority soon, those of all witnesses late. Package ownership holds the
+// protocol and its proof by exploration.
 
 const (
 	// takeoverSlack covers the time from the expiry of a lease to the end of the run,
 	// and readings of clocks in whole milliseconds.
 	takeoverSlack = leaseExpirySlack
 	// maxAttested bounds how long an owner that cannot reach the log extends leases by
-	// attestations. A later owner waits for as long if it reaches neither the daemon of
-	// the earlier one nor a majority of its witnesses.
+	// the attestations of all its witnesses. A later owner waits for as long if it reaches
+	// neither the daemon of the earlier one nor any of its witnesses.
 	maxAttested = 30 * time.Second
+	// claimTime is how long after the loss of an owner the next one has claimed the
+	// partition at the latest, and restartMargin what it has left for the first starts.
+	claimTime     = 3 * time.Second
+	restartMargin = time.Second
+	// clockRatio is the largest ratio between the rates of two daemons' clocks.
+	clockRatio = (1 + ownership.MaxClockDrift) / (1 - ownership.MaxClockDrift)
 	// minStartFraction: tasks are started only if this fraction of a lease is left.
 	minStartFraction = 6
 	// maxPriorOwners bounds the earlier owners that a claim names. What exceeds it is
@@ -63,23 +71,48 @@
 // to an earlier owner.
 func newTenure(claim workload.PartitionOwner, granted time.Duration, began, now time.Time) *tenure {
 	lease := msDuration(claim.LeaseMS)
-	const drift = (1 + ownership.MaxClockDrift) / (1 - ownership.MaxClockDrift)
 	t := &tenure{
 		protocol: ownership.Protocol{Timing: ownership.Timing{
-			LeaseDuration: lease, TakeoverWait: time.Duration(float64(granted)*drift) + takeoverSlack,
-			HandoverLease: lease, AttestedDuration: maxAttested,
+			LeaseDuration: lease, TakeoverWait: takeoverWaitFor(granted),
+			HandoverLease: lease, AttestedDuration: maxAttested, MaxClockRatio: clockRatio,
 		}},
 		prior: claim.Prior, began: began, stopped: make(map[string]bool), updateStored: len(claim.Prior) == 0,
 	}
-	own := ownership.Entry{Tenure: ownership.Tenure{Epoch: claim.Epoch, Holder: holderOf(claim.Epoch, claim.Daemon), Witnesses: claim.Witnesses}}
+	own := ownership.Entry{Tenure: ownership.Tenure{Epoch: claim.Epoch, Holder: holderOf(claim.Epoch, claim.Daemon), Witnesses: claim.Witnesses, MajorityDuration: majorityDuration(claim.MajorityMS)}}
 	for _, p := range claim.Prior {
-		own.Prior = append(own.Prior, ownership.Tenure{Epoch: p.Epoch, Holder: holderOf(p.Epoch, p.Daemon), Witnesses: p.Witnesses})
+		own.Prior = append(own.Prior, ownership.Tenure{Epoch: p.Epoch, Holder: holderOf(p.Epoch, p.Daemon), Witnesses: p.Witnesses, MajorityDuration: majorityDuration(p.MajorityMS)})
 	}
 	t.state = t.protocol.ApplyRead(t.state, own.Holder, own, t.instant(began), t.instant(now))
 	t.advance(now)
 	return t
 }
 
+// takeoverWaitFor returns how long a lease that a server granted may last by another clock.
+func takeoverWaitFor(granted time.Duration) time.Duration {
+	return time.Duration(float64(granted)*clockRatio) + takeoverSlack
+}
+
+// majorityDuration returns how long an owner lets a majority of its witnesses extend leases.
+func majorityDuration(storedMS *int64) time.Duration {
+	if storedMS == nil {
+		return maxAttested
+	}
+	return min(msDuration(*storedMS), maxAttested)
+}
+
+// MajorityAttested returns how long the attestations of a majority of the witnesses, if not of
+// all, may extend leases: as long as the next owner, which waits for that and then for the
+// longest lease, restarts within RestartTime what was lost with the owner and most witnesses.
+// It reports false if the longest lease alone takes too long for that.
+func (b Bounds) MajorityAttested() (d time.Duration, fits bool) {
+	if b.RestartTime == 0 {
+		return maxAttested, true
+	}
+	left := b.RestartTime - claimTime - restartMargin - takeoverWaitFor(b.MaxLease)
+	d = time.Duration(float64(left) / clockRatio).Truncate(time.Millisecond)
+	return min(max(d, 0), maxAttested), left >= 0
+}
+
 // tenureFaults disables single steps of the protocol in a Core. Only tests set them, to show
 // that the exploration detects the resulting violation.
 type tenureFaults struct {
@@ -190,7 +223,11 @@
 // nextClaim returns the claim of the owner after those in a partition's records.
 func nextClaim(records []partition.Record, daemon string, bounds Bounds, witnesses []string) workload.PartitionOwner {
 	before := LastClaim(records)
-	claim := workload.PartitionOwner{Epoch: before.Epoch + 1, Daemon: daemon, LeaseMS: bounds.lease().Milliseconds(), Witnesses: witnesses}
+	majority, _ := bounds.MajorityAttested()
+	majorityMS := majority.Milliseconds()
+	claim := workload.PartitionOwner{
+		Epoch: before.Epoch + 1, Daemon: daemon, LeaseMS: bounds.lease().Milliseconds(), Witnesses: witnesses, MajorityMS: &majorityMS,
+	}
 	if before.Epoch == 0 {
 		return claim
 	}
@@ -201,7 +238,7 @@
 	if update.Epoch != before.Epoch || !update.PriorExpired {
 		claim.Prior = before.Prior
 	}
-	last := workload.PriorOwner{Epoch: before.Epoch, Daemon: before.Daemon, LeaseMS: before.LeaseMS, Witnesses: before.Witnesses}
+	last := workload.PriorOwner{Epoch: before.Epoch, Daemon: before.Daemon, LeaseMS: before.LeaseMS, Witnesses: before.Witnesses, MajorityMS: before.MajorityMS}
 	if last.LeaseMS <= 0 {
 		last.LeaseMS = bounds.MaxLease.Milliseconds()
 	}
--- a/internal/scheduler/tenureworld_test.go
+++ b/internal/scheduler/tenureworld_test.go
@@ -126,7 +126,7 @@
 func newTenureWorldUnder(t *testing.T, seed uint64, ownWitnesses bool, faults tenureFaults, maxLease time.Duration) *tenureWorld {
 	w := &tenureWorld{
 		t: t, ownWitnesses: ownWitnesses, rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1_700_000_000, 0), faults: faults, log: make(map[string]partition.Record),
-		bounds:  Bounds{MaxLease: maxLease, GangTimeout: 3 * time.Second, StatusRetention: 2 * time.Minute, ReuseAfter: 2 * time.Second},
+		bounds:  Bounds{MaxLease: maxLease, RestartTime: worldRestartTime(maxLease), GangTimeout: 3 * time.Second, StatusRetention: 2 * time.Minute, ReuseAfter: 2 * time.Second},
 		harness: newHarness(t, 2),
 	}
 	for i := range w.daemons {
@@ -151,6 +151,11 @@
 	return w
 }
 
+// worldRestartTime lets the attestations of a majority count for about a lease.
+func worldRestartTime(maxLease time.Duration) time.Duration {
+	return claimTime + restartMargin + takeoverWaitFor(maxLease) + tenureLease
+}
+
 func (w *tenureWorld) wall() int64 { return w.now.UnixMilli() }
 
 func (w *tenureWorld) clock(v *tenureServer) int64 {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -7,7 +7,9 @@
 // A holder's lease lasts for Timing.LeaseDuration after its newest evidence
 // that no later claim existed: a read of the log, a read that a peer made on
 // request, or attestations from a majority of the witnesses named in its
-// claim. A claim becomes effective once every earlier tenure is certainly
+// claim. Attestations of a majority may count for a shorter time than those of
+// all witnesses: a claimant that has the promise of a single one then knows that
+// the holder has only the shorter time. A claim becomes effective once every earlier tenure is certainly
 // over: its holder agreed to stop, or it can get no new evidence and the lease
 // from its last evidence has expired.
 package ownership
@@ -43,10 +45,14 @@
 	// HandoverLease bounds the lease of a draining holder, counted from now: a
 	// successor that asks it to stop has to wait for no longer than that.
 	HandoverLease time.Duration
-	// AttestedDuration bounds how long attestations may extend a lease after the
-	// holder's newest read, by its own clock. A claimant that reaches neither the
-	// holder nor a majority of its witnesses waits for that long. 0 is no bound.
+	// AttestedDuration bounds how long the attestations of all witnesses may extend a
+	// lease after the holder's newest read, by its own clock. A claimant that reaches
+	// neither the holder nor any of its witnesses waits for that long. 0 is no bound, also
+	// for a majority. Tenure.MajorityDuration is the bound for attestations of fewer.
 	AttestedDuration time.Duration
+	// MaxClockRatio is the largest ratio between the rates of two daemons' clocks; 0 means
+	// that of TakeoverWait to LeaseDuration.
+	MaxClockRatio float64
 }
 
 // DefaultTiming is the timing that daemons use.
@@ -78,6 +84,11 @@
 	Holder string
 	// Witnesses are the incarnations that may attest for the holder.
 	Witnesses []string
+	// MajorityDuration bounds how long the attestations of a majority of the witnesses, if
+	// not of all, may extend a lease after the holder's newest read, by its own clock. It
+	// is part of the claim, since later claimants rely on it, and is used only with
+	// Timing.AttestedDuration.
+	MajorityDuration time.Duration
 }
 
 // Entry is the newest claim on a share according to the log. The zero Entry is
@@ -123,6 +134,8 @@
 	releaseIgnoresUses    bool // release a share while its lease is in use
 	drainIgnoresDeferred  bool // drain without waiting for deferred uses
 	attestWithoutEnd      bool // extend a lease by attestations however old the newest read is
+	majorityAsAll         bool // let a majority attest for as long as all witnesses
+	doubtWithoutPromise   bool // rely on the bound for a majority without any promise
 	trustForgetful        bool // accept attestations of a witness that restarted since the newest read
 	switchWitnessesEarly  bool // use other witnesses before the log is known to have them
 }
@@ -150,7 +163,11 @@
 	if p.faults.waitEqualsLease {
 		return d
 	}
-	return time.Duration(float64(d) * float64(p.Timing.TakeoverWait) / float64(p.Timing.LeaseDuration))
+	ratio := p.Timing.MaxClockRatio
+	if ratio == 0 {
+		ratio = float64(p.Timing.TakeoverWait) / float64(p.Timing.LeaseDuration)
+	}
+	return time.Duration(float64(d) * ratio)
 }
 
 // takeoverWait returns the wait of a claimant for earlier leases to expire.
--- a/ownership/partition_model_test.go
+++ b/ownership/partition_model_test.go
@@ -13,8 +13,10 @@
 // reaches.
 
 // partTiming has the shortest lease and wait that differ by one tick, and attestations that
-// extend a lease for two ticks after a read.
-var partTiming = Timing{LeaseDuration: 1, TakeoverWait: 2, HandoverLease: 1, AttestedDuration: 2}
+// extend a lease for five ticks after a read, or for partMajority if they are not those of all.
+var partTiming = Timing{LeaseDuration: 1, TakeoverWait: 2, HandoverLease: 1, AttestedDuration: 5, MaxClockRatio: 1.5}
+
+const partMajority = 2
 
 // partDaemon is one daemon with its memory as a witness.
 type partDaemon struct {
@@ -135,7 +137,7 @@
 		if !before.priorOver {
 			o.prior = slices.Clip(before.prior)
 		}
-		o.prior = append(slices.Clone(o.prior), Tenure{Epoch: uint64(last + 1), Holder: w.holder(last), Witnesses: before.witnesses})
+		o.prior = append(slices.Clone(o.prior), Tenure{Epoch: uint64(last + 1), Holder: w.holder(last), Witnesses: before.witnesses, MajorityDuration: partMajority})
 	}
 	w.owners = append(w.owners, o)
 }
@@ -144,7 +146,7 @@
 func (w *partState) answerClaim(p Protocol, i int) {
 	o := &w.owners[i]
 	o.answered = true
-	e := Entry{Tenure: Tenure{Epoch: uint64(i + 1), Holder: w.holder(i), Witnesses: o.witnesses}, Prior: o.prior}
+	e := Entry{Tenure: Tenure{Epoch: uint64(i + 1), Holder: w.holder(i), Witnesses: o.witnesses, MajorityDuration: partMajority}, Prior: o.prior}
 	o.state = p.ApplyRead(o.state, e.Holder, e, o.began, w.clock(o.daemon))
 }
 
--- a/ownership/share_state.go
+++ b/ownership/share_state.go
@@ -146,9 +146,9 @@
 	return s
 }
 
-// quorumEvidence returns the newest time as of which a majority of the witnesses
+// quorumEvidence returns the newest time as of which at least need of the witnesses
 // attested, or zero.
-func (p Protocol) quorumEvidence(s ShareState, witnesses []string) Instant {
+func (p Protocol) quorumEvidence(s ShareState, witnesses []string, need int) Instant {
 	var buffer [16]Instant
 	times := buffer[:0]
 	for _, v := range s.Attestations {
@@ -156,7 +156,6 @@
 			times = append(times, v.AskedAt)
 		}
 	}
-	need := p.majority(len(witnesses))
 	if need == 0 || len(times) < need {
 		return 0
 	}
@@ -176,20 +175,36 @@
 // existed. While a renewal's outcome is unknown, attestations count only with
 // a majority of both sets of witnesses.
 func (p Protocol) newestEvidence(s ShareState) Instant {
-	attested := p.quorumEvidence(s, s.Tenure.Witnesses)
-	if s.Pending.Epoch != 0 {
-		renewed := p.quorumEvidence(s, s.Pending.Witnesses)
-		if p.faults.forgetPending {
-			attested = renewed
-		}
-		attested = min(attested, renewed)
-	}
+	attested := p.attestedEvidence(s, p.majority)
 	if limit := p.Timing.AttestedDuration; limit > 0 && !p.faults.attestWithoutEnd {
-		attested = min(attested, s.ReadEvidence.Add(limit))
+		all := min(p.attestedEvidence(s, everyone), s.ReadEvidence.Add(limit))
+		shorter := s.Tenure.MajorityDuration
+		if p.faults.majorityAsAll {
+			shorter = limit
+		}
+		attested = max(all, min(attested, s.ReadEvidence.Add(shorter)))
 	}
 	return max(s.ReadEvidence, attested)
 }
 
+// attestedEvidence returns the newest time as of which enough witnesses attested, or zero.
+// Enough tells, by the number of witnesses, how many are. While other witnesses are pending,
+// enough of both sets must have attested.
+func (p Protocol) attestedEvidence(s ShareState, enough func(n int) int) Instant {
+	attested := p.quorumEvidence(s, s.Tenure.Witnesses, enough(len(s.Tenure.Witnesses)))
+	if s.Pending.Epoch == 0 {
+		return attested
+	}
+	renewed := p.quorumEvidence(s, s.Pending.Witnesses, enough(len(s.Pending.Witnesses)))
+	if p.faults.forgetPending {
+		return renewed
+	}
+	return min(attested, renewed)
+}
+
+// everyone returns how many of n witnesses are all of them.
+func everyone(n int) int { return n }
+
 // EvidenceUntil returns until when the newest evidence lets this daemon's effects last,
 // whether its claim is effective or not. A daemon may act for a receiver before that if
 // the receiver itself refuses all earlier holders.
@@ -318,16 +333,27 @@
 	if p.faults.noConsent || ended(t.Holder) || len(t.Witnesses) == 0 {
 		return true
 	}
-	if limit := p.Timing.AttestedDuration; limit > 0 && now >= s.ClaimedAt.Add(p.maxLocalDuration(limit)) {
-		return true
-	}
 	count := 0
 	for _, w := range t.Witnesses {
 		if ended(w) || slices.ContainsFunc(s.Consents, func(c string) bool { return p.sameWitness(c, w) }) {
 			count++
 		}
 	}
-	return count >= p.blocking(len(t.Witnesses))
+	return count >= p.blocking(len(t.Witnesses)) || p.attestationsOver(s, t, count, now)
+}
+
+// attestationsOver reports whether attestations can extend the leases of a tenure's holder no
+// longer, since it can have read nothing after this daemon's claim. Consented is how many of
+// its witnesses attest for it no more: with one of them, it can no longer have all.
+func (p Protocol) attestationsOver(s ShareState, t Tenure, consented int, now Instant) bool {
+	limit := p.Timing.AttestedDuration
+	if limit == 0 {
+		return false
+	}
+	if consented > 0 || p.faults.doubtWithoutPromise {
+		limit = min(limit, t.MajorityDuration)
+	}
+	return now >= s.ClaimedAt.Add(p.maxLocalDuration(limit))
 }
 
 // ApplyConsent applies a witness's consent to the claim of that epoch.
--- a/workload/record.go
+++ b/workload/record.go
@@ -110,6 +110,10 @@
 	Witnesses []string `cbor:"5,keyasint,omitempty"`
 	// Prior are the owners before, oldest first, whose leases may not have expired.
 	Prior []PriorOwner `cbor:"6,keyasint,omitempty"`
+	// MajorityMS is how long the attestations of a majority of the witnesses, if not of
+	// all, may extend the owner's leases, in milliseconds; nil in the claims of an earlier
+	// version, whose owners take them for those of all.
+	MajorityMS *int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // PriorOwner is an owner whose leases may not have expired when the next one claimed.
@@ -118,6 +122,8 @@
 	Daemon    string   `cbor:"2,keyasint"`
 	LeaseMS   int64    `cbor:"3,keyasint,omitempty"`
 	Witnesses []string `cbor:"4,keyasint,omitempty"`
+	// MajorityMS is that of the owner's claim.
+	MajorityMS *int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // OwnerUpdate is the stored record of what has changed since an owner's claim.
