A queue has one home, whatever its name

Cause: the home of a queue, whose partition decides whether an ID is new, was stored under the queue's name. The new name got a home of its own, which had never heard of the ID. The same with a submission that was completed or cancelled. Ruled out: a lost forward (none was stored) and a stale owner.

Change: homes are stored and looked up by the queue's address, by which callers select it. A home that an earlier version stored by the name becomes that of the address with the first POST, under the condition that nothing else was appended. The name is stored beside the address for daemons of earlier versions. An address that is too long for a key is stored by its digest.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -20,7 +20,7 @@
 // the owner knows.
 func (e *Router) Submit(ctx context.Context, sub *workload.Submission) (scheduler.Reply, error) {
 	began := e.o.Now()
-	home, err := e.home(ctx, began, sub.Queue, sub.Service)
+	home, err := e.home(ctx, began, shard.Queue{Address: sub.Address, Name: sub.Queue}, sub.Service)
 	if err != nil {
 		return scheduler.Reply{}, err
 	}
@@ -29,17 +29,17 @@
 
 // home returns the home of a queue that leads to a service now. It stores the home of a
 // queue to which nothing was submitted before. The search for an owner began at began.
-func (e *Router) home(ctx context.Context, began time.Time, queue, service string) (string, error) {
+func (e *Router) home(ctx context.Context, began time.Time, queue shard.Queue, service string) (string, error) {
 	for {
-		if home, ok := e.o.Homes.Home(queue); ok {
+		if home, ok := e.o.Homes.Home(queue.Address); ok {
 			return home, nil
 		}
 		err := e.o.Homes.StoreHome(ctx, queue, service)
-		if home, ok := e.o.Homes.Home(queue); ok {
+		if home, ok := e.o.Homes.Home(queue.Address); ok {
 			return home, nil
 		}
 		if e.o.Now().Sub(began) > ownerSearchTimeout || !duty.Sleep(ctx, ownerSearchInterval) {
-			return "", verdict.New(verdict.NotRun, ReasonNoLayout, "no home of queue %q yet: %v", queue, err).WithRetryAfter(ownerRetryAfter)
+			return "", verdict.New(verdict.NotRun, ReasonNoLayout, "no home of queue %q yet: %v", queue.Address, err).WithRetryAfter(ownerRetryAfter)
 		}
 	}
 }
@@ -56,12 +56,11 @@
 
 // callHolder routes a call about one submission to the partition that holds it. The queue's
 // home knows of all that were accepted under it. Others may hold a submission that was
-// accepted before the home was stored, or under another name of the queue: "not found" is
-// replied only if none of them holds it. One that moves meanwhile is found as well, since
-// its former partition forwards the call.
+// accepted before the home was stored: "not found" is replied only if none of them holds it.
+// One that moves meanwhile is found as well, since its former partition forwards the call.
 func (e *Router) callHolder(ctx context.Context, method string, ref workload.Reference) (scheduler.Reply, error) {
 	first := ref.Service
-	if home, ok := e.o.Homes.Home(ref.Queue); ok {
+	if home, ok := e.o.Homes.Home(ref.Address); ok {
 		first = home
 	}
 	asked, began := make(map[int]bool), e.o.Now()
@@ -88,7 +87,7 @@
 func (e *Router) Pending(ctx context.Context, queue *routing.Queue) (scheduler.Reply, error) {
 	service := queue.Service
 	services := []string{service}
-	if home, ok := e.o.Homes.Home(queue.Name); ok && home != service {
+	if home, ok := e.o.Homes.Home(queue.Address()); !ok || home != service {
 		services = append(services, e.o.Homes.Services()...)
 	}
 	asked, began := make(map[int]bool), e.o.Now()
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -66,20 +66,22 @@
 		Member: member, Tenures: tenure.New(tenure.Options{Peers: peers, Now: time.Now}), Peers: peers, PartitionCount: 1, Now: time.Now,
 		Layout:   func(string) (shard.Layout, bool) { return shard.Layout{Shards: 1}, true },
 		Isolated: func() bool { return false },
-		Homes:    storedHomes{"checks": "pool"},
+		Homes:    storedHomes{checksAddress: "pool"},
 	})
 }
 
 // storedHomes are the homes of queues that are known.
-type storedHomes map[string]string
+type storedHomes map[workload.QueueAddress]string
 
-func (h storedHomes) Home(queue string) (string, bool) {
-	service, ok := h[queue]
+const checksAddress workload.QueueAddress = "desk.example/checks/"
+
+func (h storedHomes) Home(address workload.QueueAddress) (string, bool) {
+	service, ok := h[address]
 	return service, ok
 }
 
-func (h storedHomes) StoreHome(_ context.Context, queue, service string) error {
-	h[queue] = service
+func (h storedHomes) StoreHome(_ context.Context, queue shard.Queue, service string) error {
+	h[queue.Address] = service
 	return nil
 }
 
@@ -92,7 +94,7 @@
 }
 
 func submitTo(e *Router, t *testing.T) (scheduler.Reply, error) {
-	return e.Submit(t.Context(), &workload.Submission{ID: "00000000000000aa", Queue: "checks", Service: "pool"})
+	return e.Submit(t.Context(), &workload.Submission{ID: "00000000000000aa", Queue: "checks", Address: checksAddress, Service: "pool"})
 }
 
 func unanswered() (scheduler.Reply, error) {
@@ -186,10 +188,10 @@
 func TestRouter_UnknownSubmissionAfterNoAnswerIsPassedOn(t *testing.T) {
 	for name, do := range map[string]func(context.Context, *Router) (scheduler.Reply, error){
 		"status": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
-			return e.Status(ctx, workload.Reference{Queue: "checks", Service: "pool", ID: "00000000000000aa"})
+			return e.Status(ctx, workload.Reference{Queue: "checks", Address: checksAddress, Service: "pool", ID: "00000000000000aa"})
 		},
 		"cancel": func(ctx context.Context, e *Router) (scheduler.Reply, error) {
-			return e.Cancel(ctx, workload.Reference{Queue: "checks", Service: "pool", ID: "00000000000000aa"})
+			return e.Cancel(ctx, workload.Reference{Queue: "checks", Address: checksAddress, Service: "pool", ID: "00000000000000aa"})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -105,10 +105,11 @@
 
 // Homes knows where the submissions of queues are looked for. shard.Manager implements it.
 type Homes interface {
-	// Home returns the service whose shard decides whether an ID of a queue is new.
-	Home(queue string) (service string, ok bool)
-	// StoreHome stores the home of a queue that has none.
-	StoreHome(ctx context.Context, queue, service string) error
+	// Home returns the service whose shard decides whether an ID of the queue at an address
+	// is new.
+	Home(address workload.QueueAddress) (service string, ok bool)
+	// StoreHome stores the home of a queue that has none. It leads to service now.
+	StoreHome(ctx context.Context, queue shard.Queue, service string) error
 	// Services lists the services that ever had a layout.
 	Services() []string
 }
--- a/internal/host/reroute_test.go
+++ b/internal/host/reroute_test.go
@@ -39,10 +39,22 @@
 }
 
 // lead publishes a version of the configuration that leads the queue to a service.
-func (p *pools) lead(service string) {
+func (p *pools) lead(service string) { p.publish(route{"r", "/q/", service}) }
+
+// route is a queue of a published configuration.
+type route struct{ name, prefix, service string }
+
+// publish publishes a version of the configuration with the given queues.
+func (p *pools) publish(routes ...route) {
 	p.version++
+	var queues []string
+	for _, r := range routes {
+		queues = append(queues, fmt.Sprintf(
+			`{"name":%q,"host":"h.example","path_prefix":%q,"service":%q,"attempts":2,"stretch":2,"target_latency_ms":400}`, r.name, r.prefix, r.service))
+	}
 	p.store.Put("keyed.op", 0, "config", fmt.Appendf(nil,
-		`{"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"/q/","service":%q,"attempts":2,"stretch":2,"target_latency_ms":400}],"services":[{"name":"pool"},{"name":"annex"},{"name":"other"},{"name":"west"}],"limits":{"max_body_bytes":10000}}`, p.version, service))
+		`{"version":%d,"routes":[%s],"services":[{"name":"pool"},{"name":"annex"},{"name":"other"},{"name":"west"}],"limits":{"max_body_bytes":10000}}`,
+		p.version, strings.Join(queues, ",")))
 }
 
 // starts returns how often the tasks of a submission were started, by service.
--- a/shard/manager.go
+++ b/shard/manager.go
@@ -118,12 +118,12 @@
 	k.mu.Lock()
 	next, nextHomes := maps.Clone(*k.table.Load()), maps.Clone(*k.homes.Load())
 	for _, r := range records {
-		if queue, service, isHome, err := nextHomes.decode(r); isHome {
+		if home, isHome, err := nextHomes.decode(r); isHome {
 			if err != nil {
 				k.o.Rejected(r.Key, err)
 				continue
 			}
-			nextHomes[queue] = service
+			nextHomes[r.Key] = home
 			continue
 		}
 		if isHolder, err := k.applyCapHolder(r); isHolder {
