A submission is reached through its own queue alone

The second POST, of other work, was answered 200 and never ran; GET and DELETE of each route reached the other's submission. A handover into a partition with another submission of the ID was confirmed and lost.

Cause: partitions found submissions by the ID, and compared only the tenant.

Change: calls, final states and forwards carry the address of the queue. A POST of an ID that the partition has for another queue is answered 409, as for another tenant; GET and DELETE are answered 410; such a handover is refused and sent again. The queue's name, which only a log line used, is no longer stored in final states.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		asked[part] = true
-		r, err := e.callOwner(ctx, began, method, call{Service: s, ID: ref.ID, Tenant: ref.Tenant, Part: part})
+		r, err := e.callOwner(ctx, began, method, call{Service: s, ID: ref.ID, Address: ref.Address, Tenant: ref.Tenant, Part: part})
 		if err != nil || r.Outcome != scheduler.OutcomeNotFound {
 			return r, err
 		}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -255,14 +255,19 @@
 	case methodSubmit:
 		return engine.Submit(ctx, c.passedOn())
 	case methodStatus:
-		return engine.Status(ctx, c.ID, c.Tenant)
+		return engine.Status(ctx, c.reference())
 	case methodCancel:
-		return engine.Cancel(ctx, c.ID, c.Tenant)
+		return engine.Cancel(ctx, c.reference())
 	default:
 		return engine.Pending(ctx, c.Queue, c.Address)
 	}
 }
 
+// reference names the submission that a call is about.
+func (c call) reference() workload.Reference {
+	return workload.Reference{ID: c.ID, Address: c.Address, Service: c.Service, Tenant: c.Tenant}
+}
+
 // passedOn returns the submission of a call with how often it was passed on.
 func (c call) passedOn() *workload.Submission {
 	if c.Handover == 0 {
--- a/internal/host/claim_test.go
+++ b/internal/host/claim_test.go
@@ -210,7 +210,7 @@
 			link := &cutTransport{RoundTripper: client.Transport, cut: make(map[string]bool)}
 			former := run(t, scheduler.NewEngine(s.engineOptions("former", &http.Client{Transport: link})))
 			defer former.stop()
-			if r, err := former.Status(t.Context(), id, ""); err != nil || r.Outcome != scheduler.OutcomeNotFound {
+			if r, err := former.Status(t.Context(), workload.Reference{ID: id}); err != nil || r.Outcome != scheduler.OutcomeNotFound {
 				t.Fatalf("%+v, %v before the partition was reassigned, want not found", r, err)
 			}
 			next := run(t, s.newTestEngine("next"))
@@ -219,10 +219,10 @@
 			link.set(s.address, cut)
 			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
-			if r, err := former.Cancel(ctx, id, ""); err == nil {
+			if r, err := former.Cancel(ctx, workload.Reference{ID: id}); err == nil {
 				t.Errorf("%+v to a cancel at the former owner, want an error", r)
 			}
-			if r, err := next.Status(t.Context(), id, ""); err != nil || r.Outcome != scheduler.OutcomeDone {
+			if r, err := next.Status(t.Context(), workload.Reference{ID: id}); err != nil || r.Outcome != scheduler.OutcomeDone {
 				t.Errorf("%+v, %v at the next owner, want a status", r, err)
 			}
 		})
--- a/internal/host/rename_test.go
+++ b/internal/host/rename_test.go
@@ -85,3 +85,25 @@
 		t.Errorf("%d %s, want it cancelled", status, text)
 	}
 }
+
+// Two queues of one service get submissions of one ID. Neither may be taken for the other by
+// POST, GET or DELETE.
+func TestHost_OneIDAtTwoAddresses(t *testing.T) {
+	p := newPools(t, time.Minute)
+	p.publish(route{"r", "/q/", "pool"}, route{"s", "/other/", "pool"})
+	time.Sleep(configWait)
+	p.submit(id)
+	for _, c := range []struct {
+		method string
+		status int
+	}{{"POST", http.StatusConflict}, {"GET", http.StatusGone}, {"DELETE", http.StatusGone}} {
+		for _, address := range p.daemons {
+			if status, text := p.call(c.method, address, "/other/"+id, twoSteps); status != c.status {
+				t.Errorf("%s at the other queue: %d %s, want %d", c.method, status, text, c.status)
+			}
+		}
+	}
+	if status, text := p.call("GET", p.daemons[0], "/q/"+id, ""); status != http.StatusOK || strings.Contains(text, "cancelled") {
+		t.Errorf("%d %s, want the submission to go on", status, text)
+	}
+}
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -107,7 +107,7 @@
 	// OutcomeForwarded means that another partition holds the submission, or is about
 	// to. It does not reach callers.
 	OutcomeForwarded
-	// OutcomeConflict means that another tenant's submission has the ID.
+	// OutcomeConflict means that a submission of another tenant or another queue has the ID.
 	OutcomeConflict
 )
 
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -36,22 +36,22 @@
 }
 
 // Cancel cancels a submission and returns once that is stored. To a tenant that may not
-// see the submission, the reply is that there is none.
-func (e *Engine) Cancel(ctx context.Context, id, tenant string) (Reply, error) {
+// see the submission, and through another queue, the reply is that there is none.
+func (e *Engine) Cancel(ctx context.Context, ref workload.Reference) (Reply, error) {
 	r, err := e.call(ctx, func(c *Core, reply func(Reply)) {
-		if c.mayAccess(id, tenant, reply) {
-			c.Cancel(id, reply)
+		if c.mayAccess(ref, reply) {
+			c.Cancel(ref.ID, reply)
 		}
 	})
 	return e.confirmNotFound(ctx, r, err)
 }
 
-// Status returns a submission's state. To a tenant that may not see the submission, the
-// reply is that there is none.
-func (e *Engine) Status(ctx context.Context, id, tenant string) (Reply, error) {
+// Status returns a submission's state. To a tenant that may not see the submission, and
+// through another queue, the reply is that there is none.
+func (e *Engine) Status(ctx context.Context, ref workload.Reference) (Reply, error) {
 	r, err := e.call(ctx, func(c *Core, reply func(Reply)) {
-		if c.mayAccess(id, tenant, reply) {
-			c.Status(id, reply)
+		if c.mayAccess(ref, reply) {
+			c.Status(ref.ID, reply)
 		}
 	})
 	return e.confirmNotFound(ctx, r, err)
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -136,7 +136,7 @@
 		return
 	}
 	delete(c.departures, id)
-	f := workload.Forward{To: d.record.To, Number: number, At: c.wall}
+	f := workload.Forward{To: d.record.To, Number: number, At: c.wall, Address: d.record.Submission.Address}
 	c.forwards[id] = f
 	records := []partition.Record{recordOf(keyForward, id, f), tombstone(keyHandover, id)}
 	if d.job.progressParts > 0 {
--- a/internal/scheduler/reroute.go
+++ b/internal/scheduler/reroute.go
@@ -145,7 +145,7 @@
 	if at != LocationElsewhere {
 		return false
 	}
-	f := workload.Forward{To: part, Number: transferNumber(sub) + 1, At: c.wall, Pending: true}
+	f := workload.Forward{To: part, Number: transferNumber(sub) + 1, At: c.wall, Pending: true, Address: sub.Address}
 	c.forwards[sub.ID] = f
 	c.unstoredForwards[sub.ID] = true
 	c.writeOr([]partition.Record{recordOf(keyForward, sub.ID, f)}, func() {
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -57,8 +57,8 @@
 // replyToRepeat replies to a submission under an ID that is known here. It reports false if
 // the ID is not, or comes back with a later handover.
 func (c *Core) replyToRepeat(sub *workload.Submission, reply func(Reply)) bool {
-	if owner, known := c.tenantOf(sub.ID); known && !workload.VisibleTo(owner, sub.Tenant) {
-		c.refuse(sub, Reply{Outcome: OutcomeConflict, Reason: "id_taken"}, reply)
+	if c.taken(sub.ID, identityOf(sub)) {
+		c.refuse(sub, idTaken(), reply)
 		return true
 	}
 	if _, ended := c.finalStates[sub.ID]; ended {
@@ -256,32 +256,6 @@
 	c.placementNeeded = true
 }
 
-// tenantOf returns the tenant of a submission that this partition holds, hands over or
-// has completed.
-func (c *Core) tenantOf(id string) (tenant string, known bool) {
-	if f, ok := c.finalStates[id]; ok {
-		return f.Tenant, true
-	}
-	if j := c.jobs[id]; j != nil {
-		return j.sub.Tenant, true
-	}
-	if d := c.departures[id]; d != nil {
-		return d.job.sub.Tenant, true
-	}
-	return "", false
-}
-
-// mayAccess reports whether a tenant may see a submission. If not, it replies that there
-// is none.
-func (c *Core) mayAccess(id, tenant string, reply func(Reply)) bool {
-	owner, known := c.tenantOf(id)
-	if !known || workload.VisibleTo(owner, tenant) {
-		return true
-	}
-	c.reply(reply, Reply{Outcome: OutcomeNotFound})
-	return false
-}
-
 // Status replies with a submission's state.
 func (c *Core) Status(id string, reply func(Reply)) {
 	if f, ok := c.finalStates[id]; ok {
@@ -360,7 +334,7 @@
 func (c *Core) finishJob(j *job, status workload.Status) {
 	j.ending = status
 	c.withdrawPlans(j)
-	f := workload.FinalState{Status: status, Ended: c.wall, Queue: j.sub.Queue, Transferred: j.sub.Transfer != nil, Tenant: j.sub.Tenant}
+	f := workload.FinalState{Status: status, Ended: c.wall, Transferred: j.sub.Transfer != nil, Tenant: j.sub.Tenant, Address: j.sub.Address}
 	id := j.sub.ID
 	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
 	c.write(append(records, j.progressTombstones(0)...), func() {
@@ -368,7 +342,7 @@
 		c.finalStates[id] = f
 		c.finalOrder = append(c.finalOrder, id)
 		c.metric.submissionEnded(status, c.now.Sub(j.accepted))
-		c.log.Log(events.SubmissionEnded, "id", id, "queue", f.Queue, "status", string(status), "age", c.now.Sub(j.accepted).Milliseconds())
+		c.log.Log(events.SubmissionEnded, "id", id, "queue", j.sub.Queue, "status", string(status), "age", c.now.Sub(j.accepted).Milliseconds())
 	})
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -31,9 +31,14 @@
 
 // TakeOver accepts a submission from another partition and replies once it is stored. It
 // is idempotent: a handover that was taken before is confirmed again without effect,
-// whatever has become of the submission since.
+// whatever has become of the submission since. It is refused while the partition has the ID
+// for a submission of another queue, and is sent again then.
 func (c *Core) TakeOver(h Handover, reply func(Reply)) {
 	id := h.Submission.ID
+	if c.taken(id, identity{address: h.Submission.Address}) {
+		c.reply(reply, idTaken())
+		return
+	}
 	if c.heldNumber(id) >= h.Number {
 		if j := c.jobs[id]; j != nil && !j.stored {
 			j.waiters = append(j.waiters, reply)
--- a/internal/scheduler/tenant_test.go
+++ b/internal/scheduler/tenant_test.go
@@ -15,7 +15,7 @@
 	}
 	for _, id := range []string{id1, id2} {
 		for tenant, want := range map[string]bool{"a": true, "b": false, "": true} {
-			if got := c.mayAccess(id, tenant, func(Reply) {}); got != want {
+			if got := c.mayAccess(workload.Reference{ID: id, Tenant: tenant}, func(Reply) {}); got != want {
 				t.Errorf("submission %s, tenant %q: access %t, want %t", id, tenant, got, want)
 			}
 		}
--- a/workload/handover.go
+++ b/workload/handover.go
@@ -39,4 +39,6 @@
 	// Pending is set if the submission was passed on before it was accepted: the other
 	// partition may have refused it.
 	Pending bool `cbor:"4,keyasint,omitempty"`
+	// Address is that of the submission's queue.
+	Address QueueAddress `cbor:"5,keyasint,omitempty"`
 }
--- a/workload/record.go
+++ b/workload/record.go
@@ -70,12 +70,13 @@
 type FinalState struct {
 	Status Status `cbor:"1,keyasint"`
 	// Ended is in Unix milliseconds.
-	Ended int64  `cbor:"2,keyasint"`
-	Queue string `cbor:"3,keyasint,omitempty"`
+	Ended int64 `cbor:"2,keyasint"`
 	// Transferred is set if the submission was taken over from another partition.
 	Transferred bool `cbor:"4,keyasint,omitempty"`
 	// Tenant is the submission's tenant; empty if it has none.
 	Tenant string `cbor:"5,keyasint,omitempty"`
+	// Address is that of the submission's queue. Earlier versions stored its name, as 3.
+	Address QueueAddress `cbor:"6,keyasint,omitempty"`
 }
 
 // ServerRecord is the stored record of a backend server that may run tasks.
