Ends are acknowledged only once their record is stored

Cause: progress is divided into records, but not the entry of one task, so that the log rejected all progress of the submission; and an acknowledgement waited for the writes before it to be over, stored or not.

Change: a checkpoint that makes an entry longer than a record is left out. While the log lacks progress that it has rejected, no end is acknowledged; the progress is stored again without checkpoints, and the acknowledgements follow.

Tests: TestCore_CheckpointLongerThanARecordLosesNothingElse (a record of 3,032 bytes where 2,000 are allowed) and TestCore_EndsAreNotAcknowledgedBeforeRejectedProgressIsStored (end 1 acknowledged that the log lacks) failed before.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -144,6 +144,9 @@
 	// pendingAcks holds the servers with processed ends, which are acknowledged
 	// once they are stored.
 	pendingAcks map[*server]bool
+	// rejectedProgress holds the jobs of which the log has rejected progress that it has not
+	// stored in another form since.
+	rejectedProgress map[*job]bool
 
 	// exposed holds, by server, the tasks without an attempt there whose run may
 	// have ended with a crash of it.
@@ -249,7 +252,7 @@
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now, leasesRenewed: true,
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
-		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
+		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), rejectedProgress: make(map[*job]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
 		heldForGangs: make(map[*server]workload.Resources), capWaiting: make(map[string]*capQueue), serversChanged: true,
 		startRoom: math.MaxInt, openTasks: make(map[int]int), arrivals: admission.NewArrivals(maxArrivals, arrivalRetention),
 	}
@@ -364,7 +367,7 @@
 	for _, j := range c.dirty {
 		j.dirty = false
 		if j.ending == "" && j.stored {
-			c.write(c.progressRecords(j), nil)
+			c.storeProgress(j)
 		}
 	}
 	c.dirty = c.dirty[:0]
@@ -392,9 +395,16 @@
 
 // acknowledge lets the next polls acknowledge ends that are stored. An instance
 // that followed meanwhile numbers its ends anew and gets nothing of that.
+//
+// While the log lacks progress that it has rejected, the acknowledgement waits.
 func (c *Core) acknowledge(acks []ackedEnds) {
 	for _, a := range acks {
-		if s := c.serverOf(a.to); s != nil {
+		s := c.serverOf(a.to)
+		switch {
+		case s == nil:
+		case len(c.rejectedProgress) > 0:
+			c.pendingAcks[s] = true
+		default:
 			s.storedEnd = max(s.storedEnd, a.number)
 			c.poll(s)
 		}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -88,7 +88,13 @@
 	c.metric.handedOver(reason)
 	c.log.Log(events.SubmissionHandedOver, "id", id, "queue", j.sub.Queue, "to", to, "number", d.record.Number, "why", string(reason),
 		"service", service, "waited", c.waited(j).Milliseconds())
-	c.writeOr(records, func() { c.sendHandover(d) }, func(error) { c.keepDeparture(d) })
+	c.writeOr(records, func() { c.handoverStored(d) }, func(error) { c.keepDeparture(d) })
+}
+
+// handoverStored sends a handover whose record, and with it the job's progress, is in the log.
+func (c *Core) handoverStored(d *departure) {
+	delete(c.rejectedProgress, d.job)
+	c.sendHandover(d)
 }
 
 // waited returns for how long nothing of a job has run, as far as that is known.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -22,6 +22,9 @@
 	// if that write was withdrawn.
 	acceptWriteID uint64
 	withdrawn     bool
+	// checkpointsRejected is set once the log has rejected the job's progress. It is stored
+	// without checkpoints from then on.
+	checkpointsRejected bool
 	// progressParts is the number of records that hold the job's progress.
 	progressParts int
 	// inherited marks a submission that an earlier owner accepted, whose runs
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -32,13 +32,11 @@
 	}
 	p := j.progress()
 	first := progressRecord(j, 0, p)
-	if recordBytes(first) <= limit {
+	if recordBytes(first) <= limit && !j.checkpointsRejected {
 		return j.withoutOldParts([]partition.Record{first})
 	}
-	if len(first.Value) > maxProgressBytes {
-		for i := range p.Tasks {
-			p.Tasks[i].Checkpoint = ""
-		}
+	if len(first.Value) > maxProgressBytes || j.checkpointsRejected {
+		leaveOutCheckpoints(p.Tasks)
 	}
 	var records []partition.Record
 	for _, part := range splitProgress(j, p, limit) {
@@ -47,6 +45,40 @@
 	return j.withoutOldParts(records)
 }
 
+// leaveOutCheckpoints makes the tasks begin anew under the next owner.
+func leaveOutCheckpoints(tasks []workload.TaskProgress) {
+	for i := range tasks {
+		tasks[i].Checkpoint = ""
+	}
+}
+
+// storeProgress stores a job's progress. If the log rejects it, it is stored again without
+// checkpoints, which servers may make of any length.
+func (c *Core) storeProgress(j *job) {
+	partsBefore := j.progressParts
+	var stored func()
+	if c.rejectedProgress[j] {
+		stored = func() { delete(c.rejectedProgress, j) }
+	}
+	c.writeOr(c.progressRecords(j), stored, func(error) {
+		j.progressParts = max(j.progressParts, partsBefore)
+		c.progressRejected(j)
+	})
+}
+
+// progressRejected notes that the log lacks progress of a job. Until it has it, no ends are
+// acknowledged: servers forget those, and the next owner would run the tasks again.
+func (c *Core) progressRejected(j *job) {
+	if j.ending != "" {
+		return
+	}
+	c.rejectedProgress[j] = true
+	if !j.checkpointsRejected {
+		j.checkpointsRejected = true
+		c.markDirty(j)
+	}
+}
+
 func progressRecord(j *job, part int, p workload.Progress) partition.Record {
 	return recordOf(keyProgress, progressKey(j, part), p)
 }
@@ -71,9 +103,14 @@
 // partKeyBytes covers the longest key of a progress record.
 const partKeyBytes = 32
 
-// splitProgress divides progress into parts whose records fit in limit bytes.
+// splitProgress divides progress into parts whose records fit in limit bytes. The checkpoint
+// of a task that alone does not fit is left out.
 func splitProgress(j *job, p workload.Progress, limit int) []workload.Progress {
-	if recordBytes(progressRecord(j, 0, p))+partKeyBytes <= limit || len(p.Steps)+len(p.Tasks) <= 1 {
+	if recordBytes(progressRecord(j, 0, p))+partKeyBytes <= limit {
+		return []workload.Progress{p}
+	}
+	if len(p.Steps)+len(p.Tasks) <= 1 {
+		leaveOutCheckpoints(p.Tasks)
 		return []workload.Progress{p}
 	}
 	half, tasks := len(p.Steps)/2, len(p.Tasks)/2
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -339,6 +339,7 @@
 	records := []partition.Record{recordOf(keyFinal, id, f), tombstone(keyAccepted, id)}
 	c.write(append(records, j.progressTombstones(0)...), func() {
 		delete(c.jobs, id)
+		delete(c.rejectedProgress, j)
 		c.finalStates[id] = f
 		c.finalOrder = append(c.finalOrder, id)
 		c.metric.submissionEnded(status, c.now.Sub(j.accepted))
