A holder that is not known is looked up before a call between shards

Cause: callOwnerOf looked the holders up again only after a call that failed, not when it knew none. If they were looked up while nobody held the other partition, nothing asked again.

Change: the holders are looked up if the partition has none that is known, once for all calls that wait and within the interval that lookups have.

Test: TestShards_HolderThatIsNotKnownIsLookedUp failed before ("partition 0 has no owner").

--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -23,6 +23,8 @@
 type oneOwner struct {
 	owners []string
 	looks  int
+	// unassigned is how many looks show no holder at first.
+	unassigned int
 }
 
 func (*oneOwner) Join(context.Context, string, uint64, time.Duration) (partition.Assignment, error) {
@@ -30,6 +32,10 @@
 }
 func (*oneOwner) Leave(context.Context, string) error { return nil }
 func (g *oneOwner) Holders(context.Context) ([]partition.Holder, error) {
+	if g.unassigned > 0 {
+		g.unassigned--
+		return nil, nil
+	}
 	owner := g.owners[min(g.looks, len(g.owners)-1)]
 	g.looks++
 	return []partition.Holder{{ID: partitionID(shard.PartitionOf("pool", 0, 1)), Member: owner}}, nil
@@ -60,7 +66,11 @@
 
 // scriptedRouter returns a Router whose calls to the owners get the peers' answers.
 func scriptedRouter(t *testing.T, peers *scriptedPeers, owners ...string) *Router {
-	member := partition.NewMember(&oneOwner{owners: owners}, "a", time.Second, time.Now, func(error) {}, func() {}, func([]string) bool { return false })
+	return routerWith(t, peers, &oneOwner{owners: owners})
+}
+
+func routerWith(t *testing.T, peers *scriptedPeers, group *oneOwner) *Router {
+	member := partition.NewMember(group, "a", time.Second, time.Now, func(error) {}, func() {}, func([]string) bool { return false })
 	member.Refresh(t.Context())
 	return New(Options{
 		Member: member, Tenures: tenure.New(tenure.Options{Peers: peers, Now: time.Now}), Peers: peers, PartitionCount: 1, Now: time.Now,
--- a/internal/entry/shards.go
+++ b/internal/entry/shards.go
@@ -105,7 +105,7 @@
 		return local(engine)
 	}
 	var answer T
-	holder, ok := e.o.Member.Holder(partitionID(part))
+	holder, ok := e.knownHolder(ctx, partitionID(part))
 	if !ok {
 		return answer, verdict.New(verdict.NotRun, ReasonNoOwner, "partition %d has no owner", part)
 	}
@@ -116,6 +116,16 @@
 	return answer, err
 }
 
+// knownHolder returns the daemon that holds a partition. It looks the holders up if it knows
+// none: a partition may have been assigned since without another sign of it.
+func (e *Router) knownHolder(ctx context.Context, id partition.ID) (string, bool) {
+	if holder, ok := e.o.Member.Holder(id); ok {
+		return holder, true
+	}
+	e.lookUpOwners(ctx)
+	return e.o.Member.Holder(id)
+}
+
 // Several implements scheduler.Shards.
 func (s *Shards) Several(service string) bool {
 	layout, ok := s.router.o.Layout(service)
--- a/internal/entry/shards_test.go
+++ b/internal/entry/shards_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/peer"
+	"github.com/currantwinch/currantwinch/internal/scheduler"
+	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/verdict"
 )
 
@@ -44,3 +46,26 @@
 		})
 	}
 }
+
+// Guards against a submission that stays where it cannot run: its owner had looked the holders
+// up before the other shard's partition was assigned, and never looked again (seen in the third
+// review).
+func TestShards_HolderThatIsNotKnownIsLookedUp(t *testing.T) {
+	peers := &scriptedPeers{answers: []func() (scheduler.Reply, error){replied(scheduler.OutcomeDone)}}
+	group := &oneOwner{owners: []string{"b"}}
+	router := routerWith(t, peers, group)
+	group.unassigned = 1
+	now := time.Now()
+	router.o.Member = partition.NewMember(group, "a", time.Second, func() time.Time { return now }, func(error) {}, func() {}, func([]string) bool { return false })
+	router.o.Member.Refresh(t.Context())
+	if _, ok := router.o.Member.Holder(partitionID(0)); ok {
+		t.Fatal("a holder is known before one is assigned")
+	}
+	now = now.Add(time.Second)
+	if err := router.ShardsOf(partitionID(1)).HandOver(t.Context(), 0, scheduler.Handover{}); err != nil {
+		t.Errorf("%v, want the handover to reach the holder", err)
+	}
+	if len(peers.called) != 1 || peers.called[0] != "b" {
+		t.Errorf("called %v, want b", peers.called)
+	}
+}
