A daemon whose address is taken ends its start with an error

Cause: serve had the callers' server in use before it opened the second listener. The stop after the failed start waited for that duty, whose server nobody closed.

Change: both listeners are open before one is served; the first is closed if the second fails.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -275,32 +275,41 @@
 		callerAPI.Bodies.Budget.Stop(intake.ReasonStopping)
 	}
 	h.callers.BaseContext = func(net.Listener) context.Context { return calls }
-	for _, s := range []struct {
-		server              *http.Server
-		name, address       string
-		connections, shared int
-	}{
-		{h.callers, "callers", h.o.Settings.CallerAddress, l.Connections, l.AddressConnections},
-		{h.ready, "operators", h.o.Settings.ReadinessAddress, l.OperatorConnections, l.OperatorConnections},
-	} {
-		socket, err := intake.Listen(s.address, intake.SocketOptions{Connections: s.connections, Bytes: l.SocketBytes})
-		if err != nil {
-			return errors.Wrap(err, "listen")
-		}
-		listener := intake.NewListener(socket, intake.ListenerOptions{
-			Name: s.name, Connections: s.connections, AddressConnections: s.shared, WriteTimeout: l.StallTimeout, Report: h.reporter,
-		})
-		server := s.server
-		h.duties.Go("serve "+s.address, 0, func(context.Context, duty.Heartbeat) error {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
-		})
+	callers, err := h.listen("callers", h.o.Settings.CallerAddress, l.Connections, l.AddressConnections)
+	if err != nil {
+		return err
+	}
+	operators, err := h.listen("operators", h.o.Settings.ReadinessAddress, l.OperatorConnections, l.OperatorConnections)
+	if err != nil {
+		_ = callers.Close()
+		return err
 	}
+	h.serveOn(h.callers, callers)
+	h.serveOn(h.ready, operators)
 	return nil
 }
 
+// listen opens a listener with bounds on its connections, in all and from one address.
+func (h *Host) listen(name, address string, connections, shared int) (net.Listener, error) {
+	socket, err := intake.Listen(address, intake.SocketOptions{Connections: connections, Bytes: h.limits.SocketBytes})
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return intake.NewListener(socket, intake.ListenerOptions{
+		Name: name, Connections: connections, AddressConnections: shared, WriteTimeout: h.limits.StallTimeout, Report: h.reporter,
+	}), nil
+}
+
+// serveOn serves until the server is closed.
+func (h *Host) serveOn(server *http.Server, listener net.Listener) {
+	h.duties.Go("serve "+listener.Addr().String(), 0, func(context.Context, duty.Heartbeat) error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+}
+
 // countInFlight counts the calls that a handler is working on.
 func (h *Host) countInFlight(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -63,14 +63,7 @@
 // start starts a daemon and returns the address of its listener for callers.
 func (s *deployment) start() (*host.Host, string) {
 	s.t.Helper()
-	settings := platform.Settings{
-		Name: "n", IP: "127.0.0.1", CallerAddress: freeAddress(s.t), ReadinessAddress: freeAddress(s.t), StoreAddress: s.address, StorePartitions: 4, MinMemberTTL: time.Second,
-		Bounds: platform.Bounds{MaxLease: 6 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, Grace: 6 * time.Second, ReuseAfter: 2 * time.Second},
-	}
-	_, port, _ := net.SplitHostPort(freeAddress(s.t))
-	if _, err := fmt.Sscan(port, &settings.Ports[0]); err != nil {
-		s.t.Fatal(err)
-	}
+	settings := s.settings()
 	s.ready = settings.ReadinessAddress
 	h, err := host.New(host.Options{Settings: settings, Events: s.events})
 	if err != nil {
@@ -97,6 +90,20 @@
 	return h, settings.CallerAddress
 }
 
+// settings returns the settings of one more daemon, with addresses that are free now.
+func (s *deployment) settings() platform.Settings {
+	s.t.Helper()
+	settings := platform.Settings{
+		Name: "n", IP: "127.0.0.1", CallerAddress: freeAddress(s.t), ReadinessAddress: freeAddress(s.t), StoreAddress: s.address, StorePartitions: 4, MinMemberTTL: time.Second,
+		Bounds: platform.Bounds{MaxLease: 6 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, Grace: 6 * time.Second, ReuseAfter: 2 * time.Second},
+	}
+	_, port, _ := net.SplitHostPort(freeAddress(s.t))
+	if _, err := fmt.Sscan(port, &settings.Ports[0]); err != nil {
+		s.t.Fatal(err)
+	}
+	return settings
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
