Rig: daemons reach each other again

The daemons of the rig refused every connection between them: "a connection from 127.0.0.1 names itself daemon 127.210.100.151".

Change: a proxy dials from the address of the daemon whose connection it carries.

--- a/internal/rig/path_test.go
+++ b/internal/rig/path_test.go
@@ -162,7 +162,9 @@
 		_, _ = io.Copy(io.Discard, dialer)
 		return
 	}
-	listener, err := net.DialTimeout("tcp", p.net.listen(p.daemon), helloTimeout)
+	// Daemons take a connection only from the host of the daemon that it names.
+	toListener := net.Dialer{Timeout: helloTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(p.net.ip(commonView, firstDaemonHost+from))}}
+	listener, err := toListener.Dial("tcp", p.net.listen(p.daemon))
 	if err != nil {
 		return
 	}
