Rig: renamed queues, late copies, and a majority lost for good

Change: a series of the rig of processes with these events, and a check that the tasks of a lost server start again within the time that the settings give.

--- a/internal/rig/fleet_test.go
+++ b/internal/rig/fleet_test.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -52,6 +54,19 @@
 	client  *http.Client
 	// maxLease is the longest lease that servers grant.
 	maxLease time.Duration
+	// finish is as in series, and version that of the configuration.
+	finish  time.Duration
+	version int
+
+	mu sync.Mutex
+	// answered are the submissions that were accepted.
+	answered []submission
+}
+
+// submission is a submission as its caller sent it.
+type submission struct {
+	path string
+	body []byte
 }
 
 // daemon is one process.
@@ -75,7 +90,7 @@
 
 // newFleet starts everything and waits until all daemons are ready. Logs are kept in dir, and
 // servers grant leases of up to maxLease.
-func newFleet(t testing.TB, binary, dir string, daemons int, maxLease time.Duration) *fleet {
+func newFleet(t testing.TB, binary, dir string, daemons int, s series) *fleet {
 	t.Helper()
 	out, err := os.Create(filepath.Join(dir, "ledger.log"))
 	if err != nil {
@@ -83,9 +98,9 @@
 	}
 	t.Cleanup(func() { _ = out.Close() })
 	n := newNetwork(t, services*serversPerService, daemons)
-	f := &fleet{t: t, net: n, ledger: newLedger(out), client: &http.Client{}, maxLease: maxLease}
+	f := &fleet{t: t, net: n, ledger: newLedger(out), client: &http.Client{}, maxLease: s.maxLease, finish: s.finish, version: 1}
 	f.store = newStore(t, n)
-	f.configure()
+	f.configure("r", 0)
 	f.startServers()
 	f.between = newPaths(daemons)
 	for i := range daemons {
@@ -112,22 +127,25 @@
 	return out
 }
 
-func (f *fleet) configure() {
+// configure publishes a version of the configuration. The names of its queues begin with name,
+// and each leads to the service that many places after its first one.
+func (f *fleet) configure(name string, shift int) {
 	var routes, pools []map[string]any
 	for i := range services {
 		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "host": hostName, "path_prefix": fmt.Sprintf("/q%d/", i), "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 400,
-			"priority": 0, "service": serviceName(i), "attempts": 4, "stretch": 4,
+			"name": fmt.Sprintf("%s%d", name, i), "host": hostName, "path_prefix": fmt.Sprintf("/q%d/", i), "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 400,
+			"priority": 0, "service": serviceName((i + shift) % services), "attempts": 4, "stretch": 4,
 		})
 		pools = append(pools, map[string]any{"name": serviceName(i), "max_connections": 64, "admission_check": false, "standby": false})
 	}
 	value, err := json.Marshal(map[string]any{
-		"version": 1, "routes": routes, "services": pools, "limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
+		"version": f.version, "routes": routes, "services": pools, "limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
 	})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	f.store.log.Put("keyed.op", 0, "config", value)
+	f.version++
 }
 
 func (f *fleet) startServers() {
@@ -168,6 +186,12 @@
 }
 
 func (f *fleet) settings(i int, d *daemon) map[string]any {
+	bounds := map[string]any{
+		"reuse_after_s": 2, "drain_ms": 2500, "grace_s": 6, "max_hold_ms": f.maxLease.Milliseconds(), "stop_grace_ms": 200, "gang_timeout_ms": 3000, "status_s": 120,
+	}
+	if f.finish > 0 {
+		bounds["finish_s"] = f.finish.Seconds()
+	}
 	return map[string]any{
 		"node_name": fmt.Sprintf("edge-%d", i), "role": "daemon", "machine_class": "edge", "ip": f.net.ip(viewOf(i), firstDaemonHost+i),
 		"zone": zoneName, "region": "dakar", "zones": map[string]string{zoneName: "dakar"},
@@ -175,9 +199,7 @@
 		"port_range": []int{machinePort, machinePort}, "bootstrap": true,
 		"limits":       map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100},
 		"heartbeat_ms": heartbeat.Milliseconds(), "orders": "invoke",
-		"bounds": map[string]any{
-			"reuse_after_s": 2, "drain_ms": 2500, "grace_s": 6, "max_hold_ms": f.maxLease.Milliseconds(), "stop_grace_ms": 200, "gang_timeout_ms": 3000, "status_s": 120,
-		},
+		"bounds":   bounds,
 		"platform": map[string]any{"address": f.store.address(i), "form": "log", "parts": storeParts, "record_bytes": 262144, "min_ttl_ms": 1000},
 	}
 }
@@ -297,11 +319,27 @@
 		f.t.Error(err)
 		return
 	}
+	path := fmt.Sprintf("/q%d/%016x", queue, id)
 	for attempt := range len(f.daemons) {
 		d := f.daemons[(int(id)+attempt)%len(f.daemons)]
-		status, err := f.call(d, http.MethodPost, d.callers, fmt.Sprintf("/q%d/%016x", queue, id), body)
+		status, err := f.call(d, http.MethodPost, d.callers, path, body)
 		if err == nil && status < 300 {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.answered = append(f.answered, submission{path, body})
 			return
 		}
 	}
 }
+
+// repeat sends a late copy of each submission that was accepted so far.
+func (f *fleet) repeat(rng *rand.Rand) {
+	f.mu.Lock()
+	answered := slices.Clone(f.answered)
+	f.mu.Unlock()
+	for _, s := range answered {
+		d := f.daemons[rng.IntN(len(f.daemons))]
+		// The daemon may be lost, and a late copy is not sent again.
+		_, _ = f.call(d, http.MethodPost, d.callers, s.path, s.body)
+	}
+}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -36,6 +36,9 @@
 // which owners counted the leases that were sent.
 var ciRestartSeeds = []uint64{6}
 
+// ciLossSeeds are those with renamed queues and lost daemons.
+var ciLossSeeds = []uint64{1}
+
 // series is what a test plays with each seed.
 type series struct {
 	plan func(f *fleet, rng *rand.Rand) []action
@@ -44,6 +47,17 @@
 	// contested is set if a play proves something only if an earlier owner reached a server
 	// that the next one did not.
 	contested bool
+	// finish is how long after the end of the traffic the platform looks at accepted work;
+	// 0 leaves it out of the settings.
+	finish time.Duration
+}
+
+// restartTime is how long after a loss accepted work may have nothing running; 0 is no bound.
+func (s series) restartTime() time.Duration {
+	if s.finish == 0 {
+		return 0
+	}
+	return s.finish + 3*time.Second
 }
 
 // seeds returns the seeds that the flags name, or those of CI.
@@ -91,14 +105,21 @@
 // over, the earlier one has gone on renewing their leases, and the task starts again
 // elsewhere (issue 38).
 func TestRig_NoTaskRunsTwiceAcrossOutages(t *testing.T) {
-	playSeeds(t, seeds(ciSeeds), series{plan, maxLease, true})
+	playSeeds(t, seeds(ciSeeds), series{plan: plan, maxLease: maxLease, contested: true})
 }
 
 // A task must not run twice when servers restart under their IDs and are cut off soon after,
 // while owners are killed or stopped: the new instances take calls that were meant for those
 // before, and grant the longest lease on them (issue 45).
 func TestRig_NoTaskRunsTwiceAcrossServerRestarts(t *testing.T) {
-	playSeeds(t, seeds(ciRestartSeeds), series{planRestarts, restartMaxLease, false})
+	playSeeds(t, seeds(ciRestartSeeds), series{plan: planRestarts, maxLease: restartMaxLease})
+}
+
+// Work must go on and no task run twice when queues get other names and services, late copies
+// of answered submissions arrive, and most daemons are lost for good together with a server of
+// each service (issue 60).
+func TestRig_WorkGoesOnAfterRenamesAndLosses(t *testing.T) {
+	playSeeds(t, seeds(ciLossSeeds), series{plan: planLosses, maxLease: maxLease, finish: lossFinish})
 }
 
 func playSeeds(t *testing.T, seeds []uint64, s series) {
@@ -134,11 +155,11 @@
 			t.Fatal(err)
 		}
 	}
-	f := newFleet(t, binary, dir, *daemonsFlag, s.maxLease)
+	f := newFleet(t, binary, dir, *daemonsFlag, s)
 	stop := f.untrusted(*untrustedFlag)
 	play(f, seed, *roundsFlag, s.plan)
 	stop()
-	r := result{seed: seed, provesNothing: s.contested, breaches: f.ledger.breaches(), logged: make(map[string]int)}
+	r := result{seed: seed, provesNothing: s.contested, breaches: append(f.ledger.breaches(), f.ledger.stranded(s.restartTime())...), logged: make(map[string]int)}
 	f.ledger.count(&r)
 	var claims []claim
 	for _, d := range f.daemons {
