--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -172,7 +172,7 @@
 	t.stale, t.uncertain = false, !t.core.recovered
 	var largest, sum workload.Resources
 	for _, s := range t.core.servers {
-		largest = largest.Most(s.info.Capacity)
+		largest = largest.Max(s.info.Capacity)
 	}
 	for _, s := range t.core.servers {
 		if s.unknownRuns > 0 {
@@ -186,7 +186,7 @@
 			capacity = largest
 		}
 		reserved := s.info.Capacity.Minus(s.free)
-		sum = sum.Plus(capacity.Minus(reserved).Most(workload.Resources{}))
+		sum = sum.Plus(capacity.Minus(reserved).Max(workload.Resources{}))
 	}
 	t.ledger.SetUnattributed(sum)
 }
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -9,9 +9,9 @@
 // request, or attestations from a majority of the witnesses named in its
 // claim. Attestations of a majority may count for a shorter time than those of
 // all witnesses: a claimant that has the promise of a single one then knows that
-// the holder has only the shorter time. A claim becomes effective once every earlier tenure is certainly
-// over: its holder agreed to stop, or it can get no new evidence and the lease
-// from its last evidence has expired.
+// the holder has only the shorter time. A claim becomes effective once every
+// earlier tenure is certainly over: its holder agreed to stop, or it can get no
+// new evidence and the lease from its last evidence has expired.
 package ownership
 
 import (
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -53,11 +53,6 @@
 	return Resources{r.CPU * int64(n), r.MemoryMB * int64(n), r.GPU * int64(n)}
 }
 
-// Most returns the larger amount of each resource.
-func (r Resources) Most(o Resources) Resources {
-	return Resources{max(r.CPU, o.CPU), max(r.MemoryMB, o.MemoryMB), max(r.GPU, o.GPU)}
-}
-
 // Fits reports whether free has at least r of each resource.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPU <= free.CPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
