Tests of daemons start again with other addresses if one is taken

Cause, by the dump: the callers' server was in use and the other address taken, and the stop waited for it: the fault that "A daemon whose address is taken ends its start with an error" has mended since. The test would fail at once now; its address is found free, and taken by another test or process before the daemon opens it.

Change: the tests' deployment starts with other addresses in that case, five times at most.

--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -63,15 +63,8 @@
 // start starts a daemon and returns the address of its listener for callers.
 func (s *deployment) start() (*host.Host, string) {
 	s.t.Helper()
-	settings := s.settings()
+	h, settings := s.startHost()
 	s.ready = settings.ReadinessAddress
-	h, err := host.New(host.Options{Settings: settings, Events: s.events})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	if err := h.Start(s.t.Context()); err != nil {
-		s.t.Fatal(err)
-	}
 	s.t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
@@ -90,6 +83,28 @@
 	return h, settings.CallerAddress
 }
 
+// maxStarts bounds the attempts to start a daemon.
+const maxStarts = 5
+
+// startHost starts a daemon. If another process, or another test, has taken one of its
+// addresses since they were found to be free, it starts one with others.
+func (s *deployment) startHost() (*host.Host, platform.Settings) {
+	s.t.Helper()
+	for attempt := 1; ; attempt++ {
+		settings := s.settings()
+		h, err := host.New(host.Options{Settings: settings, Events: s.events})
+		if err == nil {
+			err = h.Start(s.t.Context())
+		}
+		if err == nil {
+			return h, settings
+		}
+		if attempt == maxStarts || !strings.Contains(err.Error(), "address already in use") {
+			s.t.Fatal(err)
+		}
+	}
+}
+
 // settings returns the settings of one more daemon, with addresses that are free now.
 func (s *deployment) settings() platform.Settings {
 	s.t.Helper()
