--- a/internal/rig/losses_test.go
+++ b/internal/rig/losses_test.go
@@ -13,6 +13,9 @@
 	// lossFinish lets a majority of witnesses attest for some seconds beside leases of
 	// maxLease.
 	lossFinish = 8 * time.Second
+	// lossServerCPU leaves room for all work, twice over, on the servers that are left: a task
+	// may wait for room.
+	lossServerCPU = 24000
 	// lostForGood is longer than any play.
 	lostForGood = time.Hour
 	// watchAfterLoss is how long a play goes on after a loss.
