--- a/internal/scheduler/identity.go
+++ b/internal/scheduler/identity.go
@@ -16,8 +16,8 @@
 
 func identityOf(sub *workload.Submission) identity { return identity{sub.Address, sub.Tenant} }
 
-// is reports whether a call that names another identity may be about the same submission.
-func (i identity) is(o identity) bool {
+// matches reports whether a call that names another identity may be about the same submission.
+func (i identity) matches(o identity) bool {
 	return i.address.Is(o.address) && workload.VisibleTo(i.tenant, o.tenant)
 }
 
@@ -43,7 +43,7 @@
 // identity.
 func (c *Core) taken(id string, by identity) bool {
 	known, ok := c.identityAt(id)
-	return ok && !known.is(by)
+	return ok && !known.matches(by)
 }
 
 // idTaken is the reply to a submission whose ID this partition has for another one.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -41,16 +41,16 @@
 		return
 	}
 	sub := *j.sub
-	if !nameQueue(&sub, q) {
+	if !addAddress(&sub, q) {
 		return
 	}
 	j.sub = &sub
 	c.write([]partition.Record{recordOf(keyAccepted, sub.ID, &sub)}, nil)
 }
 
-// nameQueue adds the address and the settings of its queue to a submission. It reports false
-// if that has them.
-func nameQueue(sub *workload.Submission, q *routing.Queue) bool {
+// addAddress adds the address and the settings of its queue to a submission that an earlier
+// version knows by the queue's name alone. It reports false if nothing was added.
+func addAddress(sub *workload.Submission, q *routing.Queue) bool {
 	if sub.Address != "" || q.Address() == "" {
 		return false
 	}
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -34,7 +34,7 @@
 		sub.Transfer.Epoch = c.epoch
 	}
 	if q, ok := c.queueOf(sub); ok {
-		nameQueue(sub, q)
+		addAddress(sub, q)
 	}
 	c.tenants.arrived(sub)
 	accepted := recordOf(keyAccepted, sub.ID, sub)
