Events, metrics and the dump name the version that decided a call

Cause: of a refused call nobody could tell which version of the configuration the called daemon had, which one its owner had, and how old the proof of either was. Change: package internal/configuration holds the version in force with what is known of how recent that is (antientropy.Replica, which is only told of the log so far); a Watcher reports as of when nothing followed. call_failed has version, unconfirmed and ownerVersion, submission_refused both versions, configuration_taken its source and offset; two metrics, the state dump. No decision changes.

--- /dev/null
+++ b/antientropy/antientropy.go
@@ -0,0 +1,238 @@
+// Package antientropy keeps the copies of one versioned value on many daemons up to date. Each
+// daemon reads the value from its source, and beside that asks others: a daemon that was heard to
+// have a later version, and some at random once the source has confirmed nothing for a while. What
+// one daemon knows reaches all within a few rounds, since the number of those that know multiplies
+// with each (epidemic algorithms, Demers et al., 1987).
+//
+// A Replica decides whom to ask and when, and for how long the copy counts as recent. It does no
+// I/O and reads no clock: times are arguments. Its methods must not be called concurrently.
+package antientropy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// hintDelay is the time from hearing of a later version to asking for it. The source
+	// delivers it to most daemons by then.
+	hintDelay = 100 * time.Millisecond
+	// fanout is the number of daemons asked in one round.
+	fanout = 3
+	// maxPending bounds the queries that are not answered.
+	maxPending = 8
+	// quickRounds is the number of rounds, quickInterval apart, after which they are
+	// slowInterval apart: by then the source answers nobody, or the others do not hear this
+	// daemon.
+	quickRounds   = 6
+	quickInterval = 250 * time.Millisecond
+	slowInterval  = time.Second
+	// failureBackoff is the time for which a daemon that did not answer is asked only if
+	// there are too few others.
+	failureBackoff = 2 * time.Second
+)
+
+// Options configures a Replica.
+type Options struct {
+	// ConfirmInterval is the longest time between two confirmations by a source that answers.
+	// Others are asked once it has passed.
+	ConfirmInterval time.Duration
+	// Rand chooses the daemons to ask.
+	Rand *rand.Rand
+}
+
+// Replica is what one daemon knows of its copy.
+type Replica struct {
+	o Options
+	// version is that of the copy; 0 if there is none.
+	version uint64
+	// confirmedAt is the latest time as of which the copy is known to have been the newest, or
+	// the time of the start before that is known of any copy.
+	confirmedAt time.Time
+	confirmed   bool
+	// comparedAt is the latest time as of which some other daemon is known to have had no
+	// later version.
+	comparedAt time.Time
+	// ahead holds the daemons that were heard to have a later version, and since when.
+	ahead map[string]hint
+	// pending holds the daemons that are being asked, and failedAt those that did not answer.
+	pending  map[string]bool
+	failedAt map[string]time.Time
+	// rounds counts the rounds since the last confirmation; the next begins at nextRound.
+	rounds    int
+	nextRound time.Time
+}
+
+type hint struct {
+	version uint64
+	at      time.Time
+}
+
+// New returns the Replica of a daemon that starts now and has no copy.
+func New(o Options, now time.Time) *Replica {
+	return &Replica{o: o, confirmedAt: now, ahead: make(map[string]hint), pending: make(map[string]bool), failedAt: make(map[string]time.Time)}
+}
+
+// Version returns the version of the copy; 0 if there is none.
+func (r *Replica) Version() uint64 { return r.version }
+
+// Age returns the time since the copy was known to be the newest. It is false if that has never
+// been known.
+func (r *Replica) Age(now time.Time) (time.Duration, bool) {
+	return now.Sub(r.confirmedAt), r.confirmed
+}
+
+// Unconfirmed returns the time since anything is known about later versions: since the copy was
+// confirmed, or compared with that of another daemon. While the source answers nobody, daemons
+// that hear each other keep it short.
+func (r *Replica) Unconfirmed(now time.Time) time.Duration {
+	return now.Sub(latest(r.confirmedAt, r.comparedAt))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Apply replaces the copy by a later version. It reports false, and changes nothing, if the version
+// is not later.
+func (r *Replica) Apply(version uint64) bool {
+	if version <= r.version {
+		return false
+	}
+	r.version, r.rounds = version, 0
+	for daemon, h := range r.ahead {
+		if h.version <= version {
+			delete(r.ahead, daemon)
+		}
+	}
+	return true
+}
+
+// Confirm records that a version was the newest as of a time. It changes nothing if the copy is
+// of another version.
+func (r *Replica) Confirm(version uint64, asOf time.Time) {
+	if version != r.version || version == 0 {
+		return
+	}
+	if r.confirmed && !asOf.After(r.confirmedAt) {
+		return
+	}
+	r.confirmedAt, r.confirmed, r.rounds = asOf, true, 0
+}
+
+// Hear records that a daemon has a version.
+func (r *Replica) Hear(daemon string, version uint64, now time.Time) {
+	if version <= r.version {
+		return
+	}
+	since := now
+	if known, ok := r.ahead[daemon]; ok {
+		since = known.at
+	}
+	r.ahead[daemon] = hint{version, since}
+}
+
+// Answer is another daemon's answer to a query.
+type Answer struct {
+	// Version is that of its copy; 0 if it has none.
+	Version uint64
+	// Age is the time since that copy was known to be the newest, if Confirmed is set.
+	Age       time.Duration
+	Confirmed bool
+}
+
+// Answered records the answer of a daemon to a query that began at began. If it brought a later
+// version, that must have been applied before.
+func (r *Replica) Answered(daemon string, began time.Time, a Answer) {
+	delete(r.pending, daemon)
+	delete(r.failedAt, daemon)
+	delete(r.ahead, daemon)
+	if a.Version > r.version {
+		// Its value could not be used.
+		return
+	}
+	if r.version > 0 {
+		r.comparedAt = latest(r.comparedAt, began)
+	}
+	if a.Confirmed {
+		r.Confirm(a.Version, began.Add(-a.Age))
+	}
+}
+
+// Failed records that a daemon did not answer a query.
+func (r *Replica) Failed(daemon string, now time.Time) {
+	delete(r.pending, daemon)
+	delete(r.ahead, daemon)
+	r.failedAt[daemon] = now
+}
+
+// Next returns the daemons to ask now. The caller must report the outcome of each query by
+// Answered or Failed.
+func (r *Replica) Next(now time.Time, daemons []string) []string {
+	ask := r.hinted(now)
+	if r.roundDue(now) {
+		r.rounds++
+		interval := quickInterval
+		if r.rounds >= quickRounds {
+			interval = slowInterval
+		}
+		r.nextRound = now.Add(interval)
+		ask = append(ask, r.sample(now, daemons, ask)...)
+	}
+	ask = ask[:min(len(ask), max(maxPending-len(r.pending), 0))]
+	for _, daemon := range ask {
+		r.pending[daemon] = true
+	}
+	r.forget(daemons)
+	return ask
+}
+
+// hinted returns the daemons that were heard to be ahead for hintDelay.
+func (r *Replica) hinted(now time.Time) []string {
+	var out []string
+	for daemon, h := range r.ahead {
+		if now.Sub(h.at) >= hintDelay && !r.pending[daemon] && len(out) < fanout {
+			out = append(out, daemon)
+		}
+	}
+	return out
+}
+
+func (r *Replica) roundDue(now time.Time) bool {
+	return now.Sub(r.confirmedAt) > r.o.ConfirmInterval && !now.Before(r.nextRound)
+}
+
+// sample chooses daemons at random, those first that have not failed lately.
+func (r *Replica) sample(now time.Time, daemons, chosen []string) []string {
+	var sound, failed []string
+	for _, i := range r.o.Rand.Perm(len(daemons)) {
+		daemon := daemons[i]
+		switch {
+		case r.pending[daemon] || slices.Contains(chosen, daemon):
+		case r.failedLately(daemon, now):
+			failed = append(failed, daemon)
+		default:
+			sound = append(sound, daemon)
+		}
+	}
+	out := append(sound, failed...)
+	return out[:min(fanout, len(out))]
+}
+
+func (r *Replica) failedLately(daemon string, now time.Time) bool {
+	at, ok := r.failedAt[daemon]
+	return ok && now.Sub(at) < failureBackoff
+}
+
+// forget drops what is known of daemons that are gone.
+func (r *Replica) forget(daemons []string) {
+	for daemon := range r.failedAt {
+		if !slices.Contains(daemons, daemon) {
+			delete(r.failedAt, daemon)
+		}
+	}
+}
--- /dev/null
+++ b/internal/configuration/keeper.go
@@ -0,0 +1,119 @@
+// Package configuration keeps the newest version of the operators' configuration on a daemon,
+// and knows how recent that is. Versions come from the log.
+package configuration
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/currantwinch/currantwinch/antientropy"
+	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/routing"
+)
+
+// confirmInterval is the longest time between two confirmations by a log that answers. It exceeds
+// the wait of one read for a record.
+const confirmInterval = 1300 * time.Millisecond
+
+// Published is a version of the configuration with the record that holds it.
+type Published struct {
+	*routing.Configuration
+	Record partition.Record
+}
+
+// Decode returns the newest version that can be read among records of the log; nil if there is
+// none. The error is that of the newest record that cannot be read.
+type Decode func(records []partition.Record) (*Published, error)
+
+// Options configures a Keeper.
+type Options struct {
+	Decode Decode
+	// OnApply is called after a version has come into force.
+	OnApply func()
+	Events  *events.Logger
+	Metrics *metrics.Set
+	Now     func() time.Time
+}
+
+// Keeper holds the configuration in force on a daemon. Its methods are safe for concurrent use.
+type Keeper struct {
+	o      Options
+	newest atomic.Pointer[Published]
+
+	mu      sync.Mutex
+	replica *antientropy.Replica
+}
+
+// New returns a Keeper without a configuration.
+func New(o Options) *Keeper {
+	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	k := &Keeper{o: o, replica: antientropy.New(antientropy.Options{ConfirmInterval: confirmInterval, Rand: seed}, o.Now())}
+	k.registerMetrics()
+	return k
+}
+
+// Newest returns the configuration in force; nil before the first one.
+func (k *Keeper) Newest() *routing.Configuration {
+	if p := k.newest.Load(); p != nil {
+		return p.Configuration
+	}
+	return nil
+}
+
+// View returns the configuration in force with what is known of how recent it is.
+func (k *Keeper) View() routing.View {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return routing.View{Configuration: k.Newest(), Unconfirmed: k.replica.Unconfirmed(k.o.Now())}
+}
+
+// Read applies the newest version among records that were read from the log.
+func (k *Keeper) Read(records []partition.Record) { k.apply(records, "") }
+
+// Confirm records that all records that followed those of Read until a time have been passed to it.
+func (k *Keeper) Confirm(asOf time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.replica.Confirm(k.replica.Version(), asOf)
+}
+
+// apply applies the newest version among records. They come from another daemon, or from the log if
+// that is empty.
+func (k *Keeper) apply(records []partition.Record, daemon string) {
+	published, err := k.o.Decode(records)
+	if err != nil {
+		k.o.Events.Log(events.ConfigurationUnreadable, "offset", records[len(records)-1].Offset, "from", daemon, "error", err.Error())
+	}
+	if published == nil || !k.replace(published) {
+		return
+	}
+	k.o.Events.Log(events.ConfigurationApplied, "version", published.Version, "queues", len(published.Queues), "services", len(published.Services),
+		"from", daemon, "offset", published.Record.Offset)
+	k.o.OnApply()
+}
+
+// replace puts a version into force. It reports false if that is not later than the one in force:
+// a delayed read must not replace a newer version.
+func (k *Keeper) replace(p *Published) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.replica.Apply(p.Version) {
+		return false
+	}
+	k.newest.Store(p)
+	return true
+}
+
+func (k *Keeper) registerMetrics() {
+	k.o.Metrics.NewGauge("currantwinch_configuration_version", func() float64 {
+		if config := k.Newest(); config != nil {
+			return float64(config.Version)
+		}
+		return 0
+	})
+	k.o.Metrics.NewGauge("currantwinch_configuration_unconfirmed_seconds", func() float64 { return k.View().Unconfirmed.Seconds() })
+}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -63,6 +63,7 @@
 	if home, ok := e.o.Homes.Home(ref.Address); ok {
 		first = home
 	}
+	notFound := scheduler.Reply{Outcome: scheduler.OutcomeNotFound}
 	asked, began := make(map[int]bool), e.o.Now()
 	for _, s := range slices.Concat([]string{first, ref.Service}, e.o.Homes.Services()) {
 		layout, ok := e.layoutSince(ctx, began, s)
@@ -78,8 +79,9 @@
 		if err != nil || r.Outcome != scheduler.OutcomeNotFound {
 			return r, err
 		}
+		notFound.ConfigVersion = max(notFound.ConfigVersion, r.ConfigVersion)
 	}
-	return scheduler.Reply{Outcome: scheduler.OutcomeNotFound}, nil
+	return notFound, nil
 }
 
 // Pending returns how many submissions of a queue have not started, summed over all partitions
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -11,8 +11,8 @@
 	}
 	SubmissionRefused = Event{
 		Number: 6002, Level: slog.LevelInfo, Name: "submission_refused",
-		Fields:  []string{"id", "queue", "reason", "retryAfterMS", "jobs"},
-		Meaning: "A submission was refused and never runs.",
+		Fields:  []string{"id", "queue", "reason", "retryAfterMS", "jobs", "version", "calledVersion"},
+		Meaning: "A submission was refused and never runs. The fields version and calledVersion are the versions of the configuration of this owner and of the daemon that was called.",
 		Action:  "Depends on the reason. The caller was told when to retry.",
 	}
 	SubmissionCancelled = Event{
@@ -215,19 +215,19 @@
 	}
 	ConfigurationApplied = Event{
 		Number: 6037, Level: slog.LevelInfo, Name: "configuration_taken",
-		Fields:  []string{"version", "queues", "services"},
-		Meaning: "A new version of the configuration is in force on this daemon.",
+		Fields:  []string{"version", "queues", "services", "from", "offset"},
+		Meaning: "A new version of the configuration is in force on this daemon. It is the record at offset in the store, and came from the daemon from, or from the store if that is empty.",
 	}
 	ConfigurationUnreadable = Event{
 		Number: 6038, Level: slog.LevelWarn, Name: "configuration_unreadable",
-		Fields:  []string{"offset", "error"},
-		Meaning: "A version of the configuration could not be decoded; the previous one stays in force.",
+		Fields:  []string{"offset", "from", "error"},
+		Meaning: "A version of the configuration could not be decoded; the previous one stays in force. It came from the daemon from, or from the store if that is empty.",
 		Action:  "Publish a valid version.",
 	}
 	CallFailed = Event{
 		Number: 6040, Level: slog.LevelInfo, Name: "call_failed",
-		Fields:  []string{"call", "id", "queue", "status", "reason", "took"},
-		Meaning: "A caller's request was answered with an error. The field took is in milliseconds.",
+		Fields:  []string{"call", "id", "queue", "status", "reason", "took", "version", "unconfirmed", "ownerVersion"},
+		Meaning: "A caller's request was answered with an error. The field took is in milliseconds. The request was matched by this version of the configuration, which was known to be the newest so many milliseconds before (unconfirmed); ownerVersion is that of the partition's owner, or 0 if no owner answered.",
 	}
 	MemberYieldChanged = Event{
 		Number: 6044, Level: slog.LevelInfo, Name: "member_yields",
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -8,44 +8,28 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/configuration"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/platform"
 )
 
-// watchConfiguration follows the configuration at the store and applies its newest
-// valid version.
+func (h *Host) newConfiguration() *configuration.Keeper {
+	return configuration.New(configuration.Options{
+		Decode: platform.DecodeConfiguration, OnApply: func() { h.tenures.TriggerReconcile() },
+		Events: h.o.Events, Metrics: h.base.Metrics, Now: time.Now,
+	})
+}
+
+// watchConfiguration follows the configuration at the store.
 func (h *Host) watchConfiguration(ctx context.Context, _ duty.Heartbeat) error {
 	w := &partition.Watcher{
-		Log: h.store, ID: platform.OperatorPartition, OnSnapshot: h.applyConfiguration, OnUpdate: h.applyConfiguration, OnResult: h.health.reporter("configuration"),
+		Log: h.store, ID: platform.OperatorPartition, OnSnapshot: h.config.Read, OnUpdate: h.config.Read, OnCurrent: h.config.Confirm, Now: time.Now,
+		OnResult: h.health.reporter("configuration"),
 	}
 	return w.Run(ctx)
 }
 
-func (h *Host) applyConfiguration(records []partition.Record) {
-	config, err := platform.DecodeConfiguration(records)
-	if err != nil {
-		h.o.Events.Log(events.ConfigurationUnreadable, "offset", lastOffset(records), "error", err.Error())
-	}
-	if config == nil {
-		return
-	}
-	// A delayed read must not replace a newer version.
-	if now := h.config.Load(); now != nil && now.Version >= config.Version {
-		return
-	}
-	h.config.Store(config)
-	h.o.Events.Log(events.ConfigurationApplied, "version", config.Version, "queues", len(config.Queues), "services", len(config.Services))
-	h.tenures.TriggerReconcile()
-}
-
-func lastOffset(records []partition.Record) uint64 {
-	if len(records) == 0 {
-		return 0
-	}
-	return records[len(records)-1].Offset
-}
-
 // storeHealth logs when calls to the store begin to fail and when they succeed again,
 // separately for each kind of call.
 type storeHealth struct {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/cluster"
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/configuration"
 	"github.com/currantwinch/currantwinch/internal/entry"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/intake"
@@ -25,7 +26,6 @@
 	"github.com/currantwinch/currantwinch/internal/tenure"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/platform"
-	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/shard"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
@@ -65,7 +65,7 @@
 	base      roles.Base
 	duties    *duty.Group
 	app       *fx.App
-	config    atomic.Pointer[routing.Configuration]
+	config    *configuration.Keeper
 	store     *relay.Relay
 	servers   *platform.ServerClient
 	forwarder *entry.StartForwarder
@@ -104,6 +104,7 @@
 	h.reporter = intake.NewReporter(o.Events, h.base.Metrics)
 	h.reporter.Limits(h.limits)
 	h.checkRestartTime()
+	h.config = h.newConfiguration()
 	h.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(o.Settings),
@@ -170,7 +171,7 @@
 
 func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, peers *peer.Peers, s platform.Settings) *tenure.Manager {
 	return tenure.New(tenure.Options{
-		Member: member, Daemon: h.base.Self.Name, OtherDaemons: h.otherDaemons, Now: time.Now, PartitionCount: s.StorePartitions, Config: h.config.Load, Layout: shards.Layout, Services: shards.Services, New: h.newEngine, Peers: peers, Events: h.o.Events,
+		Member: member, Daemon: h.base.Self.Name, OtherDaemons: h.otherDaemons, Now: time.Now, PartitionCount: s.StorePartitions, Config: h.config.Newest, Layout: shards.Layout, Services: shards.Services, New: h.newEngine, Peers: peers, Events: h.o.Events,
 	})
 }
 
@@ -211,7 +212,7 @@
 	return scheduler.NewEngine(scheduler.EngineOptions{
 		Log: h.store, Partition: id, Daemon: h.base.Self.Name,
 		Bounds:  h.schedulerBounds(),
-		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Load, LeaseValid: h.member.LeaseValid,
+		Servers: h.servers, Forwarder: h.forwarder, Policy: h.policyClients.Subset(func() (int, int) { return h.tenures.Position(id) }), Config: h.config.Newest, LeaseValid: h.member.LeaseValid,
 		MemoryBudget: h.memoryBudget,
 		Shards:       h.entry.ShardsOf(id), Caps: h.entry.CapsOf(id), Witnesses: h.tenures.Witnesses(id),
 		Watch: func(ctx context.Context, onChange func([]scheduler.ServerInfo)) error {
@@ -260,7 +261,7 @@
 // serve opens the listeners for callers and for readiness probes, metrics and state
 // dumps, and starts serving.
 func (h *Host) serve(context.Context) error {
-	callerAPI := &platform.CallerAPI{Service: h.entry, Config: h.config.Load, Now: time.Now, Wall: wallClockMS, OnFailure: h.recordFailedCall, Bodies: intake.NewBodies(h.limits.BodyBytes, h.limits, h.reporter)}
+	callerAPI := &platform.CallerAPI{Service: h.entry, Config: h.config.View, Now: time.Now, Wall: wallClockMS, OnFailure: h.recordFailedCall, Bodies: intake.NewBodies(h.limits.BodyBytes, h.limits, h.reporter)}
 	router := mux.NewRouter()
 	router.HandleFunc("/ready", h.handleReady)
 	router.HandleFunc("/metrics", h.handleMetrics)
@@ -334,7 +335,7 @@
 // services were known at some time. A service added later does not make the daemon
 // unready for the callers of the others.
 func (h *Host) layoutsKnown() bool {
-	config := h.config.Load()
+	config := h.config.Newest()
 	if config == nil {
 		return false
 	}
@@ -357,15 +358,17 @@
 
 // stateDump is the state dump of the daemon.
 type stateDump struct {
-	Daemon     string                 `json:"daemon"`
-	Config     uint64                 `json:"configurationVersion"`
-	Isolated   bool                   `json:"cutOff"`
-	LeaseValid bool                   `json:"membershipSure"`
-	Held       []partition.ID         `json:"held"`
-	Members    []string               `json:"members"`
-	Schedulers map[int]scheduler.Dump `json:"schedulers"`
-	Peers      any                    `json:"peers"`
-	Intake     intake.Status          `json:"intake"`
+	Daemon string `json:"daemon"`
+	Config uint64 `json:"configurationVersion"`
+	// UnconfirmedMS is the time in milliseconds since this daemon knew of no later version.
+	UnconfirmedMS int64                  `json:"configurationUnconfirmedMS"`
+	Isolated      bool                   `json:"cutOff"`
+	LeaseValid    bool                   `json:"membershipSure"`
+	Held          []partition.ID         `json:"held"`
+	Members       []string               `json:"members"`
+	Schedulers    map[int]scheduler.Dump `json:"schedulers"`
+	Peers         any                    `json:"peers"`
+	Intake        intake.Status          `json:"intake"`
 }
 
 func (h *Host) handleState(w http.ResponseWriter, r *http.Request) {
@@ -375,8 +378,8 @@
 		Daemon: h.base.Self.Name, Isolated: h.store.Isolated(), LeaseValid: h.member.LeaseValid(), Held: h.member.Held(), Members: h.member.Holders(),
 		Schedulers: h.tenures.Dump(ctx), Peers: h.peers.Dump(), Intake: h.reporter.Status(),
 	}
-	if config := h.config.Load(); config != nil {
-		state.Config = config.Version
+	if config := h.config.View(); config.Configuration != nil {
+		state.Config, state.UnconfirmedMS = config.Version, config.Unconfirmed.Milliseconds()
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(state); err != nil {
@@ -390,7 +393,8 @@
 		f.Call = "other"
 	}
 	h.base.Metrics.GetOrCreateCounter(fmt.Sprintf(`currantwinch_calls_failed_total{call=%q,status="%d"}`, f.Call, f.Status)).Inc()
-	h.o.Events.Log(events.CallFailed, "call", f.Call, "id", f.ID, "queue", f.Queue, "status", f.Status, "reason", f.Reason, "took", f.Took.Milliseconds())
+	h.o.Events.Log(events.CallFailed, "call", f.Call, "id", f.ID, "queue", f.Queue, "status", f.Status, "reason", f.Reason, "took", f.Took.Milliseconds(),
+		"version", f.Decision.Version, "unconfirmed", f.Decision.Unconfirmed.Milliseconds(), "ownerVersion", f.Decision.OwnerVersion)
 }
 
 // knownMethods are the HTTP methods that have a metric of their own.
--- a/internal/host/servers.go
+++ b/internal/host/servers.go
@@ -159,7 +159,7 @@
 func (l *serverList) racks() map[string]map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	config := l.host.config.Load()
+	config := l.host.config.Newest()
 	if !l.loaded || config == nil {
 		return nil
 	}
--- a/internal/scheduler/actions.go
+++ b/internal/scheduler/actions.go
@@ -125,6 +125,9 @@
 	// RetryAfterMS is the delay before a refused caller should retry, in
 	// milliseconds.
 	RetryAfterMS int64 `json:"retryAfterMS,omitempty"`
+	// ConfigVersion is the version of the configuration by which the owner replied; 0 if it is
+	// not known.
+	ConfigVersion uint64 `json:"configVersion,omitempty"`
 	// Reason says why a call was refused, and Detail which bound it exceeds.
 	Reason string `json:"reason,omitempty"`
 	Detail string `json:"detail,omitempty"`
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -105,7 +105,10 @@
 
 func (ev callEvent) apply(c *Core) {
 	if ev.take() {
-		ev.do(c, func(r Reply) { ev.reply <- r })
+		ev.do(c, func(r Reply) {
+			r.ConfigVersion = c.configVersion()
+			ev.reply <- r
+		})
 	}
 }
 
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -15,6 +15,14 @@
 	c.emit(SendReply{Reply: reply, Answer: r})
 }
 
+// configVersion returns the version of this owner's configuration; 0 before the first one.
+func (c *Core) configVersion() uint64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
 // Submit accepts a submission and replies once it is stored. Submitting an ID
 // again is accepted without effect. A new submission is refused if the oldest
 // pending write has waited longer than maxStoreDelay, storeDelay being that wait,
@@ -184,7 +192,8 @@
 func (c *Core) refuse(sub *workload.Submission, r Reply, reply func(Reply)) {
 	c.metric.submissionRefused(r.Reason)
 	c.tenants.refused(sub.Tenant)
-	c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs))
+	c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs),
+		"version", c.configVersion(), "calledVersion", sub.ConfigVersion)
 	c.reply(reply, r)
 }
 
--- a/partition/partition.go
+++ b/partition/partition.go
@@ -72,6 +72,8 @@
 	Records []Record
 	// Next is the offset to continue from.
 	Next uint64
+	// End is the offset after the last record of the partition; 0 if it is not known.
+	End uint64
 }
 
 // Log is the platform's keyed log. The verdict of an error says whether an
--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -414,3 +414,35 @@
 		}
 	})
 }
+
+// Guards against a value that counts as recent although a later record may have followed: a read
+// proves of its beginning, or of the end of its wait, that nothing did.
+func TestWatcher_ReportsAsOfWhenItIsCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &memoryLog{records: []partition.Record{record("a", "1")}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		began := time.Now()
+		var current time.Time
+		w := &partition.Watcher{
+			Log: log, ID: testPartition, Now: time.Now, OnSnapshot: func([]partition.Record) {}, OnUpdate: func([]partition.Record) {},
+			OnCurrent: func(asOf time.Time) { current = asOf },
+		}
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		time.Sleep(2500 * time.Millisecond)
+		if age := time.Since(current); age > 1500*time.Millisecond {
+			t.Errorf("current as of %s before with a log that answers, want at most 1.5s", age)
+		}
+		log.mu.Lock()
+		log.fault = noAnswer
+		log.mu.Unlock()
+		lost := time.Now()
+		time.Sleep(5 * time.Second)
+		if current.After(lost.Add(time.Second)) {
+			t.Errorf("current as of %s after the beginning, with a log that has not answered since %s", current.Sub(began), lost.Sub(began))
+		}
+		cancel()
+		<-done
+	})
+}
--- a/partition/watcher.go
+++ b/partition/watcher.go
@@ -35,6 +35,10 @@
 	Pause time.Duration
 	// OnResult, if set, is called with the outcome of every call.
 	OnResult func(error)
+	// OnCurrent, if set, is called after OnSnapshot and OnUpdate, and after a read without
+	// records, with a time as of which no record followed those that were passed. It needs Now.
+	OnCurrent func(asOf time.Time)
+	Now       func() time.Time
 }
 
 // Run follows the partition until ctx ends.
@@ -52,12 +56,14 @@
 }
 
 func (w *Watcher) readSnapshot(ctx context.Context) (uint64, error) {
+	began := w.time()
 	records, end, err := ReadAll(ctx, w.Log, w.ID)
 	w.reportResult(err)
 	if err != nil {
 		return 0, err
 	}
 	w.OnSnapshot(records)
+	w.reportCurrent(began)
 	return end, nil
 }
 
@@ -66,6 +72,7 @@
 func (w *Watcher) read(ctx context.Context, next uint64) (uint64, error) {
 	wait := cmp.Or(w.Wait, watchWait)
 	for {
+		began := w.time()
 		call, cancel := context.WithTimeout(ctx, wait+watchSlack)
 		batch, err := w.Log.Read(call, w.ID, next, wait)
 		cancel()
@@ -74,6 +81,11 @@
 		case err == nil:
 			if len(batch.Records) > 0 {
 				w.OnUpdate(batch.Records)
+			}
+			if asOf, current := batch.currentAsOf(began, w.time(), wait); current {
+				w.reportCurrent(asOf)
+			}
+			if len(batch.Records) > 0 {
 				duty.Sleep(ctx, w.Pause)
 			}
 			return batch.Next, nil
@@ -90,3 +102,31 @@
 		w.OnResult(err)
 	}
 }
+
+// currentAsOf returns a time as of which no record followed the batch, whose read took from began
+// to ended and waited up to wait for a record. It reports false if some may have followed at once.
+func (b Batch) currentAsOf(began, ended time.Time, wait time.Duration) (time.Time, bool) {
+	switch {
+	case len(b.Records) > 0:
+		return began, b.End > 0 && b.Next >= b.End
+	case ended.Sub(began) >= wait:
+		// The log answered at the end of the wait, or later.
+		return began.Add(wait), true
+	default:
+		return began, true
+	}
+}
+
+// time returns the time; zero if nobody needs it.
+func (w *Watcher) time() time.Time {
+	if w.Now == nil {
+		return time.Time{}
+	}
+	return w.Now()
+}
+
+func (w *Watcher) reportCurrent(asOf time.Time) {
+	if w.OnCurrent != nil {
+		w.OnCurrent(asOf)
+	}
+}
