A submission is decided by the newer of two versions of the configuration

Callers saw: 404 no_queue for a route that the daemon they called had applied, and 400 gang_over_cap by a cap that had been raised since, for as long as the owner of the partition was behind; two owners gave two answers. Cause: the owner looked the queue and the cap up in its own copy, however old. The class: an answer is given from a copy of something that was acknowledged elsewhere, and nothing in the call says how recent the copy has to be. Change: rulingOn returns the ruling of the newer version, the owner's or that of the daemon that was called, which the submission brings with it (address, service, settings, and now the tenant's cap). The settings by which a job runs go the same way. The owner takes its own daemon's version before each submission, not only every 50 ms. A reply names its version; a refusal by an older one, which owners of the release before still give, is tried again and never passed on.

--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -215,3 +215,34 @@
 		})
 	}
 }
+
+// Guards against "no such queue" by an owner that may have an older version of the configuration
+// than the daemon that was called: owners of an earlier release say so (issue 63, CONFIG).
+func TestRouter_RefusalByAnOlderVersionIsNotPassedOn(t *testing.T) {
+	noQueue := func(version uint64) func() (scheduler.Reply, error) {
+		return func() (scheduler.Reply, error) {
+			return scheduler.Reply{Outcome: scheduler.OutcomeNotFound, Reason: "no_queue", ConfigVersion: version}, nil
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		answers script
+		want    scheduler.Outcome
+		notRun  bool
+	}{
+		{"older, then as new", script{noQueue(4), noQueue(0), replied(scheduler.OutcomeDone)}, scheduler.OutcomeDone, false},
+		{"as new", script{noQueue(5)}, scheduler.OutcomeNotFound, false},
+		{"newer", script{noQueue(6)}, scheduler.OutcomeNotFound, false},
+		{"older all the time", script{noQueue(4)}, scheduler.OutcomeDone, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			e := scriptedRouter(t, &scriptedPeers{answers: c.answers}, "b")
+			ctx, cancel := context.WithTimeout(t.Context(), callerTime)
+			defer cancel()
+			r, err := e.Submit(ctx, &workload.Submission{ID: "00000000000000aa", Queue: "checks", Address: checksAddress, Service: "pool", ConfigVersion: 5})
+			if c.notRun != (err != nil && verdict.Of(err) == verdict.NotRun) || err == nil && r.Outcome != c.want {
+				t.Errorf("%s: outcome %d, error %v, want outcome %d, not run %t", c.name, r.Outcome, err, c.want, c.notRun)
+			}
+		})
+	}
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -57,6 +57,9 @@
 	// ReasonNoLayout means that this daemon does not know the service's shard
 	// layout yet.
 	ReasonNoLayout verdict.Reason = "no_layout"
+	// reasonOutdated means that an owner has refused a submission by an older version of the
+	// configuration than that of the daemon that was called.
+	reasonOutdated verdict.Reason = "owner_configuration_older"
 	// reasonBadCall means that another daemon's call could not be parsed.
 	reasonBadCall verdict.Reason = "bad_call"
 )
@@ -153,6 +156,8 @@
 		var r scheduler.Reply
 		r, err = e.attempt(ctx, method, c)
 		switch {
+		case err == nil && method == methodSubmit && r.Outdated(c.Submission.ConfigVersion):
+			err = verdict.New(verdict.NotRun, reasonOutdated, "refused by version %d of the configuration, after version %d", r.ConfigVersion, c.Submission.ConfigVersion).WithRetryAfter(ownerRetryAfter)
 		case err == nil && mayHaveRun && method == methodSubmit && r.Outcome != scheduler.OutcomeDone:
 			return scheduler.Reply{}, refusedAfterNoAnswer(r)
 		case err == nil:
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -15,6 +15,12 @@
 		Meaning: "A submission was refused and never runs. The fields version and calledVersion are the versions of the configuration of this owner and of the daemon that was called.",
 		Action:  "Depends on the reason. The caller was told when to retry.",
 	}
+	OwnerOutdated = Event{
+		Number: 6124, Level: slog.LevelInfo, Name: "owner_configuration_older",
+		Fields:  []string{"epoch", "version", "calledVersion"},
+		Meaning: "A submission arrived at a daemon with the later version calledVersion of the configuration, while this owner still has version. What the later version says of the submission decides. Logged once for each version.",
+		Action:  "None. If it repeats for one daemon, find out why the store's answers reach it late.",
+	}
 	SubmissionCancelled = Event{
 		Number: 6003, Level: slog.LevelInfo, Name: "submission_cancelled",
 		Fields:  []string{"id", "queue", "age"},
@@ -306,7 +312,7 @@
 
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
-	SubmissionAccepted, SubmissionRefused, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap, TenantInExcess, TenantWithinRate, CapGiven, CapTaken,
+	SubmissionAccepted, SubmissionRefused, OwnerOutdated, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap, TenantInExcess, TenantWithinRate, CapGiven, CapTaken,
 	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved, PlacementPass,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -126,13 +126,15 @@
 	if c.config == nil {
 		return Reply{Outcome: OutcomeRefused, Reason: "no_configuration", RetryAfterMS: 1000}, true
 	}
-	if _, ok := c.queueOf(sub); !ok {
+	r := c.rulingOn(sub)
+	c.noteOutdated(r)
+	if r.queue == nil {
 		return Reply{Outcome: OutcomeNotFound, Reason: "no_queue"}, true
 	}
 	if storeDelay > maxStoreDelay {
 		return storeUnavailable(storeDelay), true
 	}
-	return c.tenants.refuseGang(sub)
+	return r.refuseGang(sub)
 }
 
 // storeUnavailable returns the reply to a submission while nothing can be stored.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -31,6 +31,8 @@
 		return Reply{}, err
 	}
 	return e.call(ctx, func(c *Core, reply func(Reply)) {
+		// No submission is decided by an older version than this daemon has.
+		e.configure()
 		c.Submit(sub, e.writer.OldestWait(), reply)
 	})
 }
@@ -106,7 +108,7 @@
 func (ev callEvent) apply(c *Core) {
 	if ev.take() {
 		ev.do(c, func(r Reply) {
-			r.ConfigVersion = c.configVersion()
+			r.ConfigVersion = max(r.ConfigVersion, c.configVersion())
 			ev.reply <- r
 		})
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -58,6 +58,8 @@
 	log    *events.Logger
 	metric *Metrics
 	config *routing.Configuration
+	// outdatedLogged is the last version for which noteOutdated has logged.
+	outdatedLogged uint64
 
 	// now is the monotonic time and wall the wall-clock time, in Unix
 	// milliseconds, of the current event.
--- a/internal/scheduler/engine.go
+++ b/internal/scheduler/engine.go
@@ -116,6 +116,8 @@
 	evidenceWanted atomic.Bool
 	// storingHolder is set while the first holder of the caps is being stored.
 	storingHolder atomic.Bool
+	// config is the configuration that the Core has.
+	config *routing.Configuration
 	// candidatesAt is when the candidates for witnesses were last looked at.
 	candidatesAt time.Time
 }
@@ -199,14 +201,11 @@
 func (e *Engine) loop(ctx context.Context, turn duty.Heartbeat) error {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
-	config := e.o.Config()
 	e.setTime()
 	e.updateEvidence()
 	e.core.SetLocate(e.o.Shards.Locate)
 	e.updateCaps()
-	if config != nil {
-		e.core.Configure(config)
-	}
+	e.configure()
 	e.core.PollAll()
 	e.core.ResumeHandovers()
 	e.execute(e.core.Finish(true))
@@ -229,10 +228,7 @@
 			e.applyBatch(ev)
 		case <-tick.C:
 			e.setTime()
-			if now := e.o.Config(); now != config {
-				config = now
-				e.core.Configure(now)
-			}
+			e.configure()
 			e.core.SetPolicyClientCount(e.o.Policy.Count())
 			e.core.SetSharded(e.o.Shards.Several)
 			e.core.SetMemoryLimit(e.o.MemoryBudget())
@@ -255,6 +251,14 @@
 	}
 }
 
+// configure passes the configuration in force on this daemon to the Core if that has another one.
+func (e *Engine) configure() {
+	if now := e.o.Config(); now != nil && now != e.config {
+		e.config = now
+		e.core.Configure(now)
+	}
+}
+
 // withdrawUnstored refuses the submissions that wait for a log that stores
 // nothing, as far as they were not sent to it. Their callers can try again in
 // time, instead of learning later that the submission may have been stored.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -23,9 +23,9 @@
 // setQueue sets a job's queue to the one in force. If there is none, the settings remain
 // that this owner has seen last, or else those that were stored with the submission.
 func (c *Core) setQueue(j *job) {
-	q, ok := c.queueOf(j.sub)
+	q := c.queueFor(j.sub)
 	switch {
-	case ok:
+	case q != nil:
 		j.queue, j.queueKnown = *q, true
 		c.learnQueue(j, q)
 	case !j.queueKnown && j.sub.Settings != nil:
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -190,6 +190,9 @@
 }
 
 func (c *Core) refuse(sub *workload.Submission, r Reply, reply func(Reply)) {
+	if c.config != nil {
+		r.ConfigVersion = c.rulingOn(sub).version
+	}
 	c.metric.submissionRefused(r.Reason)
 	c.tenants.refused(sub.Tenant)
 	c.log.Log(events.SubmissionRefused, "id", sub.ID, "queue", sub.Queue, "reason", r.Reason, "retryAfterMS", r.RetryAfterMS, "jobs", len(c.jobs),
--- a/internal/scheduler/tenants.go
+++ b/internal/scheduler/tenants.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/events"
@@ -191,23 +190,6 @@
 	t.ledger.SetUnattributed(sum)
 }
 
-// refuseGang refuses a submission with a gang that can never run whole under its tenant's
-// cap.
-func (t *tenants) refuseGang(sub *workload.Submission) (Reply, bool) {
-	for i := range sub.Steps {
-		st := &sub.Steps[i]
-		if most := t.ledger.MostAtOnce(sub.Tenant, st.Reserved(), st.Count); st.Gang && most < st.Count {
-			limit := t.ledger.Cap(sub.Tenant)
-			return Reply{
-				Outcome: OutcomeInvalid, Reason: "gang_over_cap",
-				Detail: fmt.Sprintf("steps[%d] has %d members that run at once, at most %d do under the tenant's cap of %d millicores, %d MB and %d GPUs (0: no bound)",
-					i, st.Count, most, limit.CPU, limit.MemoryMB, limit.GPU),
-			}, true
-		}
-	}
-	return Reply{}, false
-}
-
 // recordHeld records that a tenant's cap holds back a start.
 func (t *tenants) recordHeld(name, step string) {
 	if !extend(t.held, name, t.core.now) {
--- a/tenant/ledger.go
+++ b/tenant/ledger.go
@@ -191,11 +191,23 @@
 // MostAtOnce returns how many of n tasks that need as much each can ever run at the same
 // time under a tenant's cap.
 func (l *Ledger) MostAtOnce(name string, need workload.Resources, n int) int {
-	_, limit, capped := l.limitOf(name)
+	limit, capped := l.Limit(name)
 	if !capped {
 		return n
 	}
-	return quota.StartsBelow(quota.Amounts{}, amountsOf(need), limit, n)
+	return MostUnder(limit, need, n)
+}
+
+// MostUnder returns the same for a cap; a resource that is 0 is unlimited.
+func MostUnder(limit, need workload.Resources, n int) int {
+	return quota.StartsBelow(quota.Amounts{}, amountsOf(need), amountsOf(limit), n)
+}
+
+// Limit returns a tenant's cap over all owners, or false if none applies. A resource that is 0 is
+// unlimited.
+func (l *Ledger) Limit(name string) (workload.Resources, bool) {
+	_, limit, capped := l.limitOf(name)
+	return resourcesOf(limit), capped
 }
 
 // Cap returns a tenant's cap over all owners; a resource that is 0 is unlimited.
--- a/workload/submission.go
+++ b/workload/submission.go
@@ -151,6 +151,9 @@
 	// Settings are those of the queue when the submission was received; nil if an earlier
 	// version has stored it.
 	Settings *QueueSettings `cbor:"15,keyasint,omitempty"`
+	// TenantCap bounds what the tenant may have running by the version ConfigVersion, when the
+	// submission is handed in; nil if that is not known. It is not stored.
+	TenantCap *Resources `cbor:"-" json:",omitempty"`
 }
 
 // Reference names a submission in a call about it.
