Daemons take newer versions of the configuration from each other

Callers saw: answers by an older version from a daemon whose reads of the store hang, are held back or show stale records, for seconds, beside others that had the newer. Cause: each daemon read the configuration for itself alone. While the store left most VMs unanswered, each found out in turn, 1.8 s a round, which two of its peers still reached it; a daemon that had the version was one call away all the while. Change: public package antientropy decides whom to ask and when: a daemon that named a later version in its call or its answer, 100 ms later, and three at random once the store has confirmed nothing for 1.3 s. configuration.Keeper asks; an answer has the record's bytes if its version is later, and how long ago the store confirmed it. A version is applied only from its bytes, and never an older one. No query in calm.

--- a/antientropy/antientropy.go
+++ b/antientropy/antientropy.go
@@ -170,6 +170,9 @@
 	r.failedAt[daemon] = now
 }
 
+// Due reports whether Next may name daemons to ask.
+func (r *Replica) Due(now time.Time) bool { return len(r.ahead) > 0 || r.roundDue(now) }
+
 // Next returns the daemons to ask now. The caller must report the outcome of each query by
 // Answered or Failed.
 func (r *Replica) Next(now time.Time, daemons []string) []string {
--- a/internal/configuration/keeper.go
+++ b/internal/configuration/keeper.go
@@ -1,5 +1,6 @@
 // Package configuration keeps the newest version of the operators' configuration on a daemon,
-// and knows how recent that is. Versions come from the log.
+// and knows how recent that is. Versions come from the log, and from other daemons while the log
+// does not answer this one.
 package configuration
 
 import (
@@ -11,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/currantwinch/currantwinch/antientropy"
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/routing"
 )
@@ -34,6 +36,9 @@
 	Decode Decode
 	// OnApply is called after a version has come into force.
 	OnApply func()
+	Peers   roles.Peers
+	// Daemons lists the other daemons.
+	Daemons func() []string
 	Events  *events.Logger
 	Metrics *metrics.Set
 	Now     func() time.Time
@@ -46,13 +51,19 @@
 
 	mu      sync.Mutex
 	replica *antientropy.Replica
+
+	queries queryCounters
 }
 
-// New returns a Keeper without a configuration.
+// queryCounters count the queries to other daemons by outcome.
+type queryCounters struct{ answered, unanswered *metrics.Counter }
+
+// New returns a Keeper without a configuration, and registers its method with the peers.
 func New(o Options) *Keeper {
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	k := &Keeper{o: o, replica: antientropy.New(antientropy.Options{ConfirmInterval: confirmInterval, Rand: seed}, o.Now())}
 	k.registerMetrics()
+	k.register()
 	return k
 }
 
@@ -115,5 +126,9 @@
 		}
 		return 0
 	})
+	k.queries = queryCounters{
+		answered:   k.o.Metrics.NewCounter(`currantwinch_configuration_queries_total{outcome="answered"}`),
+		unanswered: k.o.Metrics.NewCounter(`currantwinch_configuration_queries_total{outcome="unanswered"}`),
+	}
 	k.o.Metrics.NewGauge("currantwinch_configuration_unconfirmed_seconds", func() float64 { return k.View().Unconfirmed.Seconds() })
 }
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -13,6 +13,7 @@
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/internal/tenure"
 	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/shard"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
@@ -64,6 +65,12 @@
 	return json.Unmarshal(data, result)
 }
 
+// noConfiguration is that of a daemon before the first version.
+type noConfiguration struct{}
+
+func (noConfiguration) Newest() *routing.Configuration { return nil }
+func (noConfiguration) Hear(string, uint64)            {}
+
 // scriptedRouter returns a Router whose calls to the owners get the peers' answers.
 func scriptedRouter(t *testing.T, peers *scriptedPeers, owners ...string) *Router {
 	return routerWith(t, peers, &oneOwner{owners: owners})
@@ -77,6 +84,8 @@
 		Layout:   func(string) (shard.Layout, bool) { return shard.Layout{Shards: 1}, true },
 		Isolated: func() bool { return false },
 		Homes:    storedHomes{checksAddress: "pool"},
+
+		Configuration: noConfiguration{},
 	})
 }
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -11,6 +11,7 @@
 	"github.com/currantwinch/currantwinch/internal/scheduler"
 	"github.com/currantwinch/currantwinch/internal/tenure"
 	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/shard"
 	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
@@ -73,6 +74,9 @@
 	Queue string `json:"queue,omitempty"`
 	// Address identifies the queue; empty in calls of an earlier version.
 	Address workload.QueueAddress `json:"address,omitempty"`
+	// ConfigVersion is the version of the configuration of the daemon that calls; 0 if it does not
+	// say.
+	ConfigVersion uint64 `json:"configVersion,omitempty"`
 	// Tenant is the tenant that asks about the submission; empty if there is none.
 	Tenant     string               `json:"tenant,omitempty"`
 	Submission *workload.Submission `json:"submission,omitempty"`
@@ -100,7 +104,8 @@
 	// CapHolders knows the first holder of the tenants' caps.
 	CapHolders CapHolders
 	// Daemons lists the other daemons.
-	Daemons func() []string
+	Daemons       func() []string
+	Configuration Configuration
 	// Isolated reports whether neither the store nor another daemon answers
 	// this one.
 	Isolated func() bool
@@ -117,6 +122,15 @@
 	Services() []string
 }
 
+// Configuration is told which versions of the configuration other daemons have.
+// configuration.Keeper implements it.
+type Configuration interface {
+	// Newest returns the configuration in force; nil before the first one.
+	Newest() *routing.Configuration
+	// Hear records that a daemon has a version.
+	Hear(daemon string, version uint64)
+}
+
 // Router routes calls to the owners of partitions.
 type Router struct {
 	o        Options
@@ -232,11 +246,23 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	c.TimeoutMS = max(e.timeLeft(ctx), minCallTime).Milliseconds()
+	c.ConfigVersion = e.configVersion()
 	var r scheduler.Reply
 	err := e.o.Peers.Call(ctx, holder, method, c, &r)
+	if err == nil {
+		e.o.Configuration.Hear(holder, r.ConfigVersion)
+	}
 	return r, err
 }
 
+// configVersion returns the version of the configuration in force; 0 before the first one.
+func (e *Router) configVersion() uint64 {
+	if config := e.o.Configuration.Newest(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
 // callLocal passes a call to this daemon's scheduler, and on to the partition that has
 // taken the submission over.
 func (e *Router) callLocal(ctx context.Context, id partition.ID, method string, c call) (scheduler.Reply, error) {
@@ -285,7 +311,8 @@
 
 // handle returns the handler of another daemon's calls.
 func (e *Router) handle(method string) roles.PeerHandler {
-	return roles.TypedHandler(reasonBadCall, func(ctx context.Context, _ string, c call) (any, error) {
+	return roles.TypedHandler(reasonBadCall, func(ctx context.Context, from string, c call) (any, error) {
+		e.o.Configuration.Hear(from, c.ConfigVersion)
 		if method == methodSubmit && c.Submission == nil {
 			return nil, verdict.New(verdict.NotRun, reasonBadCall, "no submission")
 		}
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -10,15 +10,17 @@
 	"github.com/currantwinch/currantwinch/duty"
 	"github.com/currantwinch/currantwinch/internal/configuration"
 	"github.com/currantwinch/currantwinch/internal/events"
+	"github.com/currantwinch/currantwinch/internal/peer"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/platform"
 )
 
-func (h *Host) newConfiguration() *configuration.Keeper {
-	return configuration.New(configuration.Options{
-		Decode: platform.DecodeConfiguration, OnApply: func() { h.tenures.TriggerReconcile() },
+func (h *Host) newConfiguration(peers *peer.Peers) *configuration.Keeper {
+	h.config = configuration.New(configuration.Options{
+		Decode: platform.DecodeConfiguration, OnApply: func() { h.tenures.TriggerReconcile() }, Peers: peers, Daemons: h.otherDaemons,
 		Events: h.o.Events, Metrics: h.base.Metrics, Now: time.Now,
 	})
+	return h.config
 }
 
 // watchConfiguration follows the configuration at the store.
--- a/internal/host/configuration_test.go
+++ b/internal/host/configuration_test.go
@@ -147,3 +147,45 @@
 		return status == http.StatusOK
 	})
 }
+
+// Guards against a daemon whose reads show an older version for long, and which answers by that
+// beside others that have the newer one: it takes the version from the daemon of which it hears
+// that, be it called or calling (issue 63, CONFIG).
+func TestHost_DaemonThatIsBehindTakesTheVersionFromAnother(t *testing.T) {
+	const configApply = 2500 * time.Millisecond
+	for _, behindOwns := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the owner is behind: %t", behindOwns), func(t *testing.T) {
+			t.Parallel()
+			s := newDeployment(t, 1)
+			var store *outdatedStore
+			var behind, other string
+			if behindOwns {
+				store, behind = s.startBehind()
+				_, other = s.startSecond()
+			} else {
+				_, other = s.startSecond()
+				store, behind = s.startBehind()
+			}
+			store.holdBack(1)
+			s.configure(2, "/p/")
+			s.await("in force on the other daemon", func() bool {
+				status, _ := s.call("GET", other, "/p/", "")
+				return status == http.StatusOK
+			})
+			began := time.Now()
+			s.await("in force on the daemon that is behind", func() bool {
+				// Callers use both daemons.
+				s.call("GET", other, "/p/00000000000000ff", "")
+				s.call("GET", behind, "/q/00000000000000ff", "")
+				status, _ := s.call("GET", behind, "/p/", "")
+				return status == http.StatusOK
+			})
+			if took := time.Since(began); took > configApply {
+				t.Errorf("in force %s after the other daemon had it, want %s", took, configApply)
+			}
+			if status, _ := s.call("POST", behind, "/q/"+id, work); status != http.StatusNotFound {
+				t.Errorf("status %d on a removed route, want 404", status)
+			}
+		})
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -104,11 +104,10 @@
 	h.reporter = intake.NewReporter(o.Events, h.base.Metrics)
 	h.reporter.Limits(h.limits)
 	h.checkRestartTime()
-	h.config = h.newConfiguration()
 	h.app = fx.New(
 		fx.NopLogger,
 		fx.Supply(o.Settings),
-		fx.Provide(platform.NewHTTPClient, h.newStore, h.newPeers, h.newShards, h.newMember, h.newTenures, h.newEntry, h.newPolicyClients),
+		fx.Provide(platform.NewHTTPClient, h.newStore, h.newPeers, h.newConfiguration, h.newShards, h.newMember, h.newTenures, h.newEntry, h.newPolicyClients),
 		fx.Invoke(h.assemble),
 		fx.Invoke(h.lifecycle),
 	)
@@ -169,14 +168,14 @@
 	return m
 }
 
-func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, peers *peer.Peers, s platform.Settings) *tenure.Manager {
+func (h *Host) newTenures(member *partition.Member, shards *shard.Manager, peers *peer.Peers, config *configuration.Keeper, s platform.Settings) *tenure.Manager {
 	return tenure.New(tenure.Options{
-		Member: member, Daemon: h.base.Self.Name, OtherDaemons: h.otherDaemons, Now: time.Now, PartitionCount: s.StorePartitions, Config: h.config.Newest, Layout: shards.Layout, Services: shards.Services, New: h.newEngine, Peers: peers, Events: h.o.Events,
+		Member: member, Daemon: h.base.Self.Name, OtherDaemons: h.otherDaemons, Now: time.Now, PartitionCount: s.StorePartitions, Config: config.Newest, Layout: shards.Layout, Services: shards.Services, New: h.newEngine, Peers: peers, Events: h.o.Events,
 	})
 }
 
-func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Manager, peers *peer.Peers, shards *shard.Manager, s platform.Settings) *entry.Router {
-	return entry.New(entry.Options{Member: member, Isolated: store.Isolated, Layout: shards.Layout, Homes: shards, CapHolders: shards, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now, Daemons: h.otherDaemons})
+func (h *Host) newEntry(store *relay.Relay, member *partition.Member, tenures *tenure.Manager, peers *peer.Peers, shards *shard.Manager, config *configuration.Keeper, s platform.Settings) *entry.Router {
+	return entry.New(entry.Options{Configuration: config, Member: member, Isolated: store.Isolated, Layout: shards.Layout, Homes: shards, CapHolders: shards, Tenures: tenures, Peers: peers, PartitionCount: s.StorePartitions, Now: time.Now, Daemons: h.otherDaemons})
 }
 
 func (h *Host) newPolicyClients(client *http.Client, member *partition.Member, peers *peer.Peers, s platform.Settings) *entry.PolicyClients {
@@ -200,6 +199,7 @@
 
 func (h *Host) startDuties(context.Context) error {
 	h.duties.Go("configuration", 0, h.watchConfiguration)
+	h.duties.Go("configuration exchange", 0, h.config.Run)
 	h.duties.Go("membership", 0, func(ctx context.Context, _ duty.Heartbeat) error { return h.member.Run(ctx) })
 	h.duties.Go("shards", 0, func(ctx context.Context, _ duty.Heartbeat) error { return h.shards.Run(ctx) })
 	h.duties.Go("tenures", 0, h.tenures.Run)
