A daemon that hears nobody answers 503 once its configuration may be outdated

Callers saw: 404, 401 and answers of routes that may be gone from a daemon that was frozen, or cut off from the store and from all other daemons, on open connections. Cause: nothing said how old the proof of the configuration was, so that a version counted as in force for ever. Change: Keeper.View is MayBeOutdated once config_apply_ms have passed since the store confirmed the version or another daemon was found to have no later one. In an outage of the store for all, daemons hear each other and go on; nothing can have been acknowledged then. After a freeze the first read or answer ends it. Measured: a daemon of two goes on for three times the bound with a store that hangs, answers 503 within the bound once the other one has stopped too, and 404 again when the store is back (host test). The settings and View.MayBeOutdated are new: the tests have no form that runs on the code before.

--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/currantwinch/currantwinch/antientropy"
 	"github.com/currantwinch/currantwinch/duty"
+	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/roles"
 	"github.com/currantwinch/currantwinch/partition"
 	"github.com/currantwinch/currantwinch/verdict"
@@ -40,10 +41,16 @@
 	Record *partition.Record `json:"record,omitempty"`
 }
 
-// Run asks other daemons for later versions until ctx ends.
+// Run asks other daemons for later versions until ctx ends, and logs changes of what View says of
+// the configuration.
 func (k *Keeper) Run(ctx context.Context, turn duty.Heartbeat) error {
+	mayBeOutdated := false
 	for duty.Sleep(ctx, exchangeInterval) {
 		turn()
+		if view := k.View(); view.MayBeOutdated != mayBeOutdated {
+			mayBeOutdated = view.MayBeOutdated
+			k.o.Events.Log(events.ConfigurationUnconfirmed, "unconfirmed", mayBeOutdated, "version", k.version(), "age", view.Unconfirmed.Milliseconds())
+		}
 		for _, daemon := range k.next() {
 			go k.ask(ctx, daemon)
 		}
--- a/internal/configuration/keeper.go
+++ b/internal/configuration/keeper.go
@@ -39,9 +39,12 @@
 	Peers   roles.Peers
 	// Daemons lists the other daemons.
 	Daemons func() []string
-	Events  *events.Logger
-	Metrics *metrics.Set
-	Now     func() time.Time
+	// ApplyTime is the time in which a version must be in force on all daemons; 0 means that there
+	// is no bound.
+	ApplyTime time.Duration
+	Events    *events.Logger
+	Metrics   *metrics.Set
+	Now       func() time.Time
 }
 
 // Keeper holds the configuration in force on a daemon. Its methods are safe for concurrent use.
@@ -79,7 +82,10 @@
 func (k *Keeper) View() routing.View {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return routing.View{Configuration: k.Newest(), Unconfirmed: k.replica.Unconfirmed(k.o.Now())}
+	unconfirmed := k.replica.Unconfirmed(k.o.Now())
+	return routing.View{
+		Configuration: k.Newest(), Unconfirmed: unconfirmed, MayBeOutdated: k.o.ApplyTime > 0 && unconfirmed > k.o.ApplyTime,
+	}
 }
 
 // Read applies the newest version among records that were read from the log.
--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -230,6 +230,12 @@
 		Meaning: "A version of the configuration could not be decoded; the previous one stays in force. It came from the daemon from, or from the store if that is empty.",
 		Action:  "Publish a valid version.",
 	}
+	ConfigurationUnconfirmed = Event{
+		Number: 6125, Level: slog.LevelWarn, Name: "configuration_unconfirmed",
+		Fields:  []string{"unconfirmed", "version", "age"},
+		Meaning: "This daemon has heard neither the store nor another daemon for age milliseconds, which is longer than a version of the configuration may take to be in force. It is not ready, and answers callers with 503 until it hears one. Or, if unconfirmed is false, it has.",
+		Action:  "Check the daemon's network path, or what has stopped its process.",
+	}
 	CallFailed = Event{
 		Number: 6040, Level: slog.LevelInfo, Name: "call_failed",
 		Fields:  []string{"call", "id", "queue", "status", "reason", "took", "version", "unconfirmed", "ownerVersion"},
@@ -317,7 +323,7 @@
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved, PlacementPass,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, RestartTimeMissed, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
-	ConfigurationApplied, ConfigurationUnreadable, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
+	ConfigurationApplied, ConfigurationUnreadable, ConfigurationUnconfirmed, ServerEntryUnreadable, CallFailed, SettingsReloaded, LayoutApplied, LayoutUnreadable, MemberYieldChanged, VMIsolationChanged,
 	StoreSuspected, StoreSuspicionCleared, OrdersCongested, StartNotSent, ServersUnreachable, StartsForwarded, ServerCrashed,
 	TaskSuspected, TrialBegun, TaskCleared, TaskGivenUp, ServerShrank, ServerSpeedChanged, CopyStarted, CopyDecided, LocalityWaitEnded,
 }
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -15,9 +15,9 @@
 	"github.com/currantwinch/currantwinch/platform"
 )
 
-func (h *Host) newConfiguration(peers *peer.Peers) *configuration.Keeper {
+func (h *Host) newConfiguration(peers *peer.Peers, s platform.Settings) *configuration.Keeper {
 	h.config = configuration.New(configuration.Options{
-		Decode: platform.DecodeConfiguration, OnApply: func() { h.tenures.TriggerReconcile() }, Peers: peers, Daemons: h.otherDaemons,
+		Decode: platform.DecodeConfiguration, OnApply: func() { h.tenures.TriggerReconcile() }, Peers: peers, Daemons: h.otherDaemons, ApplyTime: s.Bounds.ConfigApply,
 		Events: h.o.Events, Metrics: h.base.Metrics, Now: time.Now,
 	})
 	return h.config
--- a/internal/host/configuration_test.go
+++ b/internal/host/configuration_test.go
@@ -1,6 +1,7 @@
 package host_test
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"net/http"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/currantwinch/currantwinch/internal/host"
+	"github.com/currantwinch/currantwinch/platform/standin"
 )
 
 // operatorTopic holds the configuration.
@@ -189,3 +191,38 @@
 		})
 	}
 }
+
+// Guards against a daemon that is cut off from the store and from all others, and that refuses
+// routes and keys by a version which may not be in force any more; and against one that refuses
+// calls while the store answers nobody, since no version can come into force then.
+func TestHost_RefusesNothingByAVersionThatMayBeOutdated(t *testing.T) {
+	s := newDeployment(t, 1)
+	s.configApply = 1500 * time.Millisecond
+	first, _ := s.startHost()
+	_, address := s.startSecond()
+	unknownRoute := func() int {
+		status, _ := s.call("GET", address, "/none/", "")
+		return status
+	}
+	s.store.SetFault(standin.Hang)
+	for began := time.Now(); time.Since(began) < 3*s.configApply; time.Sleep(50 * time.Millisecond) {
+		if status := unknownRoute(); status != http.StatusNotFound {
+			t.Fatalf("status %d in an outage of the store for all, %s after its beginning, want 404", status, time.Since(began))
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := first.Stop(ctx); err != nil {
+		t.Fatal(err)
+	}
+	cutAt := time.Now()
+	s.await("unconfirmed", func() bool { return unknownRoute() == http.StatusServiceUnavailable })
+	if took := time.Since(cutAt); took > s.configApply+500*time.Millisecond {
+		t.Errorf("404 for %s after the last contact, want %s", took, s.configApply)
+	}
+	if status, _ := s.call("GET", s.ready, "/ready", ""); status != http.StatusServiceUnavailable {
+		t.Errorf("ready: status %d, want 503", status)
+	}
+	s.store.SetFault(nil)
+	s.await("confirmed again", func() bool { return unknownRoute() == http.StatusNotFound })
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -324,7 +324,7 @@
 func (h *Host) InFlight() int { return int(h.inFlight.Load()) }
 
 func (h *Host) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if !h.layoutsKnown() || h.stopping.Load() || h.store.Isolated() {
+	if !h.layoutsKnown() || h.stopping.Load() || h.store.Isolated() || h.config.View().MayBeOutdated {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -30,6 +30,8 @@
 	ready string
 	// events receives the events of the daemons that are started.
 	events *events.Logger
+	// configApply is the time in which versions must be in force; 0 means no bound.
+	configApply time.Duration
 }
 
 func newDeployment(t *testing.T, servers int) *deployment {
@@ -110,7 +112,7 @@
 	s.t.Helper()
 	settings := platform.Settings{
 		Name: "n", IP: "127.0.0.1", CallerAddress: freeAddress(s.t), ReadinessAddress: freeAddress(s.t), StoreAddress: s.address, StorePartitions: 4, MinMemberTTL: time.Second,
-		Bounds: platform.Bounds{MaxLease: 6 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, Grace: 6 * time.Second, ReuseAfter: 2 * time.Second},
+		Bounds: platform.Bounds{MaxLease: 6 * time.Second, GangTimeout: 3 * time.Second, StatusRetention: time.Minute, Grace: 6 * time.Second, ReuseAfter: 2 * time.Second, ConfigApply: s.configApply},
 	}
 	_, port, _ := net.SplitHostPort(freeAddress(s.t))
 	if _, err := fmt.Sscan(port, &settings.Ports[0]); err != nil {
