Reads that wait leave a silent store, and a silent daemon, once that is known

Callers saw nothing of it alone; a daemon without answers of the store had homes and layouts that were up to 10.2 s old, and entries of servers up to 3 s, beside daemons that the store answered. A read with a wait of 8 s stayed with the store for 8.4 s, although a join had shown after 0.4 s that the store does not answer this daemon; then it gave one other daemon, which hung as well, its whole wait. A relayed read waits for 1 s at most. Change: such a read goes to other daemons in the moment in which the store becomes suspected, and leaves one of them for the next after its relayed wait and 0.8 s. Evidence: the new test took 8.4 s with all others sound.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,8 @@
 	minAnswerTime = 300 * time.Millisecond
 	// maxRelays limits the daemons that are asked for one call.
 	maxRelays = 2
+	// relayedReadSlack is the time beyond its wait that a read through another daemon may take.
+	relayedReadSlack = 800 * time.Millisecond
 	// isolatedAfter is the time without any answer after which this daemon
 	// considers itself isolated. It spans several joins of the group.
 	isolatedAfter = 1200 * time.Millisecond
@@ -83,6 +85,8 @@
 	// storeSuspected wakes MonitorConnectivity when the store becomes
 	// suspected.
 	storeSuspected chan struct{}
+	// suspicion is closed when the store becomes suspected, and replaced when that ends.
+	suspicion chan struct{}
 
 	// contactOffset counts the contact calls made so far. Only
 	// MonitorConnectivity's goroutine uses it.
@@ -93,7 +97,7 @@
 func New(o Options) *Relay {
 	r := &Relay{
 		direct: o.Direct, peers: o.Peers, now: o.Now, log: o.Events, daemons: func() []string { return nil },
-		routes: make(map[string]route), storeSuspected: make(chan struct{}, 1),
+		routes: make(map[string]route), storeSuspected: make(chan struct{}, 1), suspicion: make(chan struct{}),
 	}
 	r.meter = newMeter(o.Metrics, r.suspected)
 	r.register()
@@ -133,6 +137,7 @@
 			return value, err
 		}
 	}
+	suspicion := r.suspicionOf(wait)
 	answers := make(chan outcome[T], 1)
 	go func() {
 		began := r.now()
@@ -155,12 +160,29 @@
 			return value, err
 		}
 		return got.value, got.err
+	case <-suspicion:
+		return firstAnswer(ctx, r, wait, answers, method, params)
 	case <-hedge.C:
 		r.markSuspected()
 		return firstAnswer(ctx, r, wait, answers, method, params)
 	}
 }
 
+// suspicionOf returns the channel that is closed once the store becomes suspected while a call
+// waits for records. It returns nil for a call that does not wait, whose own time shows that.
+func (r *Relay) suspicionOf(wait time.Duration) <-chan struct{} {
+	if wait == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isSuspected {
+		// Other daemons were asked before this direct call.
+		return nil
+	}
+	return r.suspicion
+}
+
 // firstAnswer returns the first store answer, be it direct or through another
 // daemon.
 func firstAnswer[T any](ctx context.Context, r *Relay, wait time.Duration, direct <-chan outcome[T], method string, params any) (T, error) {
@@ -191,6 +213,7 @@
 // callThroughPeers asks other daemons in turn. It reports false if it asked
 // none.
 func callThroughPeers[T any](ctx context.Context, r *Relay, wait time.Duration, method string, params any) (value T, err error, asked bool) {
+	wait = min(wait, maxRelayedWait)
 	names := r.otherDaemons()
 	chosen := r.selectPeers(names, isBulk(method))
 	if len(chosen) == 0 {
@@ -226,7 +249,11 @@
 		return wait + relayTimeout
 	}
 	left := time.Until(deadline)
-	return min(wait+max(left-wait, 0)/time.Duration(attempts), left)
+	timeout := min(wait+max(left-wait, 0)/time.Duration(attempts), left)
+	if wait > 0 {
+		return min(timeout, wait+relayedReadSlack)
+	}
+	return timeout
 }
 
 // recordContact records that a call was answered, be it with a refusal.
@@ -291,6 +318,7 @@
 		return
 	}
 	r.isSuspected, r.suspectedAt = true, now
+	close(r.suspicion)
 	select {
 	case r.storeSuspected <- struct{}{}:
 	default:
@@ -309,7 +337,7 @@
 	if !r.isSuspected {
 		return
 	}
-	r.isSuspected = false
+	r.isSuspected, r.suspicion = false, make(chan struct{})
 	r.log.Log(events.StoreSuspicionCleared, "suspected", r.now().Sub(r.suspectedAt).Milliseconds())
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -82,12 +82,14 @@
 	other    *peers
 	// cut drops every call.
 	cut atomic.Bool
+	// silent is the name of a daemon that leaves calls without an answer.
+	silent string
 }
 
 func (p *peers) Handle(method string, h roles.PeerHandler) { p.handlers[method] = h }
 
-func (p *peers) Call(ctx context.Context, _, method string, params, result any) error {
-	if p.cut.Load() {
+func (p *peers) Call(ctx context.Context, daemon, method string, params, result any) error {
+	if p.cut.Load() || daemon == p.silent {
 		return noAnswer(ctx)
 	}
 	data, err := json.Marshal(params)
@@ -359,3 +361,33 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// Guards against a copy of records that is seconds old beside daemons that the store answers: a
+// read that waits for records stays with a store that is known not to answer, and then with each
+// daemon that does not, for the whole of its wait (issue 63).
+func TestRelay_LongPollLeavesWhoIsSilent(t *testing.T) {
+	const (
+		wait  = 8 * time.Second
+		bound = 3 * time.Second
+	)
+	for _, silent := range []string{"", "b"} {
+		synctest.Test(t, func(t *testing.T) {
+			mine, _, r, way := pair()
+			way.silent = silent
+			r.SetDaemons(func() []string { return []string{"b", "c"} })
+			mine.set(noAnswer)
+			ctx, cancel := context.WithTimeout(t.Context(), wait+5*time.Second)
+			defer cancel()
+			began := time.Now()
+			go func() { _, _ = r.Join(ctx, "m", 0, time.Second) }()
+			if _, err := r.Read(ctx, partition.ID{Topic: "t"}, 0, wait); err != nil {
+				t.Errorf("silent %q: %v", silent, err)
+			}
+			if took := time.Since(began); took > bound {
+				t.Errorf("silent %q: read after %s, want at most %s", silent, took, bound)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
