A home is stored although the daemon has not read what others stored

A home is appended at the offset up to which the daemon has read; if others have appended since, the append fails, and only the read that waits could show what followed. Change: after such a failure StoreHome reads what follows itself. Evidence: the new test failed before (the home was not stored, and the other daemon's not known), and passes; the other tests of shard pass.

--- a/shard/home.go
+++ b/shard/home.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/currantwinch/currantwinch/partition"
+	"github.com/currantwinch/currantwinch/verdict"
 	"github.com/currantwinch/currantwinch/workload"
 	"github.com/pkg/errors"
 )
@@ -86,12 +87,24 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	err = k.o.Log.Append(ctx, LayoutPartition, partition.Fence{At: &end}, next)
-	if err == nil {
+	switch {
+	case err == nil:
 		k.homesStored(next, end)
+	case verdict.ReasonOf(err) == partition.ReasonOffsetMismatch:
+		k.catchUp(ctx, end)
 	}
 	return errors.Wrap(err, "store the home of a queue")
 }
 
+// catchUp applies the records that follow from an offset. Another daemon has appended them, and the
+// read of Run, which waits for them, may not be answered for seconds.
+func (k *Manager) catchUp(ctx context.Context, from uint64) {
+	batch, err := k.o.Log.Read(ctx, LayoutPartition, from, 0)
+	if err == nil {
+		k.apply(batch.Records)
+	}
+}
+
 // newHomes returns the records of the home of a queue that has none. Daemons of an earlier
 // version that serve beside this one look under the queue's name.
 func (k *Manager) newHomes(queue Queue, service string) ([]partition.Record, error) {
--- a/shard/home_test.go
+++ b/shard/home_test.go
@@ -146,3 +146,47 @@
 		}
 	})
 }
+
+// deafLog leaves the reads that wait for records without an answer once they are lost.
+type deafLog struct {
+	*fakeLog
+	deaf bool
+}
+
+func (l *deafLog) Read(ctx context.Context, id partition.ID, from uint64, wait time.Duration) (partition.Batch, error) {
+	if l.deaf && wait > 0 {
+		<-ctx.Done()
+		return partition.Batch{}, ctx.Err()
+	}
+	return l.fakeLog.Read(ctx, id, from, wait)
+}
+
+// Guards against a route that is not served for as long as the daemon's reads wait in vain: another
+// daemon has stored a home meanwhile, so that the offset at which this one appends is out of date
+// (issue 63).
+func TestManager_StoresAHomeAfterOthersThatItHasNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &deafLog{fakeLog: &fakeLog{}}
+		k, other := startManager(t, log), startManager(t, log.fakeLog)
+		synctest.Wait()
+		log.deaf = true
+		// A read that is under way may still be answered.
+		time.Sleep(2 * watchWait)
+		for _, address := range []workload.QueueAddress{"desk.example/checks/", "desk.example/batch/"} {
+			if err := other.StoreHome(t.Context(), Queue{address, string(address)}, "pool"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		const added = "desk.example/added/"
+		for attempt := 0; attempt < 2; attempt++ {
+			// A failed attempt is repeated.
+			_ = k.StoreHome(t.Context(), Queue{added, "added"}, "pool")
+		}
+		if home, ok := k.Home(added); !ok || home != "pool" {
+			t.Errorf("the home of an added queue is %q, %t, want it to be stored at the second attempt", home, ok)
+		}
+		if home, ok := k.Home("desk.example/batch/"); !ok || home != "pool" {
+			t.Errorf("the home that the other daemon stored is %q, %t", home, ok)
+		}
+	})
+}
