The rate of starts while others wait is a type of package flow

Cause: it is pure, 60 lines, and stood in the largest package beside decisions on submissions, of which it knows nothing. Change: flow.Throughput; the scheduler keeps the time for which starts count as held up. No behaviour changes. Measured: tests of flow, and those of admission, peaks and placement in the scheduler pass.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -23,6 +23,11 @@
 	// there is capacity for it. Callers see such a wait as work that was
 	// accepted and forgotten.
 	maxSendWait = 5 * time.Second
+	// heldUpInterval is how long starts count as held up after they had to wait for the sender.
+	heldUpInterval = time.Second
+	// maxHeldGap is the longest time between two moments at which starts wait, if they
+	// waited in between. It is four ticks, at which a placement pass runs at the latest.
+	maxHeldGap = 4 * tickInterval
 	// lowerPriorityWeight is the weight, in that wait, of the tasks of queues with a lower
 	// priority than the new submission's. They start after it, but a steady stream of new
 	// submissions must not starve them.
@@ -68,7 +73,8 @@
 // what was accepted before. Nothing is refused for a rate that was not measured: a new owner
 // has ordered little because few servers have answered it.
 func (c *Core) decideByOrders(j *job) admission.Decision {
-	if !c.sendingHeldUp() || !c.startRate.known(c.now) {
+	perSecond, measured := c.starts.PerSecond(c.now)
+	if !c.sendingHeldUp() || !measured {
 		return admission.Decision{Admit: true}
 	}
 	open := 0.0
@@ -84,13 +90,13 @@
 	}
 	options := admissionOptions
 	options.MaxWait = maxSendWait
-	backlog := time.Duration(open / c.startRate.perSecond * float64(time.Second))
+	backlog := time.Duration(open / perSecond * float64(time.Second))
 	state := admission.State{Load: fairqueue.Load{Queued: int(open), Backlog: backlog, Share: 1}, Slots: 1}
 	return admission.Decide(admission.Request{}, state, options, c.now)
 }
 
-// sendingHeldUp reports whether starts had to wait for the sender within startRateInterval.
-func (c *Core) sendingHeldUp() bool { return c.now.Sub(c.startsHeldAt) <= startRateInterval }
+// sendingHeldUp reports whether starts had to wait for the sender within heldUpInterval.
+func (c *Core) sendingHeldUp() bool { return c.now.Sub(c.startsHeldAt) <= heldUpInterval }
 
 // holdStarts records that starts wait for the sender.
 func (c *Core) holdStarts() {
@@ -98,7 +104,7 @@
 		c.countOpenTasks()
 	}
 	c.startsHeld, c.startsHeldAt = true, c.now
-	c.startRate.held(c.now)
+	c.starts.Waiting(c.now)
 }
 
 // countOpenTasks counts, by priority, the tasks of accepted submissions that are
@@ -175,54 +181,3 @@
 	const parts = 1000
 	return d + time.Duration(retrySpread*float64(h.Sum32()%parts)/parts*float64(d))
 }
-
-// startRate is the rate of confirmed starts, measured while starts wait for the sender. At
-// other times it only says how little there was to start.
-type startRate struct {
-	count int
-	// since is the beginning of the measurement, heldAt when starts last waited, and
-	// measuredAt the end of the last measurement.
-	since, heldAt, measuredAt time.Time
-	perSecond                 float64
-}
-
-const (
-	// startRateInterval is the time over which the rate of starts is measured.
-	startRateInterval = time.Second
-	// maxHeldGap is the longest time between two moments at which starts wait, if they
-	// waited in between. It is four ticks, at which a placement pass runs at the latest.
-	maxHeldGap = 4 * tickInterval
-	// startRateValidity is how long a measurement counts. A rate that an outage lowered
-	// must not refuse anything long after it.
-	startRateValidity = 10 * time.Second
-)
-
-// held notes that starts wait for the sender.
-func (r *startRate) held(now time.Time) {
-	if r.since.IsZero() || now.Sub(r.heldAt) > maxHeldGap {
-		r.count, r.since = 0, now
-	}
-	r.heldAt = now
-}
-
-// measure updates the rate once starts have waited for an interval.
-func (r *startRate) measure(now time.Time) {
-	if r.since.IsZero() {
-		return
-	}
-	if now.Sub(r.heldAt) > maxHeldGap {
-		r.since = time.Time{}
-		return
-	}
-	elapsed := now.Sub(r.since)
-	if elapsed < startRateInterval {
-		return
-	}
-	r.perSecond = max(float64(r.count)/elapsed.Seconds(), 1)
-	r.count, r.since, r.measuredAt = 0, now, now
-}
-
-// known reports whether the rate was measured lately.
-func (r *startRate) known(now time.Time) bool {
-	return r.perSecond > 0 && now.Sub(r.measuredAt) <= startRateValidity
-}
--- a/internal/scheduler/admission_test.go
+++ b/internal/scheduler/admission_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/currantwinch/currantwinch/flow"
 	"github.com/currantwinch/currantwinch/routing"
 	"github.com/currantwinch/currantwinch/workload"
 )
@@ -234,7 +235,7 @@
 	h.core.SetStartRoom(0)
 	// Backlog fills the wait at the measured rate of starts.
 	const perSecond = 100
-	h.core.startRate = startRate{perSecond: perSecond, measuredAt: h.now}
+	h.core.starts = flow.Measured(perSecond, h.now, maxHeldGap)
 	backlog := oneTask(1000)
 	backlog.Count = int(perSecond*maxSendWait.Seconds()) + 10
 	h.submit(id1, backlog)
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -184,7 +184,7 @@
 	if a.state == startSent {
 		a.state = running
 		a.answeredAt = c.now
-		c.startRate.count++
+		c.starts.Completed()
 		if a.task.step.unplacedTasks() == 0 {
 			a.task.step.waitingSince = time.Time{}
 		}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -6,6 +6,7 @@
 
 	"github.com/currantwinch/currantwinch/admission"
 	"github.com/currantwinch/currantwinch/crashloop"
+	"github.com/currantwinch/currantwinch/flow"
 	"github.com/currantwinch/currantwinch/internal/events"
 	"github.com/currantwinch/currantwinch/internal/waitindex"
 	"github.com/currantwinch/currantwinch/partition"
@@ -222,7 +223,8 @@
 	startsHeld bool
 	// startsHeldAt is when startsHeld was last set.
 	startsHeldAt time.Time
-	startRate    startRate
+	// starts is the rate of confirmed starts.
+	starts flow.Throughput
 	// openTasks is the last result of countOpenTasks, plus the tasks accepted
 	// since, by openPriority. It is kept while sendingHeldUp.
 	openTasks map[int]int
@@ -252,6 +254,7 @@
 func NewCore(epoch uint64, bounds Bounds, records []partition.Record, log *events.Logger, metric *Metrics, now time.Time, wall int64) *Core {
 	c := &Core{
 		epoch: epoch, bounds: bounds, log: log, metric: metric, now: now, wall: wall, started: now, unheardAt: now, leasesRenewed: true,
+		starts:  flow.Throughput{MaxGap: maxHeldGap},
 		servers: make(map[string]*server), jobs: make(map[string]*job), finalStates: make(map[string]workload.FinalState),
 		departures: make(map[string]*departure), forwards: make(map[string]workload.Forward), unstoredForwards: make(map[string]bool), handoverConfirmed: make(map[string]bool),
 		misrouted: make(map[*job]bool), pendingAcks: make(map[*server]bool), rejectedProgress: make(map[*job]bool), exposed: make(map[string][]*task), declaredUnheard: make(map[string]bool), allowRates: make(map[string]*allowRate), runTimes: make(map[string]*runTimes), speeds: make(map[string]*serviceSpeeds), policyClients: 1,
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -325,7 +325,7 @@
 func (c *Core) Tick() {
 	c.checkReachability()
 	c.noteLeaseRenewal()
-	c.startRate.measure(c.now)
+	c.starts.Measure(c.now)
 	c.reviewSpeeds()
 	if c.sendingHeldUp() && c.now.Sub(c.openCountedAt) >= time.Duration(len(c.jobs))*openCountTimePerJob {
 		c.openCountedAt = c.now
