--- a/internal/host/configuration_test.go
+++ b/internal/host/configuration_test.go
@@ -226,3 +226,32 @@
 	s.store.SetFault(nil)
 	s.await("confirmed again", func() bool { return unknownRoute() == http.StatusNotFound })
 }
+
+// Guards against a daemon that answers by an old version on open connections while it stops.
+func TestHost_FollowsTheConfigurationWhileItStops(t *testing.T) {
+	s := newDeployment(t, 1)
+	_, _ = s.startSecond()
+	stopping, settings := s.startHost()
+	address := settings.CallerAddress
+	status := func(path string) int {
+		code, _ := s.call("GET", address, path, "")
+		return code
+	}
+	s.await("serving", func() bool { return status("/q/") == http.StatusOK })
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- stopping.Stop(ctx) }()
+	s.await("not ready", func() bool {
+		code, _ := s.call("GET", settings.ReadinessAddress, "/ready", "")
+		return code == http.StatusServiceUnavailable
+	})
+	s.configure(2, "/p/")
+	s.await("in force while it stops", func() bool { return status("/p/") == http.StatusOK })
+	if code := status("/q/"); code != http.StatusNotFound {
+		t.Errorf("status %d on a removed route, want 404", code)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
