--- a/internal/configuration/keeper.go
+++ b/internal/configuration/keeper.go
@@ -91,7 +91,7 @@
 // Read applies the newest version among records that were read from the log.
 func (k *Keeper) Read(records []partition.Record) { k.apply(records, "") }
 
-// Confirm records that all records that followed those of Read until a time have been passed to it.
+// Confirm records that Read has got all records that the log had as of a time.
 func (k *Keeper) Confirm(asOf time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -104,7 +104,8 @@
 	// CapHolders knows the first holder of the tenants' caps.
 	CapHolders CapHolders
 	// Daemons lists the other daemons.
-	Daemons       func() []string
+	Daemons func() []string
+
 	Configuration Configuration
 	// Isolated reports whether neither the store nor another daemon answers
 	// this one.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -20,8 +20,8 @@
 	return c.config.QueueAt(sub.Address)
 }
 
-// setQueue sets a job's queue to the one in force. If there is none, the settings remain
-// that this owner has seen last, or else those that were stored with the submission.
+// setQueue sets a job's queue to that of the version that decides. If there is none, the settings
+// remain that this owner has seen last, or else those that were stored with the submission.
 func (c *Core) setQueue(j *job) {
 	q := c.queueFor(j.sub)
 	switch {
