A daemon that stops lets the answers leave that its handlers have given

Cause: if http.Server.Shutdown misses the end of the last calls, the connections are closed once no handler runs; an answer whose handler has returned may not have been written yet. Change: before that, up to 150 ms of the time for the end are left to connections that are active, which net/http reports until the answer has been written. The stop of the host is a file of its own.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -36,19 +36,6 @@
 const (
 	// group is the name of the daemons' membership group at the store.
 	group = "currantwinch"
-	// balancerDelay is how long the load balancer may still route callers to this
-	// daemon after its readiness probe fails: two probes, one second apart.
-	balancerDelay = 2500 * time.Millisecond
-	// storePollInterval is the time between two checks whether the store is
-	// reachable again.
-	storePollInterval = 50 * time.Millisecond
-	// leaveTimeout limits the release of partitions at a planned stop.
-	leaveTimeout = time.Second
-	// answerTime is reserved near the end of a planned stop for callers' calls that are in
-	// progress: their contexts are cancelled, so that each gets a verdict.
-	answerTime = 300 * time.Millisecond
-	// endTime is reserved after answerTime for connections and duties to end.
-	endTime = 300 * time.Millisecond
 	// dumpTimeout limits the collection of a state dump.
 	dumpTimeout = time.Second
 )
@@ -83,6 +70,8 @@
 	policyClients *entry.PolicyClients
 
 	callers, ready *http.Server
+	// connections are those of callers.
+	connections activeConnections
 	// endCalls cancels the contexts of all callers' calls, and refuses those whose bodies have
 	// not come whole.
 	endCalls func()
@@ -275,6 +264,7 @@
 		endCalls()
 		callerAPI.Bodies.Budget.Stop(intake.ReasonStopping)
 	}
+	h.callers.ConnState = h.connections.track
 	h.callers.BaseContext = func(net.Listener) context.Context { return calls }
 	callers, err := h.listen("callers", h.o.Settings.CallerAddress, l.Connections, l.AddressConnections)
 	if err != nil {
@@ -414,61 +404,3 @@
 
 // Err returns the error of the duty that failed.
 func (h *Host) Err() error { return h.duties.Err() }
-
-// awaitStore waits while no daemon can reach the store, but not beyond the time last. No other
-// daemon could take over the partitions meanwhile, so this one continues to serve them.
-func (h *Host) awaitStore(ctx context.Context, last time.Time) {
-	for h.store.StoreUnreachable() && h.base.Now().Before(last) {
-		if !duty.Sleep(ctx, storePollInterval) {
-			return
-		}
-	}
-}
-
-// drain releases the partitions and completes the accepted requests before the deadline of
-// ctx, whatever the store does: it waits for the store only for as long as the time limits of
-// all later steps allow.
-func (h *Host) drain(ctx context.Context) error {
-	h.stopping.Store(true)
-	defer h.endCalls()
-	began := h.base.Now()
-	deadline, bounded := ctx.Deadline()
-	if bounded {
-		h.awaitStore(ctx, deadline.Add(-tenure.StopTimeout-leaveTimeout-answerTime-endTime))
-	}
-	h.tenures.StopAll()
-	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
-	err := h.member.Leave(leave)
-	cancel()
-	if err != nil {
-		h.o.Events.Log(events.StoreLost, "call", "leave", "error", err.Error())
-	}
-	// Readiness probes have failed since the stop began.
-	rest := balancerDelay - h.base.Now().Sub(began)
-	if bounded {
-		rest = min(rest, deadline.Sub(h.base.Now())-answerTime-endTime)
-	}
-	duty.Sleep(ctx, rest)
-	err = h.completeCalls(ctx)
-	_ = h.ready.Close()
-	return errors.Wrap(err, "complete accepted calls")
-}
-
-// completeCalls accepts no more calls, and waits for those in progress. It cancels their
-// contexts answerTime and endTime before the deadline of ctx, so that they are answered at
-// once.
-func (h *Host) completeCalls(ctx context.Context) error {
-	if deadline, bounded := ctx.Deadline(); bounded {
-		timer := time.AfterFunc(deadline.Sub(h.base.Now())-answerTime-endTime, h.endCalls)
-		defer timer.Stop()
-		limited, cancel := context.WithDeadline(ctx, deadline.Add(-endTime))
-		defer cancel()
-		ctx = limited
-	}
-	err := h.callers.Shutdown(ctx)
-	if err != nil && h.InFlight() == 0 {
-		// Shutdown polls for the end of calls, up to 0.5 s apart, and may have missed it.
-		return h.callers.Close()
-	}
-	return err
-}
