A daemon that stops answers the calls on the connections that it accepted last

Cause: net/http closes a connection without an answer if Shutdown has begun by the time at which the request has been read. Change: the listener is closed first; Shutdown follows once all accepted connections have had a call handled, or 250 ms later.

--- a/internal/host/answers_test.go
+++ b/internal/host/answers_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -49,9 +50,10 @@
 			<-r.Context().Done()
 			w.WriteHeader(http.StatusServiceUnavailable)
 		})),
-		ConnState:   h.connections.track,
 		BaseContext: func(net.Listener) context.Context { return calls },
 	}
+	h.connections.follow(h.callers)
+	h.closeListener = func() { _ = listener.Close() }
 	// The write ends after the handlers had to have ended, and before the stop has to.
 	const writeTime = answerTime + flushTime/2
 	go func() { _ = h.callers.Serve(lateListener{listener, writeTime}) }()
@@ -75,3 +77,44 @@
 		t.Errorf("a call that was handled got no answer: %v", err)
 	}
 }
+
+// Guards against a call that gets no answer (EOF) since it comes in the moment in which the daemon
+// accepts no more connections: net/http drops what it reads after Shutdown.
+func TestHost_StopAnswersCallsOnTheLastConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &Host{base: roles.Base{Now: time.Now}, endCalls: func() {}}
+	h.callers = &http.Server{Handler: h.countInFlight(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))}
+	h.connections.follow(h.callers)
+	h.closeListener = func() { _ = listener.Close() }
+	go func() { _ = h.callers.Serve(listener) }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	for h.connections.unread() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.completeCalls(ctx) }()
+	time.Sleep(firstCallTime / 5)
+	if _, err := caller.Write([]byte("GET / HTTP/1.1\r\nHost: h.example\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil {
+		t.Fatalf("a call on a connection that was accepted before the stop got no answer: %v", err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		t.Errorf("status %d, want 204", response.StatusCode)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -70,8 +70,9 @@
 	policyClients *entry.PolicyClients
 
 	callers, ready *http.Server
-	// connections are those of callers.
-	connections activeConnections
+	// connections are those of callers, and closeListener accepts no more of them.
+	connections   connections
+	closeListener func()
 	// endCalls cancels the contexts of all callers' calls, and refuses those whose bodies have
 	// not come whole.
 	endCalls func()
@@ -264,7 +265,7 @@
 		endCalls()
 		callerAPI.Bodies.Budget.Stop(intake.ReasonStopping)
 	}
-	h.callers.ConnState = h.connections.track
+	h.connections.follow(h.callers)
 	h.callers.BaseContext = func(net.Listener) context.Context { return calls }
 	callers, err := h.listen("callers", h.o.Settings.CallerAddress, l.Connections, l.AddressConnections)
 	if err != nil {
@@ -275,6 +276,7 @@
 		_ = callers.Close()
 		return err
 	}
+	h.closeListener = func() { _ = callers.Close() }
 	h.serveOn(h.callers, callers)
 	h.serveOn(h.ready, operators)
 	return nil
@@ -294,10 +296,11 @@
 // serveOn serves until the server is closed.
 func (h *Host) serveOn(server *http.Server, listener net.Listener) {
 	h.duties.Go("serve "+listener.Addr().String(), 0, func(context.Context, duty.Heartbeat) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) || h.stopping.Load() && errors.Is(err, net.ErrClosed) {
+			return nil
 		}
-		return nil
+		return err
 	})
 }
 
@@ -305,6 +308,7 @@
 func (h *Host) countInFlight(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.inFlight.Add(1)
+		h.connections.handling(r)
 		defer h.inFlight.Add(-1)
 		next.ServeHTTP(w, r)
 	})
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -31,6 +31,9 @@
 	// leave, and answerPollInterval the time between two looks whether they have.
 	flushTime          = 150 * time.Millisecond
 	answerPollInterval = 5 * time.Millisecond
+	// firstCallTime is how long a stop waits for the first calls on connections that were accepted
+	// before. It is well above a round trip between regions.
+	firstCallTime = 250 * time.Millisecond
 )
 
 // awaitStore waits while no daemon can reach the store, but not beyond the time last. No other
@@ -83,49 +86,91 @@
 		defer cancel()
 		ctx = limited
 	}
+	// Shutdown would drop the calls that are read from then on.
+	h.closeListener()
+	await(func() bool { return h.connections.unread() == 0 }, firstCallTime)
 	err := h.callers.Shutdown(ctx)
 	if err == nil {
 		return nil
 	}
 	// Shutdown polls for the end of calls, up to 0.5 s apart, and may have missed it.
-	h.connections.awaitAnswers(flushTime)
+	await(func() bool { return h.connections.active() == 0 }, flushTime)
 	if h.InFlight() == 0 {
 		return h.callers.Close()
 	}
 	return err
 }
 
-// activeConnections counts the connections on which a call is being read, handled or answered. An
-// answer is under way for a moment after its handler has returned.
-type activeConnections struct {
-	mu     sync.Mutex
-	active map[net.Conn]struct{}
+// await waits until done returns true, for at most the given time.
+func await(done func() bool, longest time.Duration) {
+	for began := time.Now(); !done() && time.Since(began) < longest; {
+		time.Sleep(answerPollInterval)
+	}
+}
+
+// connections follows the connections of a server.
+type connections struct {
+	mu sync.Mutex
+	// states holds those on which a call is awaited for the first time (StateNew), and those on
+	// which one is being handled or answered (StateActive). An answer is under way for a moment
+	// after its handler has returned.
+	states map[net.Conn]http.ConnState
 }
 
-// track follows the states of a server's connections. It implements http.Server.ConnState.
-func (a *activeConnections) track(c net.Conn, state http.ConnState) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.active == nil {
-		a.active = make(map[net.Conn]struct{})
+type connectionKey struct{}
+
+// follow makes a server report its connections.
+func (s *connections) follow(server *http.Server) {
+	server.ConnState = s.changed
+	next := server.ConnContext
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if next != nil {
+			ctx = next(ctx, c)
+		}
+		return context.WithValue(ctx, connectionKey{}, c)
 	}
-	if state == http.StateActive {
-		a.active[c] = struct{}{}
-		return
+}
+
+func (s *connections) changed(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.states == nil {
+		s.states = make(map[net.Conn]http.ConnState)
+	}
+	switch state {
+	case http.StateNew:
+		s.states[c] = http.StateNew
+	case http.StateActive:
+		// A call may still be dropped until its handler begins.
+	default:
+		delete(s.states, c)
 	}
-	delete(a.active, c)
 }
 
-func (a *activeConnections) count() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.active)
+// handling notes that the handler of a call has begun.
+func (s *connections) handling(r *http.Request) {
+	c, ok := r.Context().Value(connectionKey{}).(net.Conn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.states[c] = http.StateActive
 }
 
-// awaitAnswers waits until no connection is active, for at most the given time. A caller that sends
-// its call slowly keeps its connection active.
-func (a *activeConnections) awaitAnswers(longest time.Duration) {
-	for began := time.Now(); a.count() > 0 && time.Since(began) < longest; {
-		time.Sleep(answerPollInterval)
+// unread returns the number of connections on which no call has been handled yet, and active that of
+// those on which one is being handled or answered.
+func (s *connections) unread() int { return s.count(http.StateNew) }
+func (s *connections) active() int { return s.count(http.StateActive) }
+
+func (s *connections) count(state http.ConnState) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, known := range s.states {
+		if known == state {
+			n++
+		}
 	}
+	return n
 }
