The exchange of configurations sleeps while nobody has to be asked

Cause: every daemon looked 20 times a second whether it has to ask another one. Change: four looks a second, twenty only while somebody may have to be asked; hearing of a later version wakes the loop.

--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -17,8 +17,10 @@
 	methodNewest = "configuration.newest"
 	// queryTimeout limits the wait for its answer. It is well above a round trip between regions.
 	queryTimeout = 500 * time.Millisecond
-	// exchangeInterval is the time between two looks at whom to ask.
+	// exchangeInterval is the time between two looks at whom to ask while somebody may have to
+	// be, and idleInterval that at other times.
 	exchangeInterval = 50 * time.Millisecond
+	idleInterval     = 250 * time.Millisecond
 )
 
 // reasonBadCall means that another daemon's call could not be parsed.
@@ -45,14 +47,19 @@
 // the configuration.
 func (k *Keeper) Run(ctx context.Context, turn duty.Heartbeat) error {
 	mayBeOutdated := false
-	for duty.Sleep(ctx, exchangeInterval) {
+	interval := idleInterval
+	for duty.SleepOrWake(ctx, interval, k.ahead) {
 		turn()
 		if view := k.View(); view.MayBeOutdated != mayBeOutdated {
 			mayBeOutdated = view.MayBeOutdated
 			k.o.Events.Log(events.ConfigurationUnconfirmed, "unconfirmed", mayBeOutdated, "version", k.version(), "age", view.Unconfirmed.Milliseconds())
 		}
-		for _, daemon := range k.next() {
-			go k.ask(ctx, daemon)
+		interval = idleInterval
+		if k.due() {
+			interval = exchangeInterval
+			for _, daemon := range k.next() {
+				go k.ask(ctx, daemon)
+			}
 		}
 	}
 	return nil
@@ -60,9 +67,6 @@
 
 // next returns the daemons to ask now.
 func (k *Keeper) next() []string {
-	if !k.due() {
-		return nil
-	}
 	daemons := k.o.Daemons()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -80,7 +84,14 @@
 func (k *Keeper) Hear(daemon string, version uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if version <= k.replica.Version() {
+		return
+	}
 	k.replica.Hear(daemon, version, k.o.Now())
+	select {
+	case k.ahead <- struct{}{}:
+	default:
+	}
 }
 
 // ask asks one daemon and applies what it has.
--- a/internal/configuration/keeper.go
+++ b/internal/configuration/keeper.go
@@ -54,6 +54,8 @@
 
 	mu      sync.Mutex
 	replica *antientropy.Replica
+	// ahead wakes Run when another daemon was heard to have a later version.
+	ahead chan struct{}
 
 	queries queryCounters
 }
@@ -64,7 +66,7 @@
 // New returns a Keeper without a configuration, and registers its method with the peers.
 func New(o Options) *Keeper {
 	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	k := &Keeper{o: o, replica: antientropy.New(antientropy.Options{ConfirmInterval: confirmInterval, Rand: seed}, o.Now())}
+	k := &Keeper{o: o, replica: antientropy.New(antientropy.Options{ConfirmInterval: confirmInterval, Rand: seed}, o.Now()), ahead: make(chan struct{}, 1)}
 	k.registerMetrics()
 	k.register()
 	return k
