The exchange looks again when the next question is due

Callers would see: 503 in an outage of the store for all, for a moment, with a bound of 1.5 s. Cause: since the first question to other daemons came up to 0.25 s after the 1.3 s in which the store has to confirm, so at 1.55 s. Change: Replica.DueIn says when the next question is due, and the loop sleeps no longer.

--- a/antientropy/antientropy.go
+++ b/antientropy/antientropy.go
@@ -173,6 +173,15 @@
 // Due reports whether Next may name daemons to ask.
 func (r *Replica) Due(now time.Time) bool { return len(r.ahead) > 0 || r.roundDue(now) }
 
+// DueIn returns the time until Due reports true, if nothing is heard or confirmed before.
+func (r *Replica) DueIn(now time.Time) time.Duration {
+	if len(r.ahead) > 0 {
+		return 0
+	}
+	at := latest(r.confirmedAt.Add(r.o.ConfirmInterval), r.nextRound)
+	return max(at.Sub(now), 0)
+}
+
 // Next returns the daemons to ask now. The caller must report the outcome of each query by
 // Answered or Failed.
 func (r *Replica) Next(now time.Time, daemons []string) []string {
--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -54,17 +54,23 @@
 			mayBeOutdated = view.MayBeOutdated
 			k.o.Events.Log(events.ConfigurationUnconfirmed, "unconfirmed", mayBeOutdated, "version", k.version(), "age", view.Unconfirmed.Milliseconds())
 		}
-		interval = idleInterval
 		if k.due() {
-			interval = exchangeInterval
 			for _, daemon := range k.next() {
 				go k.ask(ctx, daemon)
 			}
 		}
+		interval = k.pause()
 	}
 	return nil
 }
 
+// pause returns the time until the next look at whom to ask.
+func (k *Keeper) pause() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return min(max(k.replica.DueIn(k.o.Now()), exchangeInterval), idleInterval)
+}
+
 // next returns the daemons to ask now.
 func (k *Keeper) next() []string {
 	daemons := k.o.Daemons()
