--- a/internal/configuration/keeper.go
+++ b/internal/configuration/keeper.go
@@ -100,8 +100,8 @@
 	k.replica.Confirm(k.replica.Version(), asOf)
 }
 
-// apply applies the newest version among records. They come from another daemon, or from the log if
-// that is empty.
+// apply applies the newest version among records. Daemon names the one that sent them; it is empty for
+// records that were read from the log.
 func (k *Keeper) apply(records []partition.Record, daemon string) {
 	published, err := k.o.Decode(records)
 	if err != nil {
