Two tests read what another goroutine writes without synchronization

Cause: the tests' own. A time that a callback stores, and the switch that silences a log, were plain variables. synctest's sleep orders goroutines in time, but not for the race detector. Change: both are atomic; no check is changed. Measured: go test -race -short, each test alone: fails before (2 of 2 commands), passes 30 of 30 after; both packages, antientropy, internal/configuration, routing and flow pass three times.

--- a/partition/partition_test.go
+++ b/partition/partition_test.go
@@ -423,15 +423,16 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		began := time.Now()
-		var current time.Time
+		var current atomic.Pointer[time.Time]
+		current.Store(&began)
 		w := &partition.Watcher{
 			Log: log, ID: testPartition, Now: time.Now, OnSnapshot: func([]partition.Record) {}, OnUpdate: func([]partition.Record) {},
-			OnCurrent: func(asOf time.Time) { current = asOf },
+			OnCurrent: func(asOf time.Time) { current.Store(&asOf) },
 		}
 		done := make(chan error, 1)
 		go func() { done <- w.Run(ctx) }()
 		time.Sleep(2500 * time.Millisecond)
-		if age := time.Since(current); age > 1500*time.Millisecond {
+		if age := time.Since(*current.Load()); age > 1500*time.Millisecond {
 			t.Errorf("current as of %s before with a log that answers, want at most 1.5s", age)
 		}
 		log.mu.Lock()
@@ -439,8 +440,8 @@
 		log.mu.Unlock()
 		lost := time.Now()
 		time.Sleep(5 * time.Second)
-		if current.After(lost.Add(time.Second)) {
-			t.Errorf("current as of %s after the beginning, with a log that has not answered since %s", current.Sub(began), lost.Sub(began))
+		if last := *current.Load(); last.After(lost.Add(time.Second)) {
+			t.Errorf("current as of %s after the beginning, with a log that has not answered since %s", last.Sub(began), lost.Sub(began))
 		}
 		cancel()
 		<-done
--- a/shard/home_test.go
+++ b/shard/home_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,11 +151,11 @@
 // deafLog leaves the reads that wait for records without an answer once they are lost.
 type deafLog struct {
 	*fakeLog
-	deaf bool
+	deaf atomic.Bool
 }
 
 func (l *deafLog) Read(ctx context.Context, id partition.ID, from uint64, wait time.Duration) (partition.Batch, error) {
-	if l.deaf && wait > 0 {
+	if l.deaf.Load() && wait > 0 {
 		<-ctx.Done()
 		return partition.Batch{}, ctx.Err()
 	}
@@ -169,7 +170,7 @@
 		log := &deafLog{fakeLog: &fakeLog{}}
 		k, other := startManager(t, log), startManager(t, log.fakeLog)
 		synctest.Wait()
-		log.deaf = true
+		log.deaf.Store(true)
 		// A read that is under way may still be answered.
 		time.Sleep(2 * watchWait)
 		for _, address := range []workload.QueueAddress{"desk.example/checks/", "desk.example/batch/"} {
