A submission with tasks that go on leaves for a shard that can run all of it

Cause: a submission leaves for another shard as a whole, while none of its tasks runs. Tasks that run until they are cancelled leave no such moment. Change: where some of a submission run until it is cancelled, and no server here can ever take one of the others, the owner asks for room for all of its tasks; if a shard has it, what runs is stopped and the submission is handed over. Nothing is stopped where no shard can run all of it. The needs of a question are in the order of the occurrences; they were in the order of a map, and answers about several occurrences were not found again (by reading).

--- a/internal/events/submission.go
+++ b/internal/events/submission.go
@@ -72,9 +72,15 @@
 	SubmissionHandedOver = Event{
 		Number: 6060, Level: slog.LevelInfo, Name: "submission_handed_over",
 		Fields:  []string{"id", "queue", "to", "number", "why", "service", "waited"},
-		Meaning: "This shard cannot run a submission, or is full, and hands it over to the shard of the partition to, which has room; or its queue leads to another service, and the partition to is that service's. The field number counts the submission's handovers; waited is how long nothing of it has run, in milliseconds.",
+		Meaning: "This shard cannot run a submission, or only a part of it, or is full, and hands it over to the shard of the partition to, which has room; or its queue leads to another service, and the partition to is that service's. The field number counts the submission's handovers; waited is how long nothing of it has run, in milliseconds.",
 		Action:  "None. If many submissions are incapable, the servers that they need are in few racks: spread them.",
 	}
+	SubmissionRelocated = Event{
+		Number: 6126, Level: slog.LevelInfo, Name: "submission_relocated",
+		Fields:  []string{"id", "queue", "to", "runs"},
+		Meaning: "Some tasks of a submission run until it is cancelled, and others can run in another shard alone. That of the partition to has room for all of them, so that the runs here, of which there are so many, are stopped and the submission is handed over.",
+		Action:  "None. If it is frequent, the servers that such submissions need are in few racks: spread them.",
+	}
 	SubmissionTakenOver = Event{
 		Number: 6061, Level: slog.LevelInfo, Name: "submission_taken_over",
 		Fields:  []string{"id", "queue", "from", "number"},
@@ -319,7 +325,7 @@
 // submissionEvents are the events of submissions, numbered from 6000.
 var submissionEvents = []Event{
 	SubmissionAccepted, SubmissionRefused, OwnerOutdated, SubmissionCancelled, SubmissionEnded, MemoryBudgetChanged, TenantAtCap, TenantBelowCap, TenantInExcess, TenantWithinRate, CapGiven, CapTaken,
-	SubmissionHandedOver, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
+	SubmissionHandedOver, SubmissionRelocated, SubmissionRerouted, SubmissionTakenOver, HandoverDelayed, ForwardCheckFailed,
 	TaskPlaced, CommandFailed, RunEnded, RunLost, RunOrphaned, RunAdopted, GangIncomplete, PolicyApplied, PolicyRequestFailed, GangReserved, PlacementPass,
 	ServerListed, ServerUnlisted, ServerDraining, ServerUnresponsive, ServerResponsive, ServerRestarted, ServerRemoved, ServerGivenUp, ServerQuarantined, TaskEvacuated,
 	OwnerClaimed, OwnerRecovered, OwnerFenced, OwnerEnded, OwnerSuperseded, EarlierOwnerNotified, RestartTimeMissed, LeaseRenewalChanged, RecordUnreadable, WriteRejected, StoreLost, StoreRecovered,
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -71,6 +72,8 @@
 	stuckSince time.Time
 	// handoverRejected is set if the log does not accept the record of a handover.
 	handoverRejected bool
+	// relocation is the job's move to a shard that can run all of it.
+	relocation relocation
 }
 
 // step is one step of an occurrence.
@@ -202,6 +205,19 @@
 	return true
 }
 
+// openSteps lists the steps that are ready and not done, those of earlier occurrences first.
+func (j *job) openSteps() []*step {
+	var out []*step
+	for _, index := range slices.Sorted(maps.Keys(j.occurrences)) {
+		for _, st := range j.occurrences[index].steps {
+			if st.ready() && st.done < len(st.tasks) {
+				out = append(out, st)
+			}
+		}
+	}
+	return out
+}
+
 // unplacedTasks returns the number of tasks that are not done and have no
 // attempt.
 func (s *step) unplacedTasks() int {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -128,6 +128,11 @@
 // mayStart reports whether tasks of the step may start now.
 func (c *Core) mayStart(st *step) bool {
 	j := st.job()
+	return c.mayStartOrLeave(j) && !j.relocation.underWay
+}
+
+// mayStartOrLeave reports whether tasks of the job may start, here or in another shard.
+func (c *Core) mayStartOrLeave(j *job) bool {
 	return j.stored && (!j.inherited || c.recovered) && c.startsHere(j)
 }
 
--- a/internal/scheduler/polls.go
+++ b/internal/scheduler/polls.go
@@ -343,6 +343,7 @@
 	c.startDueOccurrences()
 	c.stopIncompleteGangs()
 	c.reroute()
+	c.endRelocations()
 	c.seekRoom()
 	c.checkForwards()
 	c.expireFinalStates()
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -22,6 +22,8 @@
 	Count        int                `json:"count"`
 	Gang         bool               `json:"gang,omitempty"`
 	MaxPerServer int                `json:"maxPerServer,omitempty"`
+	// Exact asks for free capacity once over in place of spareFactor times.
+	Exact bool `json:"exact,omitempty"`
 }
 
 // Fit says whether a shard can run what a submission needs.
@@ -33,7 +35,7 @@
 	FitNever Fit = iota
 	// FitLater: its servers could, but too few have enough free capacity.
 	FitLater
-	// FitNow: they have free capacity for it, spareFactor times over.
+	// FitNow: they have free capacity for it, spareFactor times over or, if that is asked, once.
 	FitNow
 )
 
@@ -113,7 +115,7 @@
 		enough = n.Count
 	}
 	switch {
-	case now >= spareFactor*n.Count:
+	case now >= n.wanted():
 		return FitNow
 	case later >= enough:
 		return FitLater
@@ -121,10 +123,18 @@
 	return FitNever
 }
 
+// wanted returns for how many tasks there must be room now.
+func (n Need) wanted() int {
+	if n.Exact {
+		return n.Count
+	}
+	return spareFactor * n.Count
+}
+
 // slots returns how many tasks fit on one server with the given capacity, as far as
 // that matters.
 func (n Need) slots(capacity workload.Resources) int {
-	limit := spareFactor * n.Count
+	limit := n.wanted()
 	if n.MaxPerServer > 0 {
 		limit = min(limit, n.MaxPerServer)
 	}
--- a/internal/scheduler/stuck.go
+++ b/internal/scheduler/stuck.go
@@ -37,6 +37,8 @@
 	handoverIncapable handoverReason = "incapable"
 	// handoverLoad: the shard is full, and another one has room.
 	handoverLoad handoverReason = "load"
+	// handoverSplit: some of its tasks can run here, and all of them in another shard.
+	handoverSplit handoverReason = "split"
 	// handoverRerouted: the queue leads to another service.
 	handoverRerouted handoverReason = "rerouted"
 )
@@ -61,24 +63,18 @@
 	c.roomAskedAt = c.now
 	c.roomCursor += maxStuckJobs
 	c.markStuck()
-	byService := make(map[string]*RoomQuestion)
-	asked := make(map[string]bool)
+	questions := make(roomQuestions)
 	for _, j := range c.stuckJobs() {
-		s, ok := c.assess(j)
-		if !ok || s.own == FitNow {
-			continue
+		if s, ok := c.assess(j); ok && s.own != FitNow {
+			questions.add(s)
 		}
-		q := byService[j.sub.Service]
-		if q == nil {
-			q = &RoomQuestion{Service: j.sub.Service}
-			byService[j.sub.Service] = q
-		}
-		if key := j.sub.Service + needsKey(s.needs); !asked[key] && len(q.Needs) < maxNeedsPerQuestion {
-			asked[key] = true
-			q.Needs = append(q.Needs, s.needs)
+	}
+	for _, j := range c.splitJobs() {
+		if s, ok := c.assessSplit(j); ok {
+			questions.add(s)
 		}
 	}
-	for _, q := range byService {
+	for _, q := range questions {
 		// One service at a time; the order of a map is random.
 		c.roomAsked = true
 		c.emit(AskRoom{*q})
@@ -86,6 +82,23 @@
 	}
 }
 
+// roomQuestions holds a question for each service.
+type roomQuestions map[string]*RoomQuestion
+
+// add adds the needs of a job, unless the question names them already or is full.
+func (r roomQuestions) add(s stuckJob) {
+	service := s.job.sub.Service
+	q := r[service]
+	if q == nil {
+		q = &RoomQuestion{Service: service}
+		r[service] = q
+	}
+	same := func(needs []Need) bool { return slices.Equal(needs, s.needs) }
+	if len(q.Needs) < maxNeedsPerQuestion && !slices.ContainsFunc(q.Needs, same) {
+		q.Needs = append(q.Needs, s.needs)
+	}
+}
+
 // knowsOwnRoom reports whether this owner knows what its own shard can run.
 func (c *Core) knowsOwnRoom() bool {
 	return c.recovered && c.listRead && c.config != nil && c.sharded != nil
@@ -111,7 +124,7 @@
 	seen := make(map[*job]bool)
 	for _, st := range c.queued {
 		j := st.job()
-		if seen[j] || j.ending != "" || !c.sharded(j.sub.Service) || j.stuckSince.IsZero() || c.now.Sub(j.stuckSince) < j.stuckTime() || j.handoverRejected || !c.mayStart(st) {
+		if seen[j] || j.ending != "" || !c.sharded(j.sub.Service) || j.stuckSince.IsZero() || c.now.Sub(j.stuckSince) < j.stuckTime() || j.handoverRejected || !c.mayStartOrLeave(j) {
 			continue
 		}
 		seen[j] = true
@@ -126,6 +139,9 @@
 
 // stuckTime returns how long the job waits before other shards are asked.
 func (j *job) stuckTime() time.Duration {
+	if j.relocation.underWay {
+		return 0
+	}
 	return stuckTime << min(max(j.handoverNumber()-freeHandovers, 0), maxStuckDoublings)
 }
 
@@ -135,21 +151,26 @@
 func (c *Core) assess(j *job) (stuckJob, bool) {
 	s := stuckJob{job: j}
 	var steps []*step
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if !st.ready() || st.unplacedTasks() == 0 {
-				continue
-			}
-			if st.trial != nil || st.reserved != nil {
-				return s, false
-			}
-			steps = append(steps, st)
-			s.needs = append(s.needs, needOf(st))
+	for _, st := range j.openSteps() {
+		if st.unplacedTasks() == 0 {
+			continue
+		}
+		if st.trial != nil || st.reserved != nil {
+			return s, false
 		}
+		need := needOf(st)
+		need.Exact = j.relocation.underWay
+		steps = append(steps, st)
+		s.needs = append(s.needs, need)
 	}
 	if len(steps) == 0 || j.live > 0 {
 		return s, false
 	}
+	if j.relocation.underWay {
+		// Part of it can run here, so that it leaves only for room that is free now.
+		s.own = FitLater
+		return s, true
+	}
 	s.own = c.fit(j.sub.Service, s.needs, steps)
 	return s, true
 }
@@ -173,7 +194,7 @@
 	left := maxHandoversPerAnswer
 	for _, j := range c.stuckJobs() {
 		if left == 0 || len(c.departures) >= maxDepartures {
-			return
+			break
 		}
 		s, ok := c.assess(j)
 		if !ok || s.own == FitNow || j.sub.Service != q.Service {
@@ -184,18 +205,22 @@
 			continue
 		}
 		if to, reason := chooseShard(s, i, answers); to != nil {
-			to.FreeCPU -= spareFactor * s.cpu()
+			to.FreeCPU -= s.wantedCPU()
+			if j.relocation.underWay {
+				reason = handoverSplit
+			}
 			c.handOver(j, to.Partition, j.sub.Service, reason)
 			left--
 		}
 	}
+	c.relocate(q, index, answers)
 }
 
-// cpu returns the CPU of the waiting tasks, in thousandths of a core.
-func (s stuckJob) cpu() int64 {
+// wantedCPU returns the free CPU that another shard must have now, in thousandths of a core.
+func (s stuckJob) wantedCPU() int64 {
 	var sum int64
 	for _, n := range s.needs {
-		sum += int64(n.Count) * n.Task.CPU
+		sum += int64(n.wanted()) * n.Task.CPU
 	}
 	return sum
 }
@@ -206,7 +231,7 @@
 	var now, later *RoomAnswer
 	for i := range answers {
 		a := &answers[i]
-		if a.Fits[need] == FitNow && a.FreeCPU >= spareFactor*s.cpu() && (now == nil || a.FreeCPU > now.FreeCPU) {
+		if a.Fits[need] == FitNow && a.FreeCPU >= s.wantedCPU() && (now == nil || a.FreeCPU > now.FreeCPU) {
 			now = a
 		}
 		if a.Fits[need] >= FitLater && (later == nil || a.FreeCPU > later.FreeCPU) {
