A later version is fetched from one daemon, not from each that is asked

What was seen: nothing by callers. Cause: a round asks three daemons, and each that had a later version sent all of it; a daemon decoded each copy. Change: a round asks for versions alone; a later one is fetched at once from one daemon that named it, one at a time. A record that is in force isn't decoded again. TestKeeper_DecodesARecordOnce is new, as is what it tests.

--- a/antientropy/antientropy.go
+++ b/antientropy/antientropy.go
@@ -1,14 +1,15 @@
 // Package antientropy keeps the copies of one versioned value on many daemons up to date. Each
-// daemon reads the value from its source, and beside that asks others: a daemon that was heard to
-// have a later version, and some at random once the source has confirmed nothing for a while. What
-// one daemon knows reaches all within a few rounds, since the number of those that know multiplies
-// with each (epidemic algorithms, Demers et al., 1987).
+// daemon reads the value from its source, and beside that asks others: some at random for their
+// versions once the source has confirmed nothing for a while, and one that was heard to have a later
+// version for its value. What one daemon knows reaches all within a few rounds, since the number of
+// those that know multiplies with each (epidemic algorithms, Demers et al., 1987).
 //
 // A Replica decides whom to ask and when, and for how long the copy counts as recent. It does no
 // I/O and reads no clock: times are arguments. Its methods must not be called concurrently.
 package antientropy
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,7 +19,7 @@
 	// hintDelay is the time from hearing of a later version to asking for it. The source
 	// delivers it to most daemons by then.
 	hintDelay = 60 * time.Millisecond
-	// fanout is the number of daemons asked in one round.
+	// fanout is the number of daemons asked for their versions in one round.
 	fanout = 3
 	// maxPending bounds the queries that are not answered.
 	maxPending = 8
@@ -54,24 +55,34 @@
 	// comparedAt is the latest time as of which some other daemon is known to have had no
 	// later version.
 	comparedAt time.Time
-	// ahead holds the daemons that were heard to have a later version, and since when.
+	// ahead holds the daemons that were heard to have a later version.
 	ahead map[string]hint
-	// pending holds the daemons that are being asked, and failedAt those that did not answer.
-	pending  map[string]bool
+	// pending holds the queries that are not answered, and failedAt the daemons that did not
+	// answer.
+	pending  map[string]Query
 	failedAt map[string]time.Time
 	// rounds counts the rounds since the last confirmation; the next begins at nextRound.
 	rounds    int
 	nextRound time.Time
 }
 
+// hint is a later version that a daemon was heard to have. It may be fetched from fetchAt on.
 type hint struct {
 	version uint64
-	at      time.Time
+	fetchAt time.Time
+}
+
+// Query asks one daemon.
+type Query struct {
+	Daemon string
+	// Fetch asks for the value if the daemon has a later version. Without it the answer names the
+	// version alone.
+	Fetch bool
 }
 
 // New returns the Replica of a daemon that starts now and has no copy.
 func New(o Options, now time.Time) *Replica {
-	return &Replica{o: o, confirmedAt: now, ahead: make(map[string]hint), pending: make(map[string]bool), failedAt: make(map[string]time.Time)}
+	return &Replica{o: o, confirmedAt: now, ahead: make(map[string]hint), pending: make(map[string]Query), failedAt: make(map[string]time.Time)}
 }
 
 // Version returns the version of the copy; 0 if there is none.
@@ -129,11 +140,11 @@
 	if version <= r.version {
 		return
 	}
-	since := now
+	fetchAt := now.Add(hintDelay)
 	if known, ok := r.ahead[daemon]; ok {
-		since = known.at
+		fetchAt = known.fetchAt
 	}
-	r.ahead[daemon] = hint{version, since}
+	r.ahead[daemon] = hint{version, fetchAt}
 }
 
 // Answer is another daemon's answer to a query.
@@ -145,14 +156,18 @@
 	Confirmed bool
 }
 
-// Answered records the answer of a daemon to a query that began at began. If it brought a later
-// version, that must have been applied before.
+// Answered records the answer of a daemon to a query that began at began. If it brought the value
+// of a later version, that must have been applied before.
 func (r *Replica) Answered(daemon string, began time.Time, a Answer) {
+	fetched := r.pending[daemon].Fetch
 	delete(r.pending, daemon)
 	delete(r.failedAt, daemon)
 	delete(r.ahead, daemon)
 	if a.Version > r.version {
-		// Its value could not be used.
+		if !fetched {
+			r.ahead[daemon] = hint{a.Version, began}
+		}
+		// A value that was fetched, and not applied, cannot be used.
 		return
 	}
 	if r.version > 0 {
@@ -182,10 +197,10 @@
 	return max(at.Sub(now), 0)
 }
 
-// Next returns the daemons to ask now. The caller must report the outcome of each query by
-// Answered or Failed.
-func (r *Replica) Next(now time.Time, daemons []string) []string {
-	ask := r.hinted(now)
+// Next returns the queries to send now, at most one to a daemon. The caller must report the outcome
+// of each by Answered or Failed.
+func (r *Replica) Next(now time.Time, daemons []string) []Query {
+	queries := r.fetch(now)
 	if r.roundDue(now) {
 		r.rounds++
 		interval := quickInterval
@@ -193,25 +208,48 @@
 			interval = slowInterval
 		}
 		r.nextRound = now.Add(interval)
-		ask = append(ask, r.sample(now, daemons, ask)...)
+		queries = append(queries, r.sample(now, daemons, queries)...)
 	}
-	ask = ask[:min(len(ask), max(maxPending-len(r.pending), 0))]
-	for _, daemon := range ask {
-		r.pending[daemon] = true
+	queries = queries[:min(len(queries), max(maxPending-len(r.pending), 0))]
+	for _, q := range queries {
+		r.pending[q.Daemon] = q
 	}
 	r.forget(daemons)
-	return ask
+	return queries
 }
 
-// hinted returns the daemons that were heard to be ahead for hintDelay.
-func (r *Replica) hinted(now time.Time) []string {
-	var out []string
+// fetch returns the query that fetches a later version, if one is due. One is sent at a time, since
+// its answer is as large as the value.
+func (r *Replica) fetch(now time.Time) []Query {
+	for _, q := range r.pending {
+		if q.Fetch {
+			return nil
+		}
+	}
+	var due []string
 	for daemon, h := range r.ahead {
-		if now.Sub(h.at) >= hintDelay && !r.pending[daemon] && len(out) < fanout {
-			out = append(out, daemon)
+		if _, asked := r.pending[daemon]; !asked && !now.Before(h.fetchAt) {
+			due = append(due, daemon)
 		}
 	}
-	return out
+	if len(due) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(due, func(a, b string) int { return r.compareSources(a, b, now) })
+	return []Query{{Daemon: best, Fetch: true}}
+}
+
+// compareSources orders daemons that were heard to be ahead: those first that have not failed
+// lately, and among them those with later versions.
+func (r *Replica) compareSources(a, b string, now time.Time) int {
+	aFailed, bFailed := r.failedLately(a, now), r.failedLately(b, now)
+	switch {
+	case aFailed && !bFailed:
+		return 1
+	case bFailed && !aFailed:
+		return -1
+	}
+	return cmp.Or(cmp.Compare(r.ahead[b].version, r.ahead[a].version), cmp.Compare(a, b))
 }
 
 func (r *Replica) roundDue(now time.Time) bool {
@@ -219,16 +257,18 @@
 }
 
 // sample chooses daemons at random, those first that have not failed lately.
-func (r *Replica) sample(now time.Time, daemons, chosen []string) []string {
-	var sound, failed []string
+func (r *Replica) sample(now time.Time, daemons []string, chosen []Query) []Query {
+	var sound, failed []Query
 	for _, i := range r.o.Rand.Perm(len(daemons)) {
-		daemon := daemons[i]
+		q := Query{Daemon: daemons[i]}
+		_, asked := r.pending[q.Daemon]
+		isChosen := slices.ContainsFunc(chosen, func(c Query) bool { return c.Daemon == q.Daemon })
 		switch {
-		case r.pending[daemon] || slices.Contains(chosen, daemon):
-		case r.failedLately(daemon, now):
-			failed = append(failed, daemon)
+		case asked || isChosen:
+		case r.failedLately(q.Daemon, now):
+			failed = append(failed, q)
 		default:
-			sound = append(sound, daemon)
+			sound = append(sound, q)
 		}
 	}
 	out := append(sound, failed...)
--- a/antientropy/antientropy_test.go
+++ b/antientropy/antientropy_test.go
@@ -28,6 +28,8 @@
 	cut      map[string]bool
 	newest   uint64
 	queries  int
+	// values counts the values that were sent.
+	values   int
 	arriving []arrival
 }
 
@@ -62,8 +64,8 @@
 			if !r.Due(f.now) {
 				continue
 			}
-			for _, other := range r.Next(f.now, f.others(name)) {
-				f.ask(name, other)
+			for _, q := range r.Next(f.now, f.others(name)) {
+				f.ask(name, q)
 			}
 		}
 	}
@@ -91,9 +93,11 @@
 	return out
 }
 
-func (f *fleet) ask(from, to string) {
+func (f *fleet) ask(from string, q antientropy.Query) {
 	f.queries++
+	to := q.Daemon
 	asker, asked, began := f.replicas[from], f.replicas[to], f.now
+	known := asker.Version()
 	if f.cut[from] != f.cut[to] {
 		f.arriving = append(f.arriving, arrival{f.now.Add(hangTime), func() { asker.Failed(to, f.now) }})
 		return
@@ -102,7 +106,10 @@
 		asked.Hear(from, asker.Version(), f.now)
 		age, confirmed := asked.Age(f.now)
 		a := antientropy.Answer{Version: asked.Version(), Age: age, Confirmed: confirmed}
-		asker.Apply(a.Version)
+		if q.Fetch && a.Version > known {
+			f.values++
+			asker.Apply(a.Version)
+		}
 		asker.Answered(to, began, a)
 	}})
 }
@@ -151,6 +158,24 @@
 	}
 }
 
+// Guards against daemons with little processor time that receive a version from each daemon that they
+// ask, and are late because of it (issue 63, CONFIG).
+func TestReplica_FetchesAVersionOnce(t *testing.T) {
+	const size, versions = 37, 10
+	f := newFleet(size, 1)
+	f.run(3 * time.Second)
+	for i, name := range f.names {
+		f.served[name] = i%10 == 0
+	}
+	f.run(3 * time.Second)
+	for range versions {
+		f.lag(10 * time.Second)
+	}
+	if perDaemon := float64(f.values) / size / versions; perDaemon > 1 {
+		t.Errorf("%.2f values were sent for each daemon and version, want at most 1", perDaemon)
+	}
+}
+
 // A daemon that hears nobody must know that its copy may be outdated; one that hears another daemon
 // must not think so, although the source answers nobody.
 func TestReplica_TellsACutFromAnOutage(t *testing.T) {
@@ -193,7 +218,7 @@
 		t.Errorf("asks %v at once, want nobody", got)
 	}
 	now = now.Add(150 * time.Millisecond)
-	if got := r.Next(now, []string{"b", "c"}); len(got) != 1 || got[0] != "b" {
+	if got := r.Next(now, []string{"b", "c"}); len(got) != 1 || got[0] != (antientropy.Query{Daemon: "b", Fetch: true}) {
 		t.Errorf("asks %v, want b", got)
 	}
 	if got := r.Next(now, []string{"b", "c"}); len(got) > 0 {
--- a/antientropy/example_test.go
+++ b/antientropy/example_test.go
@@ -19,13 +19,17 @@
 	now = now.Add(2 * time.Second)
 	fmt.Println("overdue:", r.Next(now, []string{"b"}))
 
-	// Daemon b has version 8, whose value came with its answer.
+	// Daemon b has version 8, and is asked for its value.
+	later := antientropy.Answer{Version: 8, Age: 300 * time.Millisecond, Confirmed: true}
+	r.Answered("b", now, later)
+	fmt.Println("behind:", r.Next(now, []string{"b"}))
 	r.Apply(8)
-	r.Answered("b", now, antientropy.Answer{Version: 8, Age: 300 * time.Millisecond, Confirmed: true})
+	r.Answered("b", now, later)
 	age, confirmed := r.Age(now)
 	fmt.Println(r.Version(), age, confirmed)
 	// Output:
 	// in time: []
-	// overdue: [b]
+	// overdue: [{b false}]
+	// behind: [{b true}]
 	// 8 300ms true
 }
--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -30,6 +30,8 @@
 type query struct {
 	// Version is that of the daemon that asks; 0 if it has none.
 	Version uint64 `json:"version"`
+	// Fetch asks for the configuration itself if it is later.
+	Fetch bool `json:"fetch,omitempty"`
 }
 
 // answer is the answer to methodNewest.
@@ -39,7 +41,8 @@
 	// UnconfirmedMS is the time in milliseconds since the store confirmed that version; negative if
 	// it never did.
 	UnconfirmedMS int64 `json:"unconfirmedMS"`
-	// Record holds the configuration; nil if its version is not later than that of the query.
+	// Record holds the configuration; nil if the query did not ask for it, or its version is not
+	// later than that of the query.
 	Record *partition.Record `json:"record,omitempty"`
 }
 
@@ -55,8 +58,8 @@
 			k.o.Events.Log(events.ConfigurationUnconfirmed, "unconfirmed", mayBeOutdated, "version", k.version(), "age", view.Unconfirmed.Milliseconds())
 		}
 		if k.due() {
-			for _, daemon := range k.next() {
-				go k.ask(ctx, daemon)
+			for _, q := range k.next() {
+				go k.ask(ctx, q)
 			}
 		}
 		interval = k.pause()
@@ -71,8 +74,8 @@
 	return min(max(k.replica.DueIn(k.o.Now()), exchangeInterval), idleInterval)
 }
 
-// next returns the daemons to ask now.
-func (k *Keeper) next() []string {
+// next returns the queries to send now.
+func (k *Keeper) next() []antientropy.Query {
 	daemons := k.o.Daemons()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -94,34 +97,42 @@
 		return
 	}
 	k.replica.Hear(daemon, version, k.o.Now())
+	k.wake()
+}
+
+// wake lets Run look at once whom to ask.
+func (k *Keeper) wake() {
 	select {
 	case k.ahead <- struct{}{}:
 	default:
 	}
 }
 
-// ask asks one daemon and applies what it has.
-func (k *Keeper) ask(ctx context.Context, daemon string) {
+// ask sends one query and applies the version that it fetches.
+func (k *Keeper) ask(ctx context.Context, q antientropy.Query) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	began := k.o.Now()
 	var got answer
-	if err := k.o.Peers.Call(ctx, daemon, methodNewest, query{k.version()}, &got); err != nil {
+	if err := k.o.Peers.Call(ctx, q.Daemon, methodNewest, query{k.version(), q.Fetch}, &got); err != nil {
 		k.queries.unanswered.Inc()
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.replica.Failed(daemon, k.o.Now())
+		k.replica.Failed(q.Daemon, k.o.Now())
 		return
 	}
 	k.queries.answered.Inc()
 	if got.Record != nil {
-		k.apply([]partition.Record{*got.Record}, daemon)
+		k.apply([]partition.Record{*got.Record}, q.Daemon)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.replica.Answered(daemon, began, antientropy.Answer{
+	k.replica.Answered(q.Daemon, began, antientropy.Answer{
 		Version: got.Version, Age: time.Duration(got.UnconfirmedMS) * time.Millisecond, Confirmed: got.UnconfirmedMS >= 0,
 	})
+	if got.Version > k.replica.Version() {
+		k.wake()
+	}
 }
 
 func (k *Keeper) version() uint64 {
@@ -139,7 +150,7 @@
 	if age, confirmed := k.replica.Age(k.o.Now()); confirmed {
 		a.UnconfirmedMS = age.Milliseconds()
 	}
-	if a.Version > q.Version {
+	if q.Fetch && a.Version > q.Version {
 		a.Record = &k.newest.Load().Record
 	}
 	return a, nil
--- a/internal/configuration/keeper.go
+++ b/internal/configuration/keeper.go
@@ -4,6 +4,7 @@
 package configuration
 
 import (
+	"bytes"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -103,6 +104,9 @@
 // apply applies the newest version among records. Daemon names the one that sent them; it is empty for
 // records that were read from the log.
 func (k *Keeper) apply(records []partition.Record, daemon string) {
+	if k.isInForce(records) {
+		return
+	}
 	published, err := k.o.Decode(records)
 	if err != nil {
 		k.o.Events.Log(events.ConfigurationUnreadable, "offset", records[len(records)-1].Offset, "from", daemon, "error", err.Error())
@@ -115,6 +119,17 @@
 	k.o.OnApply()
 }
 
+// isInForce reports whether the last of records is the one in force, which the log and other daemons
+// deliver again and again.
+func (k *Keeper) isInForce(records []partition.Record) bool {
+	p := k.newest.Load()
+	if p == nil || len(records) == 0 {
+		return false
+	}
+	newest := records[len(records)-1]
+	return newest.Offset == p.Record.Offset && newest.Key == p.Record.Key && bytes.Equal(newest.Value, p.Record.Value)
+}
+
 // replace puts a version into force. It reports false if that is not later than the one in force:
 // a delayed read must not replace a newer version.
 func (k *Keeper) replace(p *Published) bool {
--- a/internal/configuration/keeper_test.go
+++ b/internal/configuration/keeper_test.go
@@ -70,3 +70,25 @@
 		})
 	}
 }
+
+// Guards against a daemon with little processor time that decodes the same version for the log and
+// for each other daemon that sends it (issue 63, CONFIG).
+func TestKeeper_DecodesARecordOnce(t *testing.T) {
+	decoded := 0
+	k := New(Options{
+		Decode:  func(records []partition.Record) (*Published, error) { decoded++; return decodeVersion(records) },
+		OnApply: func() {}, Peers: &answeringPeers{}, Daemons: func() []string { return nil }, Events: events.Discard(), Metrics: metrics.NewSet(), Now: time.Now,
+	})
+	fifth, sixth := partition.Record{Offset: 8, Value: []byte("5")}, partition.Record{Offset: 9, Value: []byte("6")}
+	for _, records := range [][]partition.Record{{fifth}, {fifth}, {sixth}, {fifth, sixth}} {
+		k.Read(records)
+		k.apply(records, "b")
+	}
+	if decoded != 2 || k.Newest().Version != 6 {
+		t.Errorf("version %d after %d times of decoding, want 6 after 2", k.Newest().Version, decoded)
+	}
+	k.Read([]partition.Record{{Offset: 9, Value: []byte("7")}})
+	if k.Newest().Version != 7 {
+		t.Errorf("version %d, want 7, which a log that lost its end holds at the same offset", k.Newest().Version)
+	}
+}
