One way to stop all attempts of a submission, and clearer comments on room

Cause: the loop stood in finishJob and in stopForRelocation; what Exact asks for and why a submission that was stopped waits no more had to be guessed. Change: Core.stopJob; comments. No decision changes.

--- a/internal/scheduler/relocate.go
+++ b/internal/scheduler/relocate.go
@@ -159,11 +159,7 @@
 func (c *Core) stopForRelocation(j *job, to int) {
 	j.relocation.begin(c.now)
 	c.log.Log(events.SubmissionRelocated, "id", j.sub.ID, "queue", j.sub.Queue, "to", to, "runs", j.live)
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			c.stopStep(st)
-		}
-	}
+	c.stopJob(j)
 }
 
 // endRelocations lets tasks of jobs that have not left in time start here again.
--- a/internal/scheduler/room.go
+++ b/internal/scheduler/room.go
@@ -22,7 +22,7 @@
 	Count        int                `json:"count"`
 	Gang         bool               `json:"gang,omitempty"`
 	MaxPerServer int                `json:"maxPerServer,omitempty"`
-	// Exact asks for free capacity once over in place of spareFactor times.
+	// Exact asks for free capacity for Count tasks, in place of spareFactor times as many.
 	Exact bool `json:"exact,omitempty"`
 }
 
--- a/internal/scheduler/stuck.go
+++ b/internal/scheduler/stuck.go
@@ -137,7 +137,8 @@
 	return append(out[c.roomCursor:len(out):len(out)], out[:c.roomCursor]...)[:maxStuckJobs]
 }
 
-// stuckTime returns how long the job waits before other shards are asked.
+// stuckTime returns how long the job waits before other shards are asked. One that was stopped to be
+// handed over has waited before.
 func (j *job) stuckTime() time.Duration {
 	if j.relocation.underWay {
 		return 0
--- a/internal/scheduler/submissions.go
+++ b/internal/scheduler/submissions.go
@@ -357,6 +357,11 @@
 		c.metric.submissionEnded(status, c.now.Sub(j.accepted))
 		c.log.Log(events.SubmissionEnded, "id", id, "queue", j.sub.Queue, "status", string(status), "age", c.now.Sub(j.accepted).Milliseconds())
 	})
+	c.stopJob(j)
+}
+
+// stopJob stops the attempts of all steps of a job.
+func (c *Core) stopJob(j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			c.stopStep(s)
