--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -105,7 +105,7 @@
 	CapHolders CapHolders
 	// Daemons lists the other daemons.
 	Daemons func() []string
-
+	// Configuration holds the version in force on this daemon, and learns those of others.
 	Configuration Configuration
 	// Isolated reports whether neither the store nor another daemon answers
 	// this one.
@@ -123,7 +123,7 @@
 	Services() []string
 }
 
-// Configuration is told which versions of the configuration other daemons have.
+// Configuration holds the configuration in force, and is told which versions other daemons have.
 // configuration.Keeper implements it.
 type Configuration interface {
 	// Newest returns the configuration in force; nil before the first one.
