Comments on split jobs, from reading the diff as a newcomer

Cause: stuckJob was described as a job with nothing running, which a split one isn't; what RoomAnswered does to those, and that the shard named in an event isn't settled, had to be guessed. Change: comments alone.

--- a/internal/scheduler/relocate.go
+++ b/internal/scheduler/relocate.go
@@ -57,8 +57,8 @@
 	return splitFactor * stuckTime
 }
 
-// splitJobs lists the jobs of sharded services that have tasks which wait beside others that run,
-// for long enough, in placement order.
+// splitJobs lists the split jobs of sharded services in placement order: tasks have waited for long
+// enough beside others that run. assessSplit decides whether they wait in vain.
 func (c *Core) splitJobs() []*job {
 	var out []*job
 	seen := make(map[*job]bool)
@@ -155,7 +155,8 @@
 	}
 }
 
-// stopForRelocation stops a job's runs, so that it can be handed over.
+// stopForRelocation stops a job's runs, so that it can be handed over. That it goes to the shard to
+// is not settled: the others are asked again once the runs have ended, since room may be taken.
 func (c *Core) stopForRelocation(j *job, to int) {
 	j.relocation.begin(c.now)
 	c.log.Log(events.SubmissionRelocated, "id", j.sub.ID, "queue", j.sub.Queue, "to", to, "runs", j.live)
--- a/internal/scheduler/stuck.go
+++ b/internal/scheduler/stuck.go
@@ -43,11 +43,13 @@
 	handoverRerouted handoverReason = "rerouted"
 )
 
-// stuckJob is a job that waits with nothing running.
+// stuckJob is a job that may leave for another shard: nothing of it runs, or it is split
+// (relocate.go).
 type stuckJob struct {
-	job   *job
+	job *job
+	// needs are those of the steps that another shard would have to run.
 	needs []Need
-	// own is whether this shard can run it.
+	// own is whether this shard can run them; FitLater for a split job.
 	own Fit
 }
 
@@ -183,8 +185,8 @@
 func needsKey(needs []Need) string { return fmt.Sprint(needs) }
 
 // RoomAnswered handles the answers to a question: it hands over the jobs for which
-// another shard has room. One that this shard can run later goes only where there is
-// room now.
+// another shard has room, and stops split jobs that can be handed over then. One that this
+// shard can run later goes only where there is room now.
 func (c *Core) RoomAnswered(q RoomQuestion, answers []RoomAnswer) {
 	c.roomAsked = false
 	answers = slices.DeleteFunc(answers, func(a RoomAnswer) bool { return len(a.Fits) != len(q.Needs) })
